--- /dev/null
+++ b/crates/interlocking/src/lib.rs
@@ -0,0 +1,4 @@
+//! Zab: the order of every change in the control plane, as a pure state machine with its storage.
+
+pub mod storage;
+pub mod zab;
--- /dev/null
+++ b/crates/interlocking/src/storage/disk.rs
@@ -0,0 +1,66 @@
+//! The few things that storage asks of a disk, so that tests can bring their own.
+
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+pub trait Disk {
+    /// A file's bytes; empty where there is none.
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>>;
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()>;
+    fn set_length(&mut self, name: &str, length: u64) -> io::Result<()>;
+    /// What was written to the file is durable once this returns.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+}
+
+/// Files under the data directory, kept open.
+pub struct FileDisk {
+    directory: PathBuf,
+    open: Vec<(String, File)>,
+}
+
+impl FileDisk {
+    pub fn open(directory: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(directory)?;
+        Ok(Self {
+            directory: directory.to_owned(),
+            open: Vec::new(),
+        })
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&File> {
+        if let Some(index) = self.open.iter().position(|(known, _)| known == name) {
+            return Ok(&self.open[index].1);
+        }
+        let path = self.directory.join(name);
+        let file = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(path)?;
+        file.sync_all()?;
+        File::open(&self.directory)?.sync_all()?;
+        self.open.push((name.to_owned(), file));
+        Ok(&self.open.last().expect("pushed just now").1)
+    }
+}
+
+impl Disk for FileDisk {
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        match std::fs::read(self.directory.join(name)) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Vec::new()),
+            outcome => outcome,
+        }
+    }
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all_at(bytes, offset)
+    }
+    fn set_length(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)
+    }
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+}
--- /dev/null
+++ b/crates/interlocking/src/zab/election.rs
@@ -0,0 +1,134 @@
+//! The oracle that names a leader: members tell how far they are, and the furthest of a quorum leads.
+
+use super::following::Following;
+use super::history::Voter;
+use super::leading::Leading;
+use super::messages::{Message, PollState};
+use super::node::{Heard, Role, Zab};
+use std::time::Duration;
+use trackbed::ids::{MemberId, ZabEpoch, Zxid};
+
+const POLL_EVERY: Duration = Duration::from_millis(120);
+/// How long what a member said of itself counts.
+const POLL_FRESH: Duration = Duration::from_millis(500);
+/// How long a bare quorum waits for the other voters to speak.
+const POLL_PAUSE: Duration = Duration::from_millis(200);
+
+impl Zab {
+    fn own_poll(&self) -> Message {
+        let state = match &self.role {
+            Role::Leading(leading) if leading.is_established() => PollState::Leading,
+            Role::Following(following) if following.is_in_step(self.current) => {
+                PollState::Following(following.leader.clone())
+            }
+            _ => PollState::Looking,
+        };
+        Message::Poll {
+            promised: self.promised,
+            current: self.current,
+            last: self.history.last(),
+            state,
+        }
+    }
+
+    pub(super) fn on_poll(&mut self, heard: Heard, asked_by_address: bool) {
+        let from = heard.voter.clone();
+        if heard.state == PollState::Looking
+            && matches!(&self.role, Role::Following(following) if following.leader.id == from.id)
+        {
+            // The leader itself has given up, or started anew.
+            self.look();
+        }
+        if !matches!(self.role, Role::Looking { .. }) || asked_by_address {
+            // A member that looks for a leader is told of this one's.
+            if heard.state == PollState::Looking {
+                let poll = self.own_poll();
+                self.send(from.clone(), poll);
+            }
+            if !matches!(self.role, Role::Looking { .. }) {
+                return;
+            }
+        }
+        match &heard.state {
+            PollState::Leading if heard.current >= self.current => self.follow(from),
+            PollState::Following(leader) if heard.current >= self.current && leader.id != self.me.id => {
+                // Asked for itself: what it says of its state is what counts.
+                let (leader, poll) = (leader.clone(), self.own_poll());
+                self.send(leader, poll);
+            }
+            _ => {
+                self.polls.insert(from.id, heard);
+            }
+        }
+    }
+
+    pub(super) fn tick_looking(&mut self) {
+        let now = self.now;
+        if now >= self.next_poll {
+            self.next_poll = now + POLL_EVERY;
+            let poll = self.own_poll();
+            let voters: Vec<Voter> = self
+                .voters()
+                .iter()
+                .filter(|voter| voter.id != self.me.id)
+                .cloned()
+                .collect();
+            for voter in &voters {
+                self.send(voter.clone(), poll.clone());
+            }
+            for address in self.contacts.clone() {
+                if address != self.me.address && !voters.iter().any(|voter| voter.address == address) {
+                    self.send(
+                        Voter {
+                            id: MemberId(0),
+                            address,
+                        },
+                        poll.clone(),
+                    );
+                }
+            }
+        }
+        self.polls.retain(|_, heard| now.since(heard.at) < POLL_FRESH);
+        let Role::Looking { since } = self.role else { return };
+        if !self.is_voter() {
+            return;
+        }
+        let mut best = (self.current, self.history.last(), self.me.id, None);
+        let mut count = 1;
+        let mut promised = self.promised;
+        for voter in self.voters() {
+            if let Some(heard) = self.polls.get(&voter.id) {
+                count += 1;
+                promised = promised.max(heard.promised);
+                if (heard.current, heard.last, voter.id) > (best.0, best.1, best.2) {
+                    best = (heard.current, heard.last, voter.id, Some(heard.voter.clone()));
+                }
+            }
+        }
+        let everyone = count == self.voters().len();
+        if count < self.quorum() || (!everyone && now.since(since) < POLL_PAUSE) {
+            return;
+        }
+        match best.3 {
+            Some(leader) => self.follow(leader),
+            None => self.lead(promised),
+        }
+    }
+
+    pub(super) fn follow(&mut self, leader: Voter) {
+        self.role = Role::Following(Following::new(leader, self.now));
+        self.ask_to_follow();
+    }
+
+    fn lead(&mut self, promised: ZabEpoch) {
+        let mut leading = Leading::new(self.now, promised);
+        leading.hear_epoch(self.me.clone(), self.promised, self.now);
+        self.role = Role::Leading(Box::new(leading));
+        self.try_new_epoch();
+    }
+
+    /// How far a member is, as the election compares it.
+    pub(super) fn standing(&self) -> (ZabEpoch, Zxid) {
+        (self.current, self.history.last())
+    }
+}
--- /dev/null
+++ b/crates/interlocking/src/zab/history.rs
@@ -0,0 +1,171 @@
+//! A member's history: a frame, and the transactions after it.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use trackbed::ids::{MemberId, Zxid};
+
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Voter {
+    pub id: MemberId,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Payload {
+    /// A change of the application's state.
+    Change(Vec<u8>),
+    /// The voters from here on. Invariant: differs from those before by one voter at most.
+    Voters(Vec<Voter>),
+}
+
+impl Payload {
+    fn weight(&self) -> usize {
+        match self {
+            Payload::Change(bytes) => bytes.len(),
+            Payload::Voters(voters) => voters.len() * 32,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Entry {
+    pub zxid: Zxid,
+    pub payload: Payload,
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Frame {
+    pub zxid: Zxid,
+    pub voters: Vec<Voter>,
+    pub state: Vec<u8>,
+}
+
+/// Invariants: entries rise by zxid; the first comes right after `base`; `base` ≤ the frame's zxid;
+/// everything up to the frame is committed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct History {
+    pub frame: Frame,
+    base: Zxid,
+    entries: VecDeque<Entry>,
+    weight: usize,
+    /// Invariant: the voters in force at the history's end, committed or not.
+    voters: Vec<Voter>,
+}
+
+impl History {
+    pub fn new(frame: Frame) -> Self {
+        let voters = frame.voters.clone();
+        Self {
+            base: frame.zxid,
+            frame,
+            entries: VecDeque::new(),
+            weight: 0,
+            voters,
+        }
+    }
+
+    pub fn last(&self) -> Zxid {
+        self.entries
+            .back()
+            .map(|entry| entry.zxid)
+            .unwrap_or(self.base)
+            .max(self.base)
+    }
+
+    pub fn weight(&self) -> usize {
+        self.weight
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn index_after(&self, zxid: Zxid) -> usize {
+        self.entries.partition_point(|entry| entry.zxid <= zxid)
+    }
+
+    /// True when the transaction is in this history, or is where it begins.
+    pub fn contains(&self, zxid: Zxid) -> bool {
+        if zxid == self.base {
+            return true;
+        }
+        let index = self.index_after(zxid);
+        index > 0 && self.entries[index - 1].zxid == zxid
+    }
+
+    /// The latest place not after `zxid` from which entries can be given; `None` when only the frame helps.
+    pub fn place_not_after(&self, zxid: Zxid) -> Option<Zxid> {
+        if zxid < self.base {
+            return None;
+        }
+        let index = self.index_after(zxid);
+        Some(if index == 0 {
+            self.base
+        } else {
+            self.entries[index - 1].zxid
+        })
+    }
+
+    pub fn after(&self, zxid: Zxid) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().skip(self.index_after(zxid))
+    }
+
+    pub fn append(&mut self, entry: Entry) {
+        assert!(entry.zxid > self.last(), "a history only grows upwards");
+        self.weight += entry.payload.weight() + 32;
+        if let Payload::Voters(voters) = &entry.payload {
+            self.voters = voters.clone();
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops what comes after `zxid`.
+    pub fn truncate(&mut self, zxid: Zxid) {
+        assert!(
+            zxid >= self.frame.zxid,
+            "what a frame holds is committed and never dropped"
+        );
+        while self.entries.back().is_some_and(|entry| entry.zxid > zxid) {
+            let entry = self.entries.pop_back().expect("looked at just now");
+            self.weight -= entry.payload.weight() + 32;
+        }
+        self.voters = self.voters_at(zxid).clone();
+    }
+
+    /// The voters in force at the end.
+    pub fn voters(&self) -> &Vec<Voter> {
+        &self.voters
+    }
+
+    /// The voters in force at a place: those of the last change up to it.
+    pub fn voters_at(&self, zxid: Zxid) -> &Vec<Voter> {
+        self.entries
+            .iter()
+            .rev()
+            .filter(|entry| entry.zxid <= zxid && entry.zxid > self.frame.zxid)
+            .find_map(|entry| match &entry.payload {
+                Payload::Voters(voters) => Some(voters),
+                Payload::Change(_) => None,
+            })
+            .unwrap_or(&self.frame.voters)
+    }
+
+    /// Takes a new frame, and keeps a short tail before it for those a little behind.
+    pub fn compact(&mut self, zxid: Zxid, state: Vec<u8>, keep: usize) {
+        assert!(zxid >= self.frame.zxid, "frames only move on");
+        let voters = self.voters_at(zxid).clone();
+        self.frame = Frame { zxid, voters, state };
+        let mut spare = self.index_after(zxid).saturating_sub(keep);
+        while spare > 0 {
+            let entry = self.entries.pop_front().expect("counted just now");
+            self.base = entry.zxid;
+            self.weight -= entry.payload.weight() + 32;
+            spare -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/interlocking/src/zab/mod.rs
@@ -0,0 +1,16 @@
+//! The protocol. Messages, ticks and disk completions go in; actions come out.
+
+mod actions;
+mod election;
+mod following;
+mod history;
+mod leading;
+mod messages;
+mod node;
+#[cfg(test)]
+mod tests;
+
+pub use actions::{Action, Record, Ticket};
+pub use history::{Entry, Frame, History, Payload, Voter};
+pub use messages::{Envelope, Message, PollState};
+pub use node::{Image, Timing, Zab};
--- /dev/null
+++ b/crates/interlocking/src/zab/node.rs
@@ -0,0 +1,386 @@
+//! One member: what it holds, and where inputs go.
+
+use super::actions::{Action, Record, Ticket};
+use super::following::Following;
+use super::history::{Entry, Frame, History, Payload, Voter};
+use super::leading::Leading;
+use super::messages::{Envelope, Message, PollState};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+use trackbed::clock::Moment;
+use trackbed::ids::{MemberId, ZabEpoch, Zxid};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between heartbeats.
+    pub beat: Duration,
+    /// Silence after which a leader, or a quorum, is given up.
+    pub patience: Duration,
+    /// For how long a follower that heard its leader takes no other. Invariant: below `patience`.
+    pub lease: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            beat: Duration::from_millis(150),
+            patience: Duration::from_millis(1000),
+            lease: Duration::from_millis(850),
+        }
+    }
+}
+
+/// What a member finds on its disk.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Image {
+    pub member: MemberId,
+    pub promised: ZabEpoch,
+    pub promised_to: MemberId,
+    pub current: ZabEpoch,
+    pub frame: Frame,
+    pub entries: Vec<Entry>,
+}
+
+impl Image {
+    pub fn empty(member: MemberId, voters: Vec<Voter>) -> Self {
+        let frame = Frame {
+            zxid: Zxid::ZERO,
+            voters,
+            state: Vec::new(),
+        };
+        Self {
+            member,
+            promised: ZabEpoch(0),
+            promised_to: MemberId(0),
+            current: ZabEpoch(0),
+            frame,
+            entries: Vec::new(),
+        }
+    }
+
+    /// Takes one more record from the log.
+    pub fn replay(&mut self, record: Record) {
+        match record {
+            Record::Promised(epoch, leader) => {
+                self.promised = epoch;
+                self.promised_to = leader;
+            }
+            Record::Current(epoch) => self.current = epoch,
+            Record::Append(entry) => self.entries.push(entry),
+            Record::Truncate(zxid) => self.entries.retain(|entry| entry.zxid <= zxid),
+            Record::Restart(frame) => {
+                self.frame = frame;
+                self.entries.clear();
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(super) enum Role {
+    Looking { since: Moment },
+    Following(Following),
+    Leading(Box<Leading>),
+}
+
+/// What another member said of itself in the election, and when.
+#[derive(Clone, Debug)]
+pub(super) struct Heard {
+    pub voter: Voter,
+    pub promised: ZabEpoch,
+    pub current: ZabEpoch,
+    pub last: Zxid,
+    pub state: PollState,
+    pub at: Moment,
+}
+
+/// What to do once a write is durable.
+#[derive(Debug)]
+pub(super) enum Then {
+    Nothing,
+    Tell {
+        to: Voter,
+        message: Message,
+    },
+    /// The leader's own part in a quorum.
+    OwnPromise(ZabEpoch),
+    OwnEpoch(ZabEpoch),
+    OwnAck(ZabEpoch, Zxid),
+}
+
+pub struct Zab {
+    pub(super) me: Voter,
+    pub(super) timing: Timing,
+    /// f.p: no message of an earlier epoch is acknowledged any more. Durable before it is told.
+    pub(super) promised: ZabEpoch,
+    /// Whose epoch that is.
+    pub(super) promised_to: MemberId,
+    /// f.a: the last epoch whose history was adopted. Invariant: current ≤ promised.
+    pub(super) current: ZabEpoch,
+    pub(super) history: History,
+    /// Invariant: delivered ≤ committed ≤ history.last().
+    pub(super) committed: Zxid,
+    pub(super) delivered: Zxid,
+    pub(super) role: Role,
+    pub(super) polls: BTreeMap<MemberId, Heard>,
+    pub(super) next_poll: Moment,
+    /// Until then no other leader's epoch is promised: the lease of the one last heard may run.
+    pub(super) lease_given: (MemberId, Moment),
+    /// Where to ask when no voter is known or reachable.
+    pub(super) contacts: Vec<std::net::SocketAddr>,
+    pub(super) waiting: VecDeque<(Ticket, Then)>,
+    next_ticket: u64,
+    pub(super) actions: Vec<Action>,
+    pub(super) now: Moment,
+}
+
+impl Zab {
+    pub fn start(image: Image, me: Voter, timing: Timing, now: Moment) -> Self {
+        let fresh = image.promised == ZabEpoch(0) && image.entries.is_empty();
+        let mut history = History::new(image.frame);
+        for entry in image.entries {
+            history.append(entry);
+        }
+        let delivered = history.frame.zxid;
+        let held_until = if fresh { now } else { now + timing.lease };
+        Self {
+            me,
+            timing,
+            promised: image.promised,
+            promised_to: image.promised_to,
+            current: image.current,
+            history,
+            committed: delivered,
+            delivered,
+            role: Role::Looking { since: now },
+            polls: BTreeMap::new(),
+            next_poll: now,
+            lease_given: (MemberId(0), held_until),
+            contacts: Vec::new(),
+            waiting: VecDeque::new(),
+            next_ticket: 0,
+            actions: Vec::new(),
+            now,
+        }
+    }
+
+    pub fn me(&self) -> &Voter {
+        &self.me
+    }
+    pub fn set_contacts(&mut self, contacts: Vec<std::net::SocketAddr>) {
+        self.contacts = contacts;
+    }
+    pub fn voters(&self) -> &Vec<Voter> {
+        self.history.voters()
+    }
+    pub fn is_voter(&self) -> bool {
+        self.voters().iter().any(|voter| voter.id == self.me.id)
+    }
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+    pub fn delivered(&self) -> Zxid {
+        self.delivered
+    }
+    pub fn epoch(&self) -> ZabEpoch {
+        self.current
+    }
+    pub fn promised(&self) -> ZabEpoch {
+        self.promised
+    }
+
+    /// The image that a slot on disk is to hold.
+    pub fn image(&self) -> Image {
+        Image {
+            member: self.me.id,
+            promised: self.promised,
+            promised_to: self.promised_to,
+            current: self.current,
+            frame: self.history.frame.clone(),
+            entries: self.history.after(self.history.frame.zxid).cloned().collect(),
+        }
+    }
+
+    /// The state delivered so far becomes the frame.
+    pub fn compact(&mut self, state: Vec<u8>, keep: usize) {
+        self.history.compact(self.delivered, state, keep);
+    }
+
+    /// True when this node is an established primary.
+    pub fn is_primary(&self) -> bool {
+        matches!(&self.role, Role::Leading(leading) if leading.is_established())
+    }
+
+    /// The established primary as far as known: this node, or the one it is in step with.
+    pub fn primary(&self) -> Option<Voter> {
+        match &self.role {
+            Role::Leading(leading) if leading.is_established() => Some(self.me.clone()),
+            Role::Following(following) if following.is_in_step(self.current) => Some(following.leader.clone()),
+            _ => None,
+        }
+    }
+
+    /// When this node last heard from a majority-backed primary; now, if it is one.
+    pub fn in_touch_at(&self) -> Option<Moment> {
+        match &self.role {
+            Role::Leading(leading) if leading.is_established() && self.lease_holds(self.now) => Some(self.now),
+            Role::Following(following) if following.is_in_step(self.current) => Some(following.heard),
+            _ => None,
+        }
+    }
+
+    pub fn handle(&mut self, envelope: Envelope, now: Moment) -> Vec<Action> {
+        self.now = now;
+        let Envelope { from, to, message } = envelope;
+        if from.id == self.me.id || (to != self.me.id && to != MemberId(0)) {
+            return Vec::new();
+        }
+        match message {
+            Message::Poll {
+                promised,
+                current,
+                last,
+                state,
+            } => self.on_poll(
+                Heard {
+                    voter: from,
+                    promised,
+                    current,
+                    last,
+                    state,
+                    at: now,
+                },
+                to == MemberId(0),
+            ),
+            Message::CurrentEpoch { promised, promised_to } => self.on_current_epoch(from, promised, promised_to),
+            Message::NewEpoch { epoch } => self.on_new_epoch(from, epoch),
+            Message::AckEpoch { epoch, current, last } => self.on_ack_epoch(from.id, epoch, current, last),
+            Message::NewLeader {
+                epoch,
+                previous,
+                entries,
+                frame,
+            } => self.on_new_leader(from, epoch, previous, entries, frame),
+            Message::Behind { epoch, last } => self.on_behind(from.id, epoch, last),
+            Message::AckLeader { epoch, last } => self.on_ack(from.id, epoch, last, true),
+            Message::Propose {
+                epoch,
+                previous,
+                entries,
+            } => self.on_propose(from, epoch, previous, entries),
+            Message::Ack { epoch, last } => self.on_ack(from.id, epoch, last, false),
+            Message::Commit { epoch, upto } => self.on_commit(from.id, epoch, upto),
+            Message::Ping { epoch, stamp, upto } => self.on_ping(from, epoch, stamp, upto),
+            Message::Pong { epoch, stamp } => self.on_pong(from.id, epoch, stamp),
+        }
+        self.finish()
+    }
+
+    pub fn tick(&mut self, now: Moment) -> Vec<Action> {
+        self.now = now;
+        match &self.role {
+            Role::Looking { .. } => self.tick_looking(),
+            Role::Following(_) => self.tick_following(),
+            Role::Leading(_) => self.tick_leading(),
+        }
+        self.finish()
+    }
+
+    /// A write and all before it are durable.
+    pub fn durable(&mut self, ticket: Ticket, now: Moment) -> Vec<Action> {
+        self.now = now;
+        while self.waiting.front().is_some_and(|(waiting, _)| *waiting <= ticket) {
+            let (_, then) = self.waiting.pop_front().expect("looked at just now");
+            match then {
+                Then::Nothing => {}
+                Then::Tell { to, message } => self.send(to, message),
+                Then::OwnPromise(epoch) => self.own_promise(epoch),
+                Then::OwnEpoch(epoch) => self.own_ack(epoch, self.history.last().min(self.own_sync_point(epoch))),
+                Then::OwnAck(epoch, last) => self.own_ack(epoch, last),
+            }
+        }
+        self.finish()
+    }
+
+    /// Broadcasts changes in order; `None` unless this node is the established primary.
+    pub fn propose(&mut self, changes: Vec<Vec<u8>>, now: Moment) -> Option<(Zxid, Vec<Action>)> {
+        self.now = now;
+        let last = self.broadcast(changes.into_iter().map(Payload::Change).collect())?;
+        Some((last, self.finish()))
+    }
+
+    /// Proposes one voter more or one less. One change at a time: refused until the last is committed.
+    pub fn propose_voters(&mut self, voters: Vec<Voter>, now: Moment) -> Option<Vec<Action>> {
+        self.now = now;
+        if !self.is_primary() || self.voters_change_pending() {
+            return None;
+        }
+        let before = self.voters().clone();
+        let gone = before.iter().filter(|voter| !voters.contains(voter)).count();
+        let come = voters.iter().filter(|voter| !before.contains(voter)).count();
+        if gone + come != 1 || voters.is_empty() {
+            return None;
+        }
+        self.broadcast(vec![Payload::Voters(voters)])?;
+        Some(self.finish())
+    }
+
+    /// True while a change of the voters is not yet committed.
+    pub fn voters_change_pending(&self) -> bool {
+        self.history
+            .after(self.committed)
+            .any(|entry| matches!(entry.payload, Payload::Voters(_)))
+    }
+
+    pub(super) fn quorum(&self) -> usize {
+        self.voters().len() / 2 + 1
+    }
+
+    pub(super) fn send(&mut self, to: Voter, message: Message) {
+        self.actions.push(Action::Send { to, message });
+    }
+
+    pub(super) fn persist(&mut self, records: Vec<Record>, then: Then) {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        self.waiting.push_back((ticket, then));
+        self.actions.push(Action::Persist { ticket, records });
+    }
+
+    pub(super) fn look(&mut self) {
+        if matches!(&self.role, Role::Leading(leading) if leading.is_established()) {
+            self.actions.push(Action::Deposed);
+        }
+        self.role = Role::Looking { since: self.now };
+        self.polls.clear();
+        self.next_poll = self.now;
+    }
+
+    pub(super) fn commit_upto(&mut self, upto: Zxid) {
+        let upto = upto.min(self.history.last());
+        if upto <= self.committed {
+            return;
+        }
+        self.committed = upto;
+        let mut delivered = Vec::new();
+        for entry in self.history.after(self.delivered) {
+            if entry.zxid > upto {
+                break;
+            }
+            self.delivered = entry.zxid;
+            if let Payload::Change(payload) = &entry.payload {
+                delivered.push(Action::Deliver {
+                    zxid: entry.zxid,
+                    payload: payload.clone(),
+                });
+            }
+        }
+        self.actions.extend(delivered);
+    }
+
+    fn finish(&mut self) -> Vec<Action> {
+        debug_assert!(self.current <= self.promised);
+        debug_assert!(self.delivered <= self.committed && self.committed <= self.history.last());
+        std::mem::take(&mut self.actions)
+    }
+}
--- /dev/null
+++ b/crates/interlocking/src/zab/tests.rs
@@ -0,0 +1,1 @@
+mod dummy {}
--- /dev/null
+++ b/crates/lineside/src/call/messages.rs
@@ -0,0 +1,97 @@
+//! What is asked and answered.
+
+use crate::gossip::Occupancy;
+use borsh::{BorshDeserialize, BorshSerialize};
+use timetable::fleet::{FleetNews, Instance};
+use trackbed::ids::{InstanceId, Zxid};
+
+/// A call of the operator or an application, as one node passes it to another.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct ControlCall {
+    pub method: String,
+    pub path: String,
+    pub query: String,
+    pub if_match: Option<String>,
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct ControlReturn {
+    pub status: u16,
+    pub body: String,
+    pub retry_after_millis: Option<u32>,
+}
+
+impl ControlReturn {
+    pub fn new(status: u16, body: String) -> Self {
+        Self {
+            status,
+            body,
+            retry_after_millis: None,
+        }
+    }
+
+    pub fn fault(status: u16, message: &str) -> Self {
+        Self::new(
+            status,
+            format!("{{\"error_message\":\"{}\"}}", trackbed::logs::escape(message)),
+        )
+    }
+
+    /// Nothing was done and nothing will be.
+    pub fn not_now(message: &str) -> Self {
+        Self {
+            retry_after_millis: Some(200),
+            ..Self::fault(503, message)
+        }
+    }
+
+    /// Whether it was done can't be told.
+    pub fn unknown() -> Self {
+        Self::fault(504, "whether this took effect is not known here: ask again")
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Ask {
+    /// What came after `since`; `assured` wants all that was acknowledged before the call.
+    News {
+        since: Zxid,
+        assured: bool,
+    },
+    Register(Instance),
+    SignOff(InstanceId),
+    /// Only a primary answers; anyone else says that it isn't one.
+    Control(ControlCall),
+    /// How busy the endpoint beside the asked node is.
+    Occupancy,
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Reply {
+    News {
+        news: Option<FleetNews>,
+        zxid: Zxid,
+    },
+    Control(ControlReturn),
+    Done,
+    Occupancy(Option<Occupancy>),
+    /// Nothing was done and nothing will be.
+    NotNow(String),
+    /// Whether it was done can't be told.
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum SiblingMessage {
+    /// A message of Zab, which has its own encoding.
+    Zab(Vec<u8>),
+    Ask {
+        number: u64,
+        ask: Ask,
+    },
+    Reply {
+        number: u64,
+        reply: Reply,
+    },
+}
--- /dev/null
+++ b/crates/lineside/src/call/mod.rs
@@ -0,0 +1,7 @@
+//! Calls between the system's own processes, over streams that carry many at a time.
+
+mod caller;
+mod messages;
+
+pub use caller::{CallError, Caller};
+pub use messages::{Ask, ControlCall, ControlReturn, Reply, SiblingMessage};
--- /dev/null
+++ b/crates/lineside/src/gossip/roster.rs
@@ -0,0 +1,490 @@
+//! The roster: a pure state machine over datagrams and ticks.
+
+use super::cards::{Card, Datagram, Kind, Occupancy, Role, Sibling, Standing};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use trackbed::clock::Moment;
+use trackbed::ids::{Incarnation, NodeName, Zxid};
+use trackbed::random::{Random, stable_hash};
+
+const CARDS_IN_A_DATAGRAM: usize = 8;
+const FANOUT: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+pub struct RosterTiming {
+    pub probe: Duration,
+    /// Silence after which second opinions are asked for.
+    pub patience: Duration,
+    /// For how long a silent node is only suspected.
+    pub suspicion: Duration,
+    /// How long a dead node stays on the roster.
+    pub memory: Duration,
+}
+
+impl Default for RosterTiming {
+    fn default() -> Self {
+        Self {
+            probe: Duration::from_millis(500),
+            patience: Duration::from_millis(200),
+            suspicion: Duration::from_millis(1500),
+            memory: Duration::from_secs(60),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum GossipAction {
+    Send {
+        to: SocketAddr,
+        datagram: Datagram,
+    },
+    /// That sibling's fleet state is ahead.
+    Ahead {
+        sibling: Sibling,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    card: Card,
+    since: Moment,
+    occupancy: Option<(Occupancy, Moment)>,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    number: u64,
+    name: NodeName,
+    at: Moment,
+    asked_others: bool,
+}
+
+pub struct Roster {
+    me: Card,
+    fleet: Zxid,
+    occupancy: Option<Occupancy>,
+    timing: RosterTiming,
+    /// Invariant: never holds this node itself.
+    known: BTreeMap<NodeName, Known>,
+    /// The order of the next probes.
+    turn: VecDeque<NodeName>,
+    probes: Vec<Probe>,
+    /// Probes made for others: our number, whom to tell, their number.
+    errands: VecDeque<(u64, SocketAddr, u64)>,
+    /// What is still to be passed on, and how often.
+    rumours: VecDeque<(Card, u32)>,
+    /// When a node was last told of everyone.
+    introduced: BTreeMap<NodeName, Moment>,
+    seeds: Vec<SocketAddr>,
+    next_probe: Moment,
+    next_seed: Moment,
+    next_number: u64,
+    random: Random,
+    actions: Vec<GossipAction>,
+}
+
+impl Roster {
+    pub fn new(me: Sibling, seeds: Vec<SocketAddr>, timing: RosterTiming, random: Random, now: Moment) -> Self {
+        Self {
+            me: Card {
+                sibling: me,
+                standing: Standing::Alive,
+            },
+            fleet: Zxid::ZERO,
+            occupancy: None,
+            timing,
+            known: BTreeMap::new(),
+            turn: VecDeque::new(),
+            probes: Vec::new(),
+            errands: VecDeque::new(),
+            rumours: VecDeque::new(),
+            introduced: BTreeMap::new(),
+            seeds,
+            next_probe: now,
+            next_seed: now,
+            next_number: 1,
+            random,
+            actions: Vec::new(),
+        }
+    }
+
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+    pub fn set_occupancy(&mut self, occupancy: Option<Occupancy>) {
+        self.occupancy = occupancy;
+    }
+    pub fn me(&self) -> &Sibling {
+        &self.me.sibling
+    }
+    /// Every node heard of and not yet forgotten, the dead among them.
+    pub fn cards(&self) -> impl Iterator<Item = &Card> {
+        self.known.values().map(|known| &known.card)
+    }
+    pub fn standing(&self, name: &NodeName) -> Option<Standing> {
+        self.known.get(name).map(|known| known.card.standing)
+    }
+    pub fn occupancy_of(&self, name: &NodeName) -> Option<&(Occupancy, Moment)> {
+        self.known.get(name)?.occupancy.as_ref()
+    }
+    pub fn alive(&self, role: Role) -> impl Iterator<Item = &Sibling> {
+        self.known
+            .values()
+            .filter(move |known| known.card.sibling.role == role && known.card.standing <= Standing::Suspect)
+            .map(|known| &known.card.sibling)
+    }
+
+    /// The own fleet state moved on: a few are told at once.
+    pub fn fleet_moved(&mut self, fleet: Zxid) -> Vec<GossipAction> {
+        if fleet > self.fleet {
+            self.fleet = fleet;
+            self.tell_a_few();
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// This node is about to end.
+    pub fn leave(&mut self) -> Vec<GossipAction> {
+        self.me.standing = Standing::Leaving;
+        let targets: Vec<SocketAddr> = self
+            .known
+            .values()
+            .filter(|known| known.card.standing != Standing::Dead)
+            .map(|known| known.card.sibling.address)
+            .collect();
+        for to in targets {
+            self.ping(to);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn tell_a_few(&mut self) {
+        let mut targets: Vec<SocketAddr> = self
+            .known
+            .values()
+            .filter(|known| known.card.standing <= Standing::Leaving)
+            .map(|known| known.card.sibling.address)
+            .collect();
+        self.random.shuffle(&mut targets);
+        for to in targets.into_iter().take(FANOUT) {
+            self.ping(to);
+        }
+    }
+
+    fn digest(&self) -> u64 {
+        let cards = self
+            .known
+            .values()
+            .map(|known| &known.card)
+            .chain(std::iter::once(&self.me));
+        cards.fold(0, |digest, card| {
+            let facts = card
+                .sibling
+                .incarnation
+                .0
+                .wrapping_mul(8)
+                .wrapping_add(card.standing as u64);
+            digest
+                ^ stable_hash(card.sibling.name.as_str())
+                    .wrapping_mul(facts | 1)
+                    .rotate_left(facts as u32 % 63)
+        })
+    }
+
+    fn datagram(&mut self, kind: Kind) -> Datagram {
+        let mut news = Vec::new();
+        for _ in 0..self.rumours.len().min(CARDS_IN_A_DATAGRAM) {
+            if let Some((card, left)) = self.rumours.pop_front() {
+                if left > 1 {
+                    self.rumours.push_back((card.clone(), left - 1));
+                }
+                news.push(card);
+            }
+        }
+        Datagram {
+            from: self.me.clone(),
+            fleet: self.fleet,
+            roster: self.digest(),
+            occupancy: self.occupancy.clone(),
+            kind,
+            news,
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, kind: Kind) {
+        let datagram = self.datagram(kind);
+        self.actions.push(GossipAction::Send { to, datagram });
+    }
+
+    fn ping(&mut self, to: SocketAddr) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.send(to, Kind::Ping { number });
+        number
+    }
+
+    fn spread(&mut self, card: Card) {
+        self.rumours
+            .retain(|(rumour, _)| rumour.sibling.name != card.sibling.name);
+        let times = 3 + (usize::BITS - self.known.len().leading_zeros());
+        self.rumours.push_front((card, times));
+    }
+
+    /// Weighs a card against what is known. Returns true when it was news.
+    fn learn(&mut self, card: Card, now: Moment) -> bool {
+        if card.sibling.name == self.me.sibling.name {
+            let own = self.me.sibling.incarnation;
+            let heard = (card.sibling.incarnation, card.standing);
+            if heard > (own, self.me.standing) {
+                // Somebody holds an earlier life, or a false report: this life speaks up.
+                self.me.sibling.incarnation = Incarnation(card.sibling.incarnation.0.max(own.0) + 1);
+                let me = self.me.clone();
+                self.spread(me);
+            }
+            return false;
+        }
+        let name = card.sibling.name.clone();
+        if let Some(known) = self.known.get_mut(&name) {
+            let before = (known.card.sibling.incarnation, known.card.standing);
+            if (card.sibling.incarnation, card.standing) <= before {
+                return false;
+            }
+            if known.card.standing != card.standing {
+                known.since = now;
+            }
+            if known.card.sibling.incarnation != card.sibling.incarnation {
+                known.occupancy = None;
+            }
+            known.card = card.clone();
+        } else {
+            if card.standing == Standing::Dead {
+                return false;
+            }
+            self.known.insert(
+                name.clone(),
+                Known {
+                    card: card.clone(),
+                    since: now,
+                    occupancy: None,
+                },
+            );
+            let place = self.random.below(self.turn.len() as u64 + 1) as usize;
+            self.turn.insert(place, name);
+        }
+        self.spread(card);
+        true
+    }
+
+    pub fn receive(&mut self, from: SocketAddr, datagram: Datagram, now: Moment) -> Vec<GossipAction> {
+        let Datagram {
+            from: card,
+            fleet,
+            roster,
+            occupancy,
+            kind,
+            news,
+        } = datagram;
+        if card.sibling.name == self.me.sibling.name {
+            return Vec::new();
+        }
+        let name = card.sibling.name.clone();
+        let is_new = !self.known.contains_key(&name);
+        self.learn(card.clone(), now);
+        if let Some(known) = self.known.get_mut(&name) {
+            if known.card.sibling.incarnation == card.sibling.incarnation {
+                known.occupancy = occupancy.map(|occupancy| (occupancy, now));
+            }
+            if (known.card.sibling.incarnation, known.card.standing) > (card.sibling.incarnation, card.standing) {
+                // It doesn't know what is said of it.
+                let report = known.card.clone();
+                self.rumours.push_front((report, 1));
+            }
+        }
+        for card in news {
+            self.learn(card, now);
+        }
+        if fleet > self.fleet {
+            self.actions.push(GossipAction::Ahead {
+                sibling: card.sibling.clone(),
+            });
+        }
+        match kind {
+            Kind::Ping { number } => {
+                self.send(from, Kind::Ack { number });
+                let due = self
+                    .introduced
+                    .get(&name)
+                    .is_none_or(|at| now.since(*at) >= self.timing.probe * 2);
+                if is_new || (due && roster != self.digest()) {
+                    self.introduced.insert(name, now);
+                    self.introduce(from);
+                }
+            }
+            Kind::Ack { number } => {
+                self.probes.retain(|probe| probe.number != number && probe.name != name);
+                if let Some(at) = self.errands.iter().position(|(own, _, _)| *own == number)
+                    && let Some((_, to, theirs)) = self.errands.remove(at)
+                {
+                    // The card of the node asked about goes along as news.
+                    self.rumours.push_front((card, 1));
+                    self.send(to, Kind::Ack { number: theirs });
+                }
+            }
+            Kind::SecondOpinion { number, about } => {
+                let own = self.ping(about);
+                self.errands.push_back((own, from, number));
+                if self.errands.len() > 64 {
+                    self.errands.pop_front();
+                }
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Tells a newcomer of everyone.
+    fn introduce(&mut self, to: SocketAddr) {
+        let cards: Vec<Card> = self
+            .known
+            .values()
+            .filter(|known| known.card.standing != Standing::Dead)
+            .map(|known| known.card.clone())
+            .collect();
+        for chunk in cards.chunks(CARDS_IN_A_DATAGRAM) {
+            let datagram = Datagram {
+                from: self.me.clone(),
+                fleet: self.fleet,
+                roster: self.digest(),
+                occupancy: self.occupancy.clone(),
+                kind: Kind::Ack { number: 0 },
+                news: chunk.to_vec(),
+            };
+            self.actions.push(GossipAction::Send { to, datagram });
+        }
+    }
+
+    pub fn tick(&mut self, now: Moment) -> Vec<GossipAction> {
+        self.judge_probes(now);
+        self.judge_suspects(now);
+        if now >= self.next_seed {
+            let lonely = self.alive(Role::Core).next().is_none();
+            self.next_seed = now
+                + if lonely {
+                    self.timing.probe
+                } else {
+                    self.timing.probe * 8
+                };
+            let known: Vec<SocketAddr> = self
+                .known
+                .values()
+                .filter(|known| known.card.standing == Standing::Alive)
+                .map(|known| known.card.sibling.address)
+                .collect();
+            for seed in self.seeds.clone() {
+                if seed != self.me.sibling.address && !known.contains(&seed) {
+                    self.ping(seed);
+                }
+            }
+        }
+        if now >= self.next_probe {
+            self.next_probe = now + self.timing.probe;
+            self.probe_next(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn probe_next(&mut self, now: Moment) {
+        for _ in 0..self.turn.len() {
+            let Some(name) = self.turn.pop_front() else { return };
+            let Some(known) = self.known.get(&name) else { continue };
+            let (address, dead) = (known.card.sibling.address, known.card.standing == Standing::Dead);
+            self.turn.push_back(name.clone());
+            // The dead are asked now and then: what was cut off comes back.
+            if dead && !self.random.chance(0.2) {
+                continue;
+            }
+            let number = self.ping(address);
+            if !dead {
+                self.probes.push(Probe {
+                    number,
+                    name,
+                    at: now,
+                    asked_others: false,
+                });
+            }
+            return;
+        }
+    }
+
+    fn judge_probes(&mut self, now: Moment) {
+        let mut probes = std::mem::take(&mut self.probes);
+        probes.retain_mut(|probe| {
+            let Some(known) = self.known.get(&probe.name) else {
+                return false;
+            };
+            let card = known.card.clone();
+            if !probe.asked_others && now.since(probe.at) >= self.timing.patience {
+                probe.asked_others = true;
+                let mut others: Vec<SocketAddr> = self
+                    .known
+                    .values()
+                    .filter(|other| other.card.standing == Standing::Alive && other.card.sibling.name != probe.name)
+                    .map(|other| other.card.sibling.address)
+                    .collect();
+                self.random.shuffle(&mut others);
+                for other in others.into_iter().take(2) {
+                    self.send(
+                        other,
+                        Kind::SecondOpinion {
+                            number: probe.number,
+                            about: card.sibling.address,
+                        },
+                    );
+                }
+                self.send(card.sibling.address, Kind::Ping { number: probe.number });
+            }
+            if now.since(probe.at) < self.timing.patience * 3 {
+                return true;
+            }
+            if card.standing == Standing::Alive {
+                self.learn(
+                    Card {
+                        standing: Standing::Suspect,
+                        ..card
+                    },
+                    now,
+                );
+            }
+            false
+        });
+        self.probes.extend(probes);
+    }
+
+    fn judge_suspects(&mut self, now: Moment) {
+        let mut due = Vec::new();
+        let mut forgotten = Vec::new();
+        for known in self.known.values() {
+            let silent = now.since(known.since);
+            match known.card.standing {
+                Standing::Suspect if silent >= self.timing.suspicion => due.push(known.card.clone()),
+                Standing::Leaving if silent >= self.timing.memory => due.push(known.card.clone()),
+                Standing::Dead if silent >= self.timing.memory => forgotten.push(known.card.sibling.name.clone()),
+                _ => {}
+            }
+        }
+        for card in due {
+            self.learn(
+                Card {
+                    standing: Standing::Dead,
+                    ..card
+                },
+                now,
+            );
+        }
+        for name in forgotten {
+            self.known.remove(&name);
+            self.introduced.remove(&name);
+            self.turn.retain(|other| *other != name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lineside/src/gossip/tests.rs
@@ -0,0 +1,164 @@
+//! A small fleet on virtual time, with loss, kills and cuts.
+
+use super::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use trackbed::clock::Moment;
+use trackbed::ids::{Incarnation, NodeName, RegionName, ZoneName, Zxid};
+use trackbed::random::Random;
+
+struct Fleet {
+    now: Moment,
+    rosters: BTreeMap<SocketAddr, Roster>,
+    fleet: BTreeMap<SocketAddr, Zxid>,
+    flying: Vec<(Moment, SocketAddr, SocketAddr, Datagram)>,
+    silenced: BTreeSet<SocketAddr>,
+    random: Random,
+}
+
+fn address(index: u16) -> SocketAddr {
+    ([10, 0, 0, index as u8 + 1], 7000).into()
+}
+
+fn sibling(index: u16) -> Sibling {
+    Sibling {
+        name: NodeName::new(&format!("n{index}")),
+        incarnation: Incarnation(1),
+        role: if index < 3 { Role::Core } else { Role::Beside },
+        address: address(index),
+        zone: ZoneName::new("z"),
+        region: RegionName::new("r"),
+    }
+}
+
+impl Fleet {
+    fn start(count: u16, seed: u64) -> Self {
+        let now = Moment::from_micros(1_000_000);
+        let mut fleet = Self {
+            now,
+            rosters: BTreeMap::new(),
+            fleet: BTreeMap::new(),
+            flying: Vec::new(),
+            silenced: BTreeSet::new(),
+            random: Random::seeded(seed),
+        };
+        for index in 0..count {
+            fleet.begin(index);
+        }
+        fleet
+    }
+
+    fn begin(&mut self, index: u16) {
+        let seeds = (0..3).map(address).collect();
+        let random = Random::seeded(self.random.next());
+        let roster = Roster::new(sibling(index), seeds, RosterTiming::default(), random, self.now);
+        self.rosters.insert(address(index), roster);
+        self.fleet.insert(address(index), Zxid::ZERO);
+    }
+
+    fn act(&mut self, at: SocketAddr, actions: Vec<GossipAction>) {
+        for action in actions {
+            match action {
+                GossipAction::Send { to, datagram } => {
+                    if !self.random.chance(0.05) {
+                        let due = self.now + Duration::from_micros(200 + self.random.below(3000));
+                        self.flying.push((due, at, to, datagram));
+                    }
+                }
+                GossipAction::Ahead { sibling } => {
+                    let ahead = self.fleet[&sibling.address];
+                    if ahead > self.fleet[&at] {
+                        self.move_on(at, ahead);
+                    }
+                }
+            }
+        }
+    }
+
+    fn move_on(&mut self, at: SocketAddr, zxid: Zxid) {
+        self.fleet.insert(at, zxid);
+        let actions = self.rosters.get_mut(&at).unwrap().fleet_moved(zxid);
+        self.act(at, actions);
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(5);
+            let due: Vec<_> = {
+                let now = self.now;
+                let (due, later) = self.flying.drain(..).partition(|flight| flight.0 <= now);
+                self.flying = later;
+                due
+            };
+            for (_, from, to, datagram) in due {
+                if self.silenced.contains(&from) || self.silenced.contains(&to) {
+                    continue;
+                }
+                let now = self.now;
+                if let Some(roster) = self.rosters.get_mut(&to) {
+                    let actions = roster.receive(from, datagram, now);
+                    self.act(to, actions);
+                }
+            }
+            if self.now.micros() % 50_000 == 0 {
+                for at in self.rosters.keys().copied().collect::<Vec<_>>() {
+                    let now = self.now;
+                    let actions = self.rosters.get_mut(&at).unwrap().tick(now);
+                    self.act(at, actions);
+                }
+            }
+        }
+    }
+
+    fn seen_by_all(&self, index: u16, standing: Standing) -> bool {
+        let name = sibling(index).name;
+        self.rosters
+            .iter()
+            .filter(|(at, _)| **at != address(index) && !self.silenced.contains(*at))
+            .all(|(_, roster)| roster.standing(&name) == Some(standing))
+    }
+}
+
+#[test]
+fn all_find_each_other_and_news_reach_all_soon() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::start(14, seed);
+        fleet.run(Duration::from_secs(4));
+        for index in 0..14 {
+            assert!(fleet.seen_by_all(index, Standing::Alive), "seed {seed}: n{index}");
+        }
+        fleet.move_on(address(0), Zxid::new(1, 1));
+        fleet.run(Duration::from_millis(1000));
+        assert!(fleet.fleet.values().all(|zxid| *zxid == Zxid::new(1, 1)), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_silent_are_suspected_then_dead_and_the_returned_alive() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::start(10, seed);
+        fleet.run(Duration::from_secs(4));
+        fleet.silenced.insert(address(7));
+        fleet.run(Duration::from_secs(12));
+        assert!(fleet.seen_by_all(7, Standing::Dead), "seed {seed}");
+        fleet.silenced.clear();
+        // Another life of the process, that knows nothing of what was said of the last.
+        fleet.begin(7);
+        fleet.run(Duration::from_secs(6));
+        assert!(fleet.seen_by_all(7, Standing::Alive), "seed {seed}");
+    }
+}
+
+#[test]
+fn loss_alone_kills_nobody() {
+    let mut fleet = Fleet::start(10, 3);
+    fleet.run(Duration::from_secs(4));
+    for _ in 0..60 {
+        fleet.run(Duration::from_millis(500));
+        for index in 0..10 {
+            assert!(!fleet.seen_by_all(index, Standing::Dead));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lineside/src/lib.rs
@@ -0,0 +1,4 @@
+//! What nodes say to one another beside the ordered log: who is there, how busy, how far; and calls.
+
+pub mod call;
+pub mod gossip;
--- /dev/null
+++ b/crates/timetable/src/configuration/document.rs
@@ -0,0 +1,296 @@
+//! A whole configuration, and a change to one. Each item keeps the text it came in.
+
+use super::checks::Fault;
+use super::route::{Limits, Route, Service};
+use super::table::Routes;
+use borsh::{BorshDeserialize, BorshSerialize};
+use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use trackbed::ids::ConfigEpoch;
+use trackbed::logs::escape;
+
+/// Items by name, each as its JSON text.
+type Items = BTreeMap<String, String>;
+
+/// Invariant: every kept configuration passed all checks.
+#[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Configuration {
+    pub epoch: ConfigEpoch,
+    routes: Items,
+    services: Items,
+    /// Whatever else stands at the top, with `limits`.
+    others: Items,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Patch {
+    pub epoch: ConfigEpoch,
+    /// By table: what to add or replace.
+    upserts: BTreeMap<String, Items>,
+    /// By table: names to remove.
+    removals: BTreeMap<String, Vec<String>>,
+}
+
+fn read(body: &[u8]) -> Result<Value, Fault> {
+    let value: Value = sonic_rs::from_slice(body).map_err(|error| Fault::Unreadable {
+        reason: error.to_string().lines().next().unwrap_or_default().to_owned(),
+    })?;
+    if !value.is_object() {
+        return Err(Fault::Unreadable {
+            reason: "it is not a table".into(),
+        });
+    }
+    Ok(value)
+}
+
+fn epoch_of(value: &Value) -> Result<ConfigEpoch, Fault> {
+    value
+        .pointer(["version"].iter())
+        .and_then(|version| version.as_str())
+        .filter(|version| version.starts_with('r'))
+        .and_then(ConfigEpoch::parse)
+        .ok_or(Fault::Wrong {
+            place: "/version".into(),
+            wanted: "a version like \"r12\"",
+        })
+}
+
+fn text_of(value: &Value) -> String {
+    sonic_rs::to_string(value).unwrap_or_else(|_| "null".into())
+}
+
+fn items_of(value: Option<&Value>, place: &str) -> Result<Items, Fault> {
+    let Some(value) = value.filter(|value| !value.is_null()) else {
+        return Ok(Items::new());
+    };
+    let wrong = || Fault::Wrong {
+        place: place.to_owned(),
+        wanted: "a table by name",
+    };
+    let mut items = Items::new();
+    for (name, item) in value.as_object().ok_or_else(wrong)?.iter() {
+        if name.is_empty() || items.insert(name.to_owned(), text_of(item)).is_some() {
+            return Err(wrong());
+        }
+    }
+    Ok(items)
+}
+
+impl Configuration {
+    /// Reads and checks a whole configuration.
+    pub fn parse(body: &[u8]) -> Result<Self, Fault> {
+        let value = read(body)?;
+        let mut configuration = Self {
+            epoch: epoch_of(&value)?,
+            routes: items_of(value.pointer(["routes"].iter()), "/routes")?,
+            services: items_of(value.pointer(["services"].iter()), "/services")?,
+            others: Items::new(),
+        };
+        for (name, item) in value.as_object().into_iter().flat_map(|table| table.iter()) {
+            if !matches!(name, "version" | "routes" | "services") {
+                configuration.others.insert(name.to_owned(), text_of(item));
+            }
+        }
+        configuration.typed()?;
+        Ok(configuration)
+    }
+
+    /// The configuration with a change made; the change is checked as a whole.
+    pub fn patched(&self, patch: &Patch) -> Result<Self, Fault> {
+        let mut next = self.clone();
+        next.epoch = patch.epoch;
+        for (table, names) in &patch.removals {
+            let items = next.table_mut(table)?;
+            for name in names {
+                items.remove(name);
+            }
+        }
+        for (table, upserts) in &patch.upserts {
+            let items = next.table_mut(table)?;
+            for (name, item) in upserts {
+                items.insert(name.clone(), item.clone());
+            }
+        }
+        next.typed()?;
+        Ok(next)
+    }
+
+    fn table_mut(&mut self, table: &str) -> Result<&mut Items, Fault> {
+        match table {
+            "routes" => Ok(&mut self.routes),
+            "services" => Ok(&mut self.services),
+            "limits" => Ok(&mut self.others),
+            _ => Err(Fault::Wrong {
+                place: format!("/upserts/{table}"),
+                wanted: "routes or services",
+            }),
+        }
+    }
+
+    /// The typed values; the checks are made on the way.
+    pub fn typed(&self) -> Result<Routes, Fault> {
+        let mut services = BTreeMap::new();
+        for (name, text) in &self.services {
+            services.insert(name.clone(), Service::parse(name, &item(text)?)?);
+        }
+        let mut routes = Vec::with_capacity(self.routes.len());
+        for (name, text) in &self.routes {
+            let route = Route::parse(name, &item(text)?)?;
+            for (service, _) in &route.split {
+                if !services.contains_key(service.as_str()) {
+                    let service = service.as_str().to_owned();
+                    return Err(Fault::UnknownService {
+                        route: name.clone(),
+                        service,
+                    });
+                }
+            }
+            routes.push(Rc::new(route));
+        }
+        let limits = match self.others.get("limits") {
+            Some(text) => Limits::parse(&item(text)?)?,
+            None => Limits::default(),
+        };
+        Routes::build(self.epoch, routes, services, limits)
+    }
+
+    /// The whole configuration, laid out as it is put.
+    pub fn to_json(&self) -> String {
+        let mut text = format!("{{\"version\":\"{}\"", self.epoch);
+        for (table, items) in [("routes", &self.routes), ("services", &self.services)] {
+            text.push_str(&format!(",\"{table}\":{{"));
+            push_items(&mut text, items);
+            text.push('}');
+        }
+        if !self.others.is_empty() {
+            text.push(',');
+            push_items(&mut text, &self.others);
+        }
+        text.push('}');
+        text
+    }
+}
+
+fn item(text: &str) -> Result<Value, Fault> {
+    sonic_rs::from_str(text).map_err(|error| Fault::Unreadable {
+        reason: error.to_string(),
+    })
+}
+
+fn push_items(text: &mut String, items: &Items) {
+    for (index, (name, item)) in items.iter().enumerate() {
+        if index > 0 {
+            text.push(',');
+        }
+        text.push_str(&format!("\"{}\":{item}", escape(name)));
+    }
+}
+
+impl Patch {
+    pub fn parse(body: &[u8]) -> Result<Self, Fault> {
+        let value = read(body)?;
+        let mut patch = Self {
+            epoch: epoch_of(&value)?,
+            ..Self::default()
+        };
+        if let Some(tables) = value.pointer(["upserts"].iter()).and_then(|tables| tables.as_object()) {
+            for (table, upserts) in tables.iter() {
+                if table == "limits" {
+                    let limits = Items::from([("limits".to_owned(), text_of(upserts))]);
+                    patch.upserts.insert(table.to_owned(), limits);
+                } else {
+                    let place = format!("/upserts/{table}");
+                    patch.upserts.insert(table.to_owned(), upserted(upserts, &place)?);
+                }
+            }
+        }
+        if let Some(tables) = value.pointer(["removals"].iter()).and_then(|tables| tables.as_object()) {
+            for (table, names) in tables.iter() {
+                let wrong = || Fault::Wrong {
+                    place: format!("/removals/{table}"),
+                    wanted: "a list of names",
+                };
+                let names = names.as_array().ok_or_else(wrong)?;
+                let names: Option<Vec<String>> = names.iter().map(|name| name.as_str().map(str::to_owned)).collect();
+                patch.removals.insert(table.to_owned(), names.ok_or_else(wrong)?);
+            }
+        }
+        Ok(patch)
+    }
+}
+
+/// Items by name, or a list of items that carry their `name`.
+fn upserted(value: &Value, place: &str) -> Result<Items, Fault> {
+    let Some(list) = value.as_array() else {
+        return items_of(Some(value), place);
+    };
+    let mut items = Items::new();
+    for item in list.iter() {
+        let name = item.pointer(["name"].iter()).and_then(|name| name.as_str());
+        let name = name.ok_or(Fault::Wrong {
+            place: place.to_owned(),
+            wanted: "items with a name",
+        })?;
+        items.insert(name.to_owned(), text_of(item));
+    }
+    Ok(items)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use assert_matches::assert_matches;
+
+    fn whole(route: &str) -> String {
+        format!(
+            r#"{{"version":"r7","routes":{{"a":{route},"b":{{"hostname":"h","path_prefix":"/b/","route_type":"upload",
+            "timeout_s":1,"service_name":"s"}}}},"services":{{"s":{{"health_check_path":"/health","max_connections":9}}}},
+            "limits":{{"max_header_bytes":100,"idle_timeout_s":0.5}},"extra":[1]}}"#
+        )
+    }
+
+    const GOOD: &str = r#"{"hostname":"H","path_prefix":"/a/","route_type":"idempotent","timeout_s":0.5,
+        "target_latency_s":0.2,"priority":2,"max_attempts":2,"traffic_split":[{"service_name":"s","weight":90}]}"#;
+
+    #[test]
+    fn every_fault_is_named() {
+        let parse = |route: &str| Configuration::parse(whole(route).as_bytes());
+        assert!(parse(GOOD).is_ok());
+        let changed = |from: &str, to: &str| parse(&GOOD.replace(from, to)).unwrap_err();
+        assert_matches!(changed("\"H\"", "\"\""), Fault::EmptyHost { .. });
+        assert_matches!(changed("\"/a/\"", "\"a/\""), Fault::BarePrefix { .. });
+        assert_matches!(changed("\"/a/\"", "\"/b/\""), Fault::SamePlace { .. });
+        assert_matches!(changed("idempotent", "odd"), Fault::OddKind { .. });
+        assert_matches!(changed("\"s\"", "\"t\""), Fault::UnknownService { .. });
+        assert_matches!(changed("0.2", "60.5"), Fault::TargetOverTimeout { .. });
+        assert_matches!(changed("90", "0"), Fault::NoWeight { .. });
+        let text = whole(GOOD);
+        assert_matches!(
+            Configuration::parse(&text.as_bytes()[..text.len() - 3]),
+            Err(Fault::Unreadable { .. })
+        );
+        assert_matches!(
+            Configuration::parse(text.replace("r7", "7").as_bytes()),
+            Err(Fault::Wrong { .. })
+        );
+    }
+
+    #[test]
+    fn what_was_put_comes_back_and_patches_change_named_items() {
+        let configuration = Configuration::parse(whole(GOOD).as_bytes()).unwrap();
+        let again = Configuration::parse(configuration.to_json().as_bytes()).unwrap();
+        assert_eq!(configuration, again);
+        assert!(configuration.to_json().contains("\"extra\":[1]"));
+        let patch = br#"{"version":"r9","upserts":{"routes":{"c":{"hostname":"h","path_prefix":"/c/",
+            "route_type":"download","timeout_s":1,"service_name":"s"}}},"removals":{"routes":["a"]}}"#;
+        let next = configuration.patched(&Patch::parse(patch).unwrap()).unwrap();
+        let routes = next.typed().unwrap();
+        assert_eq!(next.epoch, ConfigEpoch(9));
+        assert!(routes.find("h", "/c/x").is_some());
+        assert!(routes.find("h", "/a/x").is_none());
+        let patch = br#"{"version":"r9","removals":{"services":["s"]}}"#;
+        let fault = configuration.patched(&Patch::parse(patch).unwrap()).unwrap_err();
+        assert_matches!(fault, Fault::UnknownService { .. });
+    }
+}
--- /dev/null
+++ b/crates/timetable/src/configuration/mod.rs
@@ -0,0 +1,11 @@
+//! The operator's configuration: read by pointers, checked, changed, and turned into routes.
+
+mod checks;
+mod document;
+mod route;
+mod table;
+
+pub use checks::Fault;
+pub use document::{Configuration, Patch};
+pub use route::{Limits, Route, RouteKind, Service};
+pub use table::Routes;
--- /dev/null
+++ b/crates/timetable/src/configuration/table.rs
@@ -0,0 +1,92 @@
+//! Routes as requests look them up. The cost goes with the path's depth, not with the routes.
+
+use super::checks::Fault;
+use super::route::{Limits, Route, Service};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use trackbed::ids::{ConfigEpoch, ServiceName};
+
+#[derive(Clone, Debug, Default)]
+struct Host {
+    /// Prefixes that end with a slash.
+    whole: HashMap<String, Rc<Route>>,
+    /// The others, longest first.
+    open: Vec<Rc<Route>>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Routes {
+    pub epoch: ConfigEpoch,
+    pub limits: Limits,
+    services: BTreeMap<String, Service>,
+    hosts: HashMap<String, Host>,
+}
+
+impl Routes {
+    pub(super) fn build(
+        epoch: ConfigEpoch,
+        routes: Vec<Rc<Route>>,
+        services: BTreeMap<String, Service>,
+        limits: Limits,
+    ) -> Result<Self, Fault> {
+        let mut hosts: HashMap<String, Host> = HashMap::new();
+        for route in routes {
+            let host = hosts.entry(route.hostname.clone()).or_default();
+            let other = if route.prefix.ends_with('/') {
+                host.whole.insert(route.prefix.clone(), route.clone())
+            } else {
+                let other = host.open.iter().find(|other| other.prefix == route.prefix).cloned();
+                host.open.push(route.clone());
+                other
+            };
+            if let Some(other) = other {
+                return Err(Fault::SamePlace {
+                    route: route.name.clone(),
+                    other: other.name.clone(),
+                });
+            }
+        }
+        for host in hosts.values_mut() {
+            host.open.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Ok(Self {
+            epoch,
+            limits,
+            services,
+            hosts,
+        })
+    }
+
+    /// The route with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let name = host
+            .rsplit_once(':')
+            .filter(|(_, port)| port.bytes().all(|byte| byte.is_ascii_digit()));
+        let name = name.map(|(name, _)| name).unwrap_or(host);
+        let host = match self.hosts.get(name) {
+            Some(host) => host,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        let open = host.open.iter().find(|route| path.starts_with(&route.prefix));
+        let slashes = path
+            .bytes()
+            .enumerate()
+            .rev()
+            .filter(|(_, byte)| *byte == b'/')
+            .map(|(index, _)| index + 1);
+        let whole = slashes.take(64).find_map(|end| host.whole.get(&path[..end]));
+        match (open, whole) {
+            (Some(open), Some(whole)) if open.prefix.len() > whole.prefix.len() => Some(open),
+            (_, Some(whole)) => Some(whole),
+            (open, None) => open,
+        }
+    }
+
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.get(name.as_str())
+    }
+
+    pub fn service_names(&self) -> impl Iterator<Item = &String> {
+        self.services.keys()
+    }
+}
--- /dev/null
+++ b/crates/timetable/src/lib.rs
@@ -0,0 +1,4 @@
+//! What the whole fleet goes by: the operator's configuration, and the endpoints there are.
+
+pub mod configuration;
+pub mod fleet;
--- /dev/null
+++ b/crates/trackbed/src/config/bounds.rs
@@ -0,0 +1,54 @@
+//! The figures of the rules in force, given as texts `name=value`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Clone, Debug, Default)]
+pub struct Bounds(BTreeMap<String, String>);
+
+impl Bounds {
+    /// Reads texts; several may stand in one, separated by commas.
+    pub fn from_texts<'a>(texts: impl Iterator<Item = &'a str>) -> Self {
+        let mut figures = BTreeMap::new();
+        for text in texts.flat_map(|text| text.split(',')) {
+            if let Some((name, value)) = text.split_once('=') {
+                figures.insert(name.trim().to_owned(), value.trim().to_owned());
+            }
+        }
+        Self(figures)
+    }
+
+    pub fn number(&self, name: &str, otherwise: f64) -> f64 {
+        self.0
+            .get(name)
+            .and_then(|value| value.parse().ok())
+            .filter(|value: &f64| value.is_finite() && *value >= 0.0)
+            .unwrap_or(otherwise)
+    }
+
+    fn seconds(&self, name: &str, otherwise: f64) -> Duration {
+        Duration::from_secs_f64(self.number(name, otherwise).min(1e6))
+    }
+
+    pub fn drain(&self) -> Duration {
+        self.seconds("drain_s", 2.0)
+    }
+    pub fn grace_period(&self) -> Duration {
+        self.seconds("grace_period_s", 6.0)
+    }
+    pub fn history(&self) -> Duration {
+        self.seconds("history_s", 20.0)
+    }
+    pub fn address_reuse(&self) -> Duration {
+        self.seconds("address_reuse_s", 2.0)
+    }
+    pub fn retry_budget_ratio(&self) -> f64 {
+        self.number("retry_budget_ratio", 0.2)
+    }
+    pub fn retry_slack(&self) -> f64 {
+        self.number("retry_slack", 0.0)
+    }
+    pub fn budget_window(&self) -> Duration {
+        self.seconds("budget_window_s", 10.0)
+    }
+}
--- /dev/null
+++ b/crates/trackbed/src/config/command.rs
@@ -0,0 +1,96 @@
+//! The command line that both programs share.
+
+use super::local::{ConfigError, LocalConfig};
+use getopts::Options;
+use log::LevelFilter;
+use std::path::PathBuf;
+
+const DEFAULT_PATH: &str = "/etc/ferryhinge/local.json";
+
+pub struct Command {
+    pub path: PathBuf,
+    pub level: LevelFilter,
+    pub config: LocalConfig,
+}
+
+pub enum CommandOutcome {
+    Run(Box<Command>),
+    /// Nothing to run: the text goes out, and the process ends with the status.
+    Done {
+        text: String,
+        status: i32,
+    },
+}
+
+impl Command {
+    pub fn read(program: &str, about: &str, check: fn(&LocalConfig) -> Result<(), ConfigError>) -> CommandOutcome {
+        let mut options = Options::new();
+        options.optflag("h", "help", "print this text");
+        options.optflag("V", "version", "print the version");
+        options.optflag("c", "check", "read the settings, report, and end");
+        options.optopt(
+            "l",
+            "log-level",
+            "error, warn, info, debug or trace (default: warn)",
+            "LEVEL",
+        );
+        let arguments: Vec<String> = std::env::args().skip(1).collect();
+        let matches = match options.parse(&arguments) {
+            Ok(matches) => matches,
+            Err(error) => {
+                return CommandOutcome::Done {
+                    text: format!("{program}: {error}; see {program} --help"),
+                    status: 2,
+                };
+            }
+        };
+        if matches.opt_present("help") {
+            let brief = format!(
+                "Usage: {program} [options] [SETTINGS]\n\n{about}\nSETTINGS: path of the settings file; else FERRYHINGE_CONFIG, else {DEFAULT_PATH}"
+            );
+            return CommandOutcome::Done {
+                text: options.usage(&brief),
+                status: 0,
+            };
+        }
+        if matches.opt_present("version") {
+            return CommandOutcome::Done {
+                text: format!("{program} {}", env!("CARGO_PKG_VERSION")),
+                status: 0,
+            };
+        }
+        let level = match matches.opt_str("log-level").unwrap_or_else(|| "warn".into()).parse() {
+            Ok(level) => level,
+            Err(_) => {
+                return CommandOutcome::Done {
+                    text: format!("{program}: --log-level must be error, warn, info, debug or trace"),
+                    status: 2,
+                };
+            }
+        };
+        let path = matches
+            .free
+            .first()
+            .map(PathBuf::from)
+            .or_else(|| std::env::var_os("FERRYHINGE_CONFIG").map(PathBuf::from))
+            .unwrap_or_else(|| PathBuf::from(DEFAULT_PATH));
+        let config = match LocalConfig::read(&path).and_then(|config| check(&config).map(|()| config)) {
+            Ok(config) => config,
+            Err(error) => {
+                return CommandOutcome::Done {
+                    text: format!("{program}: {error}"),
+                    status: 1,
+                };
+            }
+        };
+        if matches.opt_present("check") {
+            let text = format!(
+                "{program}: settings of {} in {} are complete",
+                config.node_name,
+                path.display()
+            );
+            return CommandOutcome::Done { text, status: 0 };
+        }
+        CommandOutcome::Run(Box::new(Command { path, level, config }))
+    }
+}
--- /dev/null
+++ b/crates/trackbed/src/config/local.rs
@@ -0,0 +1,269 @@
+//! One machine's settings.
+
+use super::bounds::Bounds;
+use crate::ids::{NodeName, RegionName, ServiceName, ZoneName};
+use derive_more::{Display, Error};
+use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+#[derive(Debug, Display, Error)]
+pub enum ConfigError {
+    #[display("settings file {path} can't be read ({reason}): give its path as the argument or in FERRYHINGE_CONFIG")]
+    Unreadable { path: String, reason: String },
+    #[display("settings file {path} is not JSON ({reason}): mend the file")]
+    NotJson { path: String, reason: String },
+    #[display("settings field {field} is missing: add it, {wanted}")]
+    Missing { field: String, wanted: &'static str },
+    #[display("settings field {field} is wrong: it must be {wanted}")]
+    Wrong { field: String, wanted: &'static str },
+}
+
+/// Invariant: an address is here only for what the machine's role serves.
+#[derive(Clone, Debug, Default)]
+pub struct ListenAddresses {
+    pub inbound: Option<SocketAddr>,
+    pub outbound: Option<SocketAddr>,
+    pub readiness: Option<SocketAddr>,
+    pub control_plane: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub file_descriptors: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct LocalConfig {
+    pub node_name: NodeName,
+    pub zone: ZoneName,
+    pub region: RegionName,
+    /// Every zone known at the start, with its region.
+    pub zones: BTreeMap<ZoneName, RegionName>,
+    pub ip_address: std::net::IpAddr,
+    pub listen: ListenAddresses,
+    /// Invariant: first ≤ last, and two ports at least.
+    pub internal_ports: (u16, u16),
+    pub seeds: Vec<SocketAddr>,
+    pub initial_start: bool,
+    pub data_directory: Option<PathBuf>,
+    pub heartbeat: Duration,
+    pub limits: Limits,
+    pub machine_losses: u64,
+    pub bounds: Bounds,
+    pub app_address: Option<SocketAddr>,
+    pub service_name: Option<ServiceName>,
+}
+
+struct Fields<'a>(&'a Value);
+
+impl Fields<'_> {
+    fn name(path: &[&str]) -> String {
+        path.join(".")
+    }
+    fn find(&self, path: &[&str]) -> Option<&Value> {
+        self.0.pointer(path.iter()).filter(|value| !value.is_null())
+    }
+    fn wanted(&self, path: &[&str], wanted: &'static str) -> Result<&Value, ConfigError> {
+        self.find(path).ok_or(ConfigError::Missing {
+            field: Self::name(path),
+            wanted,
+        })
+    }
+    fn text(&self, path: &[&str], wanted: &'static str) -> Result<&str, ConfigError> {
+        self.wanted(path, wanted)?
+            .as_str()
+            .filter(|text| !text.is_empty())
+            .ok_or(ConfigError::Wrong {
+                field: Self::name(path),
+                wanted,
+            })
+    }
+    fn address(&self, path: &[&str]) -> Result<Option<SocketAddr>, ConfigError> {
+        const WANTED: &str = "an address like \"10.0.0.1:8080\"";
+        match self.find(path) {
+            None => Ok(None),
+            Some(value) => value
+                .as_str()
+                .and_then(|text| text.parse().ok())
+                .map(Some)
+                .ok_or(ConfigError::Wrong {
+                    field: Self::name(path),
+                    wanted: WANTED,
+                }),
+        }
+    }
+    fn number(&self, path: &[&str], otherwise: f64) -> Result<f64, ConfigError> {
+        match self.find(path) {
+            None => Ok(otherwise),
+            Some(value) => value
+                .as_f64()
+                .filter(|number| number.is_finite() && *number >= 0.0)
+                .ok_or(ConfigError::Wrong {
+                    field: Self::name(path),
+                    wanted: "a number, zero or above",
+                }),
+        }
+    }
+}
+
+impl LocalConfig {
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read(path).map_err(|error| ConfigError::Unreadable {
+            path: shown.clone(),
+            reason: error.to_string(),
+        })?;
+        Self::parse(&text, &shown)
+    }
+
+    pub fn parse(text: &[u8], shown: &str) -> Result<Self, ConfigError> {
+        let value: Value = sonic_rs::from_slice(text).map_err(|error| ConfigError::NotJson {
+            path: shown.to_owned(),
+            reason: error.to_string().lines().next().unwrap_or_default().to_owned(),
+        })?;
+        let fields = Fields(&value);
+        let zone = ZoneName::new(fields.text(&["zone"], "the machine's zone")?);
+        let region = RegionName::new(fields.text(&["region"], "the machine's region")?);
+        let mut zones = BTreeMap::new();
+        if let Some(table) = fields.find(&["zones"]).and_then(|value| value.as_object()) {
+            for (name, value) in table.iter() {
+                let wanted = "a table from zone to region";
+                let region = value.as_str().ok_or(ConfigError::Wrong {
+                    field: "zones".into(),
+                    wanted,
+                })?;
+                zones.insert(ZoneName::new(name), RegionName::new(region));
+            }
+        }
+        zones.entry(zone.clone()).or_insert_with(|| region.clone());
+        let wanted = "two ports, the first not above the last";
+        let ports: Vec<u64> = fields
+            .wanted(&["internal_port_range"], wanted)?
+            .as_array()
+            .map(|list| list.iter().filter_map(|port| port.as_u64()).collect())
+            .unwrap_or_default();
+        let internal_ports = match ports.as_slice() {
+            [first, last] if first < last && *last <= u16::MAX as u64 => (*first as u16, *last as u16),
+            _ => {
+                return Err(ConfigError::Wrong {
+                    field: "internal_port_range".into(),
+                    wanted,
+                });
+            }
+        };
+        let mut seeds = Vec::new();
+        if let Some(list) = fields.find(&["seed_nodes"]) {
+            let wanted = "a list of addresses like \"10.0.0.1:8080\"";
+            let wrong = || ConfigError::Wrong {
+                field: "seed_nodes".into(),
+                wanted,
+            };
+            for seed in list.as_array().ok_or_else(wrong)?.iter() {
+                seeds.push(seed.as_str().and_then(|text| text.parse().ok()).ok_or_else(wrong)?);
+            }
+        }
+        let bounds = match fields.find(&["bounds"]) {
+            Some(value) if value.is_str() => Bounds::from_texts(value.as_str().into_iter()),
+            Some(value) => Bounds::from_texts(
+                value
+                    .as_array()
+                    .into_iter()
+                    .flat_map(|list| list.iter())
+                    .filter_map(|text| text.as_str()),
+            ),
+            None => Bounds::default(),
+        };
+        let wanted = "the machine's IP address";
+        Ok(Self {
+            node_name: NodeName::new(fields.text(&["node_name"], "the machine's name")?),
+            zone,
+            region,
+            zones,
+            ip_address: fields
+                .text(&["ip_address"], wanted)?
+                .parse()
+                .map_err(|_| ConfigError::Wrong {
+                    field: "ip_address".into(),
+                    wanted,
+                })?,
+            listen: ListenAddresses {
+                inbound: fields.address(&["listen_addresses", "inbound"])?,
+                outbound: fields.address(&["listen_addresses", "outbound"])?,
+                readiness: fields.address(&["listen_addresses", "readiness"])?,
+                control_plane: fields.address(&["listen_addresses", "control_plane"])?,
+            },
+            internal_ports,
+            seeds,
+            initial_start: fields
+                .find(&["initial_start"])
+                .and_then(|value| value.as_bool())
+                .unwrap_or(false),
+            data_directory: fields
+                .find(&["data_directory"])
+                .and_then(|value| value.as_str())
+                .map(PathBuf::from),
+            heartbeat: Duration::from_secs_f64(fields.number(&["heartbeat_s"], 1.5)?.clamp(0.01, 3600.0)),
+            limits: Limits {
+                memory_mb: fields.number(&["limits", "memory_mb"], 256.0)? as u64,
+                file_descriptors: fields.number(&["limits", "file_descriptors"], 1024.0)? as u64,
+            },
+            machine_losses: fields.number(&["fault_tolerance", "machine_losses"], 1.0)? as u64,
+            bounds,
+            app_address: fields.address(&["app_address"])?,
+            service_name: fields
+                .find(&["service_name"])
+                .and_then(|value| value.as_str())
+                .map(ServiceName::new),
+        })
+    }
+
+    /// A field that this program can't do without.
+    pub fn require<T>(field: &str, value: Option<T>, wanted: &'static str) -> Result<T, ConfigError> {
+        value.ok_or(ConfigError::Missing {
+            field: field.to_owned(),
+            wanted,
+        })
+    }
+
+    /// Where a core node listens for its siblings, on any machine.
+    pub fn core_port(&self) -> u16 {
+        self.internal_ports.0
+    }
+
+    /// Where a node beside an endpoint listens for its siblings, on any machine.
+    pub fn beside_port(&self) -> u16 {
+        self.internal_ports.0 + 1
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use assert_matches::assert_matches;
+
+    const WHOLE: &str = r#"{"node_name":"n1","zone":"z","region":"r","ip_address":"10.0.0.1","zones":{"z":"r"},
+        "internal_port_range":[7380,7395],"seed_nodes":["10.0.0.1:80"],"bounds":["drain_s=2.5","retry_slack=56"],
+        "listen_addresses":{"control_plane":"10.0.0.1:80"},"unknown":{"a":[1]}}"#;
+
+    #[test]
+    fn unknown_fields_are_ignored_and_bounds_read() {
+        let config = LocalConfig::parse(WHOLE.as_bytes(), "file").unwrap();
+        assert_eq!(config.bounds.drain(), Duration::from_millis(2500));
+        assert_eq!(config.bounds.retry_slack(), 56.0);
+        assert_eq!(config.seeds.len(), 1);
+    }
+
+    #[test]
+    fn errors_name_field_and_remedy() {
+        let error = LocalConfig::parse(WHOLE.replace("node_name", "other").as_bytes(), "file").unwrap_err();
+        assert_matches!(&error, ConfigError::Missing { field, .. } if field == "node_name");
+        assert!(error.to_string().contains("add it"));
+        let error = LocalConfig::parse(WHOLE.replace("[7380,7395]", "[9]").as_bytes(), "file").unwrap_err();
+        assert_matches!(error, ConfigError::Wrong { field, .. } if field == "internal_port_range");
+        assert_matches!(LocalConfig::parse(b"{", "file"), Err(ConfigError::NotJson { .. }));
+    }
+}
--- /dev/null
+++ b/crates/trackbed/src/http/mod.rs
@@ -0,0 +1,18 @@
+//! HTTP/1.1 on the library's head decoders. Bodies are framed here, strictly: what could be
+//! read in two ways is turned away.
+
+mod body;
+mod door;
+mod head;
+mod json;
+mod line;
+mod returns;
+mod serve;
+
+pub use body::Framing;
+pub use door::{DoorError, DoorLimits};
+pub use head::{Inquiry, connection_closes, is_hop_header, single};
+pub use json::JsonReturn;
+pub use line::Line;
+pub use returns::{Return, ReturnError, write_inquiry};
+pub use serve::{Handler, Serving, serve_listener};
--- /dev/null
+++ b/crates/trackbed/src/http/returns.rs
@@ -0,0 +1,173 @@
+//! Answers: written to requesters, read from endpoints and siblings.
+
+use super::body::Framing;
+use super::head::{HeadError, Inquiry, head_length, take_return_head};
+use super::line::{BodyError, Line};
+use bytes::Bytes;
+use derive_more::Display;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use std::io::Write;
+
+#[derive(Clone, Debug)]
+pub struct Return {
+    pub status: u16,
+    /// Invariant: no header that concerns one connection only, no length.
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// The connection ends after this answer.
+    pub closes: bool,
+    /// For how long the other side keeps the idle connection, where it says so.
+    pub keep_alive: Option<u64>,
+}
+
+#[derive(Debug, Display)]
+pub enum ReturnError {
+    /// Not one byte of an answer came.
+    #[display("the connection ended without an answer")]
+    Silent,
+    #[display("the answer broke off")]
+    Cut,
+    #[display("the bytes are no answer: {_0}")]
+    Malformed(&'static str),
+    #[display("the answer is longer than can be held")]
+    TooLong,
+}
+
+impl Return {
+    pub fn new(status: u16) -> Self {
+        Self {
+            status,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            closes: false,
+            keep_alive: None,
+        }
+    }
+
+    pub fn text(status: u16, text: &str) -> Self {
+        let mut answer = Self::new(status);
+        answer
+            .headers
+            .insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        answer.body = Bytes::copy_from_slice(text.as_bytes());
+        answer
+    }
+
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            self.headers.insert(HeaderName::from_static(name), value);
+        }
+        self
+    }
+
+    pub fn closing(mut self) -> Self {
+        self.closes = true;
+        self
+    }
+
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
+    /// The bytes of the answer; `bodyless` for HEAD.
+    pub fn encode(&self, bodyless: bool) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(256 + self.body.len());
+        let reason = StatusCode::from_u16(self.status)
+            .ok()
+            .and_then(|status| status.canonical_reason());
+        let _ = write!(bytes, "HTTP/1.1 {} {}\r\n", self.status, reason.unwrap_or("Status"));
+        push_headers(&mut bytes, &self.headers);
+        if self.status != 204 && self.status != 304 {
+            let _ = write!(bytes, "Content-Length: {}\r\n", self.body.len());
+        }
+        if self.closes {
+            bytes.extend_from_slice(b"Connection: close\r\n");
+        }
+        bytes.extend_from_slice(b"\r\n");
+        if !bodyless {
+            bytes.extend_from_slice(&self.body);
+        }
+        bytes
+    }
+}
+
+fn push_headers(bytes: &mut Vec<u8>, headers: &HeaderMap) {
+    for (name, value) in headers {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+}
+
+/// The bytes of a request as it goes on, with headers that replace those of the same name.
+pub fn write_inquiry(inquiry: &Inquiry, replaced: &[(&'static str, &str)], left_out: &[&str]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(512 + inquiry.body.len());
+    let _ = write!(bytes, "{} {} HTTP/1.1\r\n", inquiry.method, inquiry.target);
+    for (name, value) in &inquiry.headers {
+        let name = name.as_str();
+        let again = replaced.iter().any(|(replaced, _)| replaced.eq_ignore_ascii_case(name));
+        if again || left_out.iter().any(|left_out| left_out.eq_ignore_ascii_case(name)) {
+            continue;
+        }
+        bytes.extend_from_slice(name.as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    for (name, value) in replaced {
+        let _ = write!(bytes, "{name}: {value}\r\n");
+    }
+    if !inquiry.body.is_empty() || !matches!(inquiry.method, Method::GET | Method::HEAD | Method::DELETE) {
+        let _ = write!(bytes, "Content-Length: {}\r\n", inquiry.body.len());
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(&inquiry.body);
+    bytes
+}
+
+impl Line {
+    /// Reads one answer whole; answers of the 1xx kind are passed over.
+    pub async fn read_return(&mut self, bodyless: bool, limit: u64) -> Result<Return, ReturnError> {
+        loop {
+            let mut seen = 0;
+            let length = loop {
+                if let Some(length) = head_length(&self.held, seen) {
+                    break length;
+                }
+                seen = self.held.len();
+                if seen > 64 << 10 {
+                    return Err(ReturnError::Malformed("the head has no end"));
+                }
+                match self.fill(4 << 10).await {
+                    Ok(count) if count > 0 => {}
+                    _ if seen == 0 => return Err(ReturnError::Silent),
+                    _ => return Err(ReturnError::Cut),
+                }
+            };
+            let head = take_return_head(&mut self.held, length, bodyless)
+                .map_err(|HeadError::Malformed(reason)| ReturnError::Malformed(reason))?;
+            if head.status < 200 {
+                if head.status == 101 {
+                    return Err(ReturnError::Malformed("nobody asked for another protocol"));
+                }
+                continue;
+            }
+            if head.framing == Framing::UntilClose {
+                return Err(ReturnError::Malformed("the answer's end can't be told from a break"));
+            }
+            let body = self.read_body(head.framing, limit).await.map_err(|error| match error {
+                BodyError::Cut | BodyError::Io(_) => ReturnError::Cut,
+                BodyError::Malformed(reason) => ReturnError::Malformed(reason),
+                BodyError::TooLong => ReturnError::TooLong,
+            })?;
+            return Ok(Return {
+                status: head.status,
+                headers: head.headers,
+                body,
+                closes: head.closes,
+                keep_alive: head.keep_alive,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/trackbed/src/http/serve.rs
@@ -0,0 +1,110 @@
+//! A door: accepts connections and has a handler answer what comes in on them.
+
+use super::door::{DoorError, DoorLimits};
+use super::head::Inquiry;
+use super::line::Line;
+use super::returns::Return;
+use crate::net::SocketExt;
+use http::Method;
+use monoio::net::{TcpListener, TcpStream};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What stands behind a door.
+pub trait Handler: 'static {
+    fn limits(&self) -> DoorLimits;
+    /// `None` breaks the connection off: no answer can be given that says what happened.
+    fn handle(self: Rc<Self>, inquiry: Inquiry) -> impl Future<Output = Option<Return>>;
+    /// What to say of a request that could not be read.
+    fn turned_away(&self, status: u16, reason: &'static str) -> Return {
+        Return::text(status, reason)
+    }
+}
+
+/// How a door stands, for an orderly end.
+#[derive(Default)]
+pub struct Serving {
+    /// Connections now open.
+    pub open: Cell<usize>,
+    /// Requests read and not yet answered.
+    pub under_way: Cell<usize>,
+    /// Most connections taken at once.
+    pub most_open: Cell<usize>,
+    /// Every answer from now on ends its connection.
+    pub leaving: Cell<bool>,
+}
+
+struct Count<'a>(&'a Cell<usize>);
+
+impl<'a> Count<'a> {
+    fn up(cell: &'a Cell<usize>) -> Self {
+        cell.set(cell.get() + 1);
+        Self(cell)
+    }
+}
+
+impl Drop for Count<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Accepts for ever.
+pub async fn serve_listener<H: Handler>(listener: TcpListener, serving: Rc<Serving>, handler: Rc<H>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                stream.prepare();
+                if serving.open.get() >= serving.most_open.get() {
+                    stream.reset_on_close();
+                    continue;
+                }
+                let (serving, handler) = (serving.clone(), handler.clone());
+                monoio::spawn(async move { serve_line(stream, &serving, handler).await });
+            }
+            Err(error) => {
+                log::warn!("accepting failed ({error}): tried again shortly");
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve_line<H: Handler>(stream: TcpStream, serving: &Serving, handler: Rc<H>) {
+    let _open = Count::up(&serving.open);
+    let mut line = Line::new(stream);
+    loop {
+        let inquiry = match line.read_inquiry(&handler.limits()).await {
+            Ok(inquiry) => inquiry,
+            Err(DoorError::Declined { status, reason }) => {
+                let answer = handler.turned_away(status, reason).closing();
+                if line.write(answer.encode(false)).await.is_ok() {
+                    // What the requester still sends is read for a moment, so that the answer isn't lost to a reset.
+                    let _ = monoio::time::timeout(Duration::from_millis(200), async {
+                        for _ in 0..64 {
+                            line.held.clear();
+                            if !matches!(line.fill(16 << 10).await, Ok(count) if count > 0) {
+                                break;
+                            }
+                        }
+                    })
+                    .await;
+                }
+                return;
+            }
+            Err(DoorError::Ended | DoorError::Broken) => return,
+        };
+        let _under_way = Count::up(&serving.under_way);
+        let (keeps, bodyless) = (inquiry.keeps, inquiry.method == Method::HEAD);
+        let Some(mut answer) = handler.clone().handle(inquiry).await else {
+            line.break_off();
+            return;
+        };
+        answer.closes |= !keeps || serving.leaving.get();
+        let closes = answer.closes;
+        if line.write(answer.encode(bodyless)).await.is_err() || closes {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/trackbed/src/net/mod.rs
@@ -0,0 +1,7 @@
+//! Sockets, and borsh frames between the system's own processes.
+
+mod frames;
+mod sockets;
+
+pub use frames::{FrameError, FrameReader, encode_frame};
+pub use sockets::{SocketExt, StreamHandle, bind_tcp, connect};
