--- /dev/null
+++ b/crates/lineside/src/call/answering.rs
@@ -0,0 +1,81 @@
+//! The answering side.
+
+use super::messages::{Ask, Reply, SiblingMessage};
+use monoio::io::{AsyncWriteRentExt, OwnedWriteHalf, Splitable};
+use monoio::net::{TcpListener, TcpStream};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use trackbed::net::{FrameReader, SocketExt, encode_frame};
+
+pub trait Answering: 'static {
+    /// A message of Zab, in order with those before it on the same stream.
+    fn on_zab(&self, bytes: &[u8]);
+    fn answer(self: Rc<Self>, ask: Ask) -> impl Future<Output = Reply>;
+}
+
+#[derive(Default)]
+struct Outbox {
+    frames: RefCell<Vec<u8>>,
+    write: RefCell<Option<OwnedWriteHalf<TcpStream>>>,
+    pumping: Cell<bool>,
+}
+
+/// Accepts siblings for ever.
+pub async fn serve_siblings<A: Answering>(listener: TcpListener, answering: Rc<A>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                stream.prepare();
+                let answering = answering.clone();
+                monoio::spawn(async move { serve_sibling(stream, answering).await });
+            }
+            Err(error) => {
+                log::warn!("accepting a sibling failed ({error}): tried again shortly");
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn serve_sibling<A: Answering>(stream: TcpStream, answering: Rc<A>) {
+    let (read, write) = stream.into_split();
+    let outbox = Rc::new(Outbox { write: RefCell::new(Some(write)), ..Outbox::default() });
+    let mut reader = FrameReader::new(read);
+    while let Ok(message) = reader.next::<SiblingMessage>().await {
+        match message {
+            SiblingMessage::Zab(bytes) => answering.on_zab(&bytes),
+            SiblingMessage::Ask { number, ask } => {
+                let (answering, outbox) = (answering.clone(), outbox.clone());
+                monoio::spawn(async move {
+                    let reply = answering.answer(ask).await;
+                    let frame = encode_frame(&SiblingMessage::Reply { number, reply });
+                    outbox.frames.borrow_mut().extend_from_slice(&frame);
+                    outbox.pump().await;
+                });
+            }
+            SiblingMessage::Reply { .. } => return,
+        }
+    }
+}
+
+impl Outbox {
+    async fn pump(&self) {
+        if self.pumping.replace(true) {
+            return;
+        }
+        loop {
+            let bytes = std::mem::take(&mut *self.frames.borrow_mut());
+            let write = self.write.borrow_mut().take();
+            let (Some(mut write), false) = (write, bytes.is_empty()) else { break };
+            if write.write_all(bytes).await.0.is_err() {
+                return;
+            }
+            *self.write.borrow_mut() = Some(write);
+            if self.frames.borrow().is_empty() {
+                break;
+            }
+        }
+        self.pumping.set(false);
+    }
+}
--- a/crates/lineside/src/call/caller.rs
+++ b/crates/lineside/src/call/caller.rs
@@ -12,6 +12,9 @@
 use std::time::Duration;
 use trackbed::net::{FrameReader, StreamHandle, connect, encode_frame};
 
+const DIAL_LIMIT: Duration = Duration::from_millis(500);
+const OUTBOX_BYTES: usize = 48 << 20;
+
 #[derive(Clone, Debug, PartialEq, Display, Error)]
 pub enum CallError {
     #[display("the sibling could not be reached: the call was not sent, ask another")]
@@ -20,12 +23,17 @@
     NoReply,
 }
 
+type Waiting = HashMap<u64, oneshot::Sender<Result<Reply, CallError>>>;
+
+/// Invariant: frames leave in the order in which they were pushed, or the stream is broken.
+#[derive(Default)]
 struct Stream {
     write: RefCell<Option<OwnedWriteHalf<TcpStream>>>,
     handle: RefCell<Option<StreamHandle>>,
     outbox: RefCell<VecDeque<Vec<u8>>>,
-    writing: Cell<bool>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+    outbox_bytes: Cell<usize>,
+    pumping: Cell<bool>,
+    waiting: RefCell<Waiting>,
     broken: Cell<bool>,
 }
 
@@ -39,52 +47,75 @@
 
 impl Caller {
     pub async fn call(&self, to: SocketAddr, ask: Ask, limit: Duration) -> Result<Reply, CallError> {
-        let stream = self.stream(to, limit.min(Duration::from_millis(600))).await?;
+        let stream = self.stream(to);
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         let (sender, receiver) = oneshot::channel();
         stream.waiting.borrow_mut().insert(number, sender);
-        stream
-            .outbox
-            .borrow_mut()
-            .push_back(encode_frame(&SiblingMessage::Ask { number, ask }));
-        Stream::pump(&stream);
+        stream.push(encode_frame(&SiblingMessage::Ask { number, ask }));
+        Stream::pump(&stream, to);
         match monoio::time::timeout(limit, receiver).await {
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(_)) => {
-                self.forget(to, &stream);
-                Err(CallError::NoReply)
-            }
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => Err(CallError::NoReply),
             Err(_) => {
-                stream.break_off();
-                self.forget(to, &stream);
+                stream.break_off(CallError::NoReply);
                 Err(CallError::NoReply)
             }
         }
     }
 
-    fn forget(&self, to: SocketAddr, stream: &Rc<Stream>) {
+    /// Sends without waiting. What is told to a sibling that can't be reached is lost.
+    pub fn tell(&self, to: SocketAddr, message: &SiblingMessage) {
+        let stream = self.stream(to);
+        stream.push(encode_frame(message));
+        if stream.outbox_bytes.get() > OUTBOX_BYTES {
+            stream.break_off(CallError::NoReply);
+        } else {
+            Stream::pump(&stream, to);
+        }
+    }
+
+    fn stream(&self, to: SocketAddr) -> Rc<Stream> {
         let mut streams = self.streams.borrow_mut();
-        if streams.get(&to).is_some_and(|known| Rc::ptr_eq(known, stream)) {
-            streams.remove(&to);
+        if let Some(stream) = streams.get(&to).filter(|stream| !stream.broken.get()) {
+            return stream.clone();
+        }
+        let stream = Rc::new(Stream::default());
+        streams.insert(to, stream.clone());
+        stream
+    }
+}
+
+impl Stream {
+    fn push(&self, frame: Vec<u8>) {
+        self.outbox_bytes.set(self.outbox_bytes.get() + frame.len());
+        self.outbox.borrow_mut().push_back(frame);
+    }
+
+    /// Everyone who waits on this stream learns that nothing will come.
+    fn break_off(&self, error: CallError) {
+        self.broken.set(true);
+        for (_, sender) in self.waiting.borrow_mut().drain() {
+            let _ = sender.send(Err(error.clone()));
+        }
+        self.outbox.borrow_mut().clear();
+        if let Some(handle) = self.handle.borrow_mut().take() {
+            handle.break_off();
         }
+        self.write.borrow_mut().take();
     }
 
-    async fn stream(&self, to: SocketAddr, limit: Duration) -> Result<Rc<Stream>, CallError> {
-        if let Some(stream) = self.streams.borrow().get(&to).filter(|stream| !stream.broken.get()) {
-            return Ok(stream.clone());
+    async fn dial(stream: &Rc<Stream>, to: SocketAddr) -> bool {
+        let Ok(socket) = connect(to, DIAL_LIMIT).await else {
+            stream.break_off(CallError::NotSent);
+            return false;
+        };
+        if stream.broken.get() {
+            return false;
         }
-        let socket = connect(to, limit).await.map_err(|_| CallError::NotSent)?;
         let (read, write) = socket.into_split();
-        let stream = Rc::new(Stream {
-            handle: RefCell::new(Some(StreamHandle::of(&write))),
-            write: RefCell::new(Some(write)),
-            outbox: RefCell::default(),
-            writing: Cell::new(false),
-            waiting: RefCell::default(),
-            broken: Cell::new(false),
-        });
-        self.streams.borrow_mut().insert(to, stream.clone());
+        *stream.handle.borrow_mut() = Some(StreamHandle::of(&write));
+        *stream.write.borrow_mut() = Some(write);
         let reading = stream.clone();
         monoio::spawn(async move {
             let mut reader = FrameReader::new(read);
@@ -92,52 +123,40 @@
                 if let SiblingMessage::Reply { number, reply } = message
                     && let Some(sender) = reading.waiting.borrow_mut().remove(&number)
                 {
-                    let _ = sender.send(reply);
+                    let _ = sender.send(Ok(reply));
                 }
             }
-            reading.break_off();
+            reading.break_off(CallError::NoReply);
         });
-        Ok(stream)
-    }
-}
-
-impl Stream {
-    /// Everyone who waits on this stream learns that nothing will come.
-    fn break_off(&self) {
-        self.broken.set(true);
-        self.waiting.borrow_mut().clear();
-        if let Some(handle) = self.handle.borrow_mut().take() {
-            handle.break_off();
-        }
-        self.write.borrow_mut().take();
+        true
     }
 
-    fn pump(stream: &Rc<Stream>) {
-        if stream.writing.replace(true) {
+    fn pump(stream: &Rc<Stream>, to: SocketAddr) {
+        if stream.pumping.replace(true) {
             return;
         }
         let stream = stream.clone();
         monoio::spawn(async move {
-            loop {
+            let dialled = stream.handle.borrow().is_some() || Self::dial(&stream, to).await;
+            while dialled && !stream.broken.get() {
                 let mut bytes = Vec::new();
                 for frame in stream.outbox.borrow_mut().drain(..) {
                     bytes.extend_from_slice(&frame);
                 }
-                let write = stream.write.borrow_mut().take();
-                let (Some(mut write), false) = (write, bytes.is_empty()) else {
-                    break;
-                };
-                let (outcome, _) = write.write_all(bytes).await;
-                if outcome.is_err() || stream.broken.get() {
-                    stream.break_off();
+                if bytes.is_empty() {
                     break;
                 }
-                *stream.write.borrow_mut() = Some(write);
-                if stream.outbox.borrow().is_empty() {
-                    break;
+                stream.outbox_bytes.set(0);
+                let write = stream.write.borrow_mut().take();
+                let Some(mut write) = write else { break };
+                let (outcome, _) = write.write_all(bytes).await;
+                if outcome.is_err() {
+                    stream.break_off(CallError::NoReply);
+                } else if !stream.broken.get() {
+                    *stream.write.borrow_mut() = Some(write);
                 }
             }
-            stream.writing.set(false);
+            stream.pumping.set(false);
         });
     }
 }
--- a/crates/lineside/src/call/mod.rs
+++ b/crates/lineside/src/call/mod.rs
@@ -1,7 +1,9 @@
 //! Calls between the system's own processes, over streams that carry many at a time.
 
 mod caller;
+mod answering;
 mod messages;
 
+pub use answering::{Answering, serve_siblings};
 pub use caller::{CallError, Caller};
 pub use messages::{Ask, ControlCall, ControlReturn, Reply, SiblingMessage};
--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -309,20 +309,13 @@
                 sibling: card.sibling.clone(),
             });
         }
+        let differs = roster != self.digest();
+        let due = self.introduced.get(&name).is_none_or(|at| now.since(*at) >= self.timing.probe * 2);
         match kind {
-            Kind::Ping { number } => {
-                self.send(from, Kind::Ack { number });
-                let due = self
-                    .introduced
-                    .get(&name)
-                    .is_none_or(|at| now.since(*at) >= self.timing.probe * 2);
-                if is_new || (due && roster != self.digest()) {
-                    self.introduced.insert(name, now);
-                    self.introduce(from);
-                }
-            }
+            Kind::Ping { number } => self.send(from, Kind::Ack { number }),
             Kind::Ack { number } => {
-                self.probes.retain(|probe| probe.number != number && probe.name != name);
+                let name = &name;
+                self.probes.retain(|probe| probe.number != number && probe.name != *name);
                 if let Some(at) = self.errands.iter().position(|(own, _, _)| *own == number)
                     && let Some((_, to, theirs)) = self.errands.remove(at)
                 {
@@ -339,6 +332,10 @@
                 }
             }
         }
+        if is_new || (due && differs) {
+            self.introduced.insert(name, now);
+            self.introduce(from);
+        }
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/lineside/src/gossip/tests.rs
+++ b/crates/lineside/src/gossip/tests.rs
@@ -125,7 +125,7 @@
 fn all_find_each_other_and_news_reach_all_soon() {
     for seed in 0..10 {
         let mut fleet = Fleet::start(14, seed);
-        fleet.run(Duration::from_secs(4));
+        fleet.run(Duration::from_secs(6));
         for index in 0..14 {
             assert!(fleet.seen_by_all(index, Standing::Alive), "seed {seed}: n{index}");
         }
--- /dev/null
+++ b/crates/signalbox/src/ledger/mod.rs
@@ -0,0 +1,9 @@
+//! The state that Zab orders: the fleet, and the locks, numbers and keys of the applications.
+
+mod cells;
+mod changes;
+mod state;
+
+pub use cells::{CellGroup, Event};
+pub use changes::Change;
+pub use state::{Ledger, LockRecord, group_of};
--- /dev/null
+++ b/crates/signalbox/src/node/doors.rs
@@ -0,0 +1,49 @@
+//! The door for operators and applications.
+
+use super::{Signalbox, primary};
+use lineside::call::ControlCall;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use trackbed::http::{DoorLimits, Handler, Inquiry, JsonReturn, Return, Serving, serve_listener};
+use trackbed::net::bind_tcp;
+
+struct ControlDoor(Rc<Signalbox>);
+
+pub fn open(address: SocketAddr, node: &Rc<Signalbox>) -> std::io::Result<Rc<Serving>> {
+    let serving = Rc::new(Serving::default());
+    serving.most_open.set((node.live.get().limits.file_descriptors as usize).saturating_sub(400).max(64));
+    monoio::spawn(serve_listener(bind_tcp(address)?, serving.clone(), Rc::new(ControlDoor(node.clone()))));
+    Ok(serving)
+}
+
+impl Handler for ControlDoor {
+    fn limits(&self) -> DoorLimits {
+        DoorLimits {
+            header_bytes: 32 << 10,
+            body_bytes: 32 << 20,
+            idle_time: Duration::from_secs(60),
+            ..DoorLimits::default()
+        }
+    }
+
+    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+        let call = ControlCall {
+            method: inquiry.method.as_str().to_owned(),
+            path: inquiry.path().to_owned(),
+            query: inquiry.query().to_owned(),
+            if_match: inquiry.header("if-match").map(str::to_owned),
+            body: inquiry.body.to_vec(),
+        };
+        let answer = primary::answer_anywhere(&self.0, call).await;
+        let mut back = Return::json(answer.status, answer.body);
+        if let Some(millis) = answer.retry_after_millis {
+            back = back.with_header("retry-after", &format!("{:.3}", millis as f64 / 1000.0));
+        }
+        Some(back)
+    }
+
+    fn turned_away(&self, status: u16, reason: &'static str) -> Return {
+        Return::fault(status, reason)
+    }
+}
--- /dev/null
+++ b/crates/signalbox/src/node/error.rs
@@ -0,0 +1,16 @@
+//! Why a core node can't run.
+
+use derive_more::{Display, Error, From};
+use interlocking::storage::StorageError;
+use std::io;
+use trackbed::config::ConfigError;
+
+#[derive(Debug, Display, Error, From)]
+pub enum NodeError {
+    #[display("{_0}")]
+    Config(ConfigError),
+    #[display("{_0}")]
+    Storage(StorageError),
+    #[display("the operating system refused ({_0}): check addresses and permissions")]
+    Io(io::Error),
+}
--- /dev/null
+++ b/crates/signalbox/src/node/mod.rs
@@ -0,0 +1,52 @@
+//! One core node: the loop, and the state that is passed down it.
+
+mod disk;
+mod doors;
+mod error;
+mod members;
+mod primary;
+mod siblings;
+mod start;
+mod turn;
+
+pub use error::NodeError;
+pub use start::run;
+
+use crate::ledger::Ledger;
+use crate::node::disk::Write;
+use futures_channel::oneshot;
+use interlocking::zab::Zab;
+use lineside::call::Caller;
+use lineside::gossip::Roster;
+use monoio::net::udp::UdpSocket;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::mpsc;
+use trackbed::clock::Moment;
+use trackbed::ids::Zxid;
+use trackbed::kernel::LiveConfig;
+
+/// All that a core node holds.
+pub struct Signalbox {
+    pub live: Rc<LiveConfig>,
+    pub zab: RefCell<Zab>,
+    pub disk: mpsc::Sender<Write>,
+    pub caller: Caller,
+    pub roster: RefCell<Roster>,
+    pub datagrams: UdpSocket,
+    /// Invariant: exactly what Zab delivered here.
+    pub settled: RefCell<Ledger>,
+    /// Invariant: only while this node is the primary; `settled` and all that was proposed since.
+    pub ahead: RefCell<Option<Ledger>>,
+    /// Until when each holder may count itself holder. Only while this node is the primary.
+    pub holds: RefCell<BTreeMap<String, Moment>>,
+    /// Who waits for a transaction to be delivered.
+    pub waiting: RefCell<BTreeMap<Zxid, Vec<oneshot::Sender<()>>>>,
+    /// Who waits for something new in a group of keys.
+    pub watchers: RefCell<BTreeMap<String, Vec<oneshot::Sender<()>>>>,
+    /// Weight of the history when the last image was written.
+    pub imaged_weight: Cell<usize>,
+    pub next_members: Cell<Moment>,
+    pub leaving: Cell<bool>,
+}
--- /dev/null
+++ b/crates/signalbox/src/node/start.rs
@@ -0,0 +1,118 @@
+//! From settings and disk to a running node.
+
+use super::{NodeError, Signalbox, disk, doors, siblings, turn};
+use crate::ledger::Ledger;
+use futures_channel::mpsc::unbounded;
+use interlocking::storage::{FileDisk, Recovered, Storage};
+use interlocking::zab::{Image, Timing, Voter, Zab};
+use lineside::call::{Caller, serve_siblings};
+use lineside::gossip::{Role, Roster, RosterTiming, Sibling};
+use monoio::net::udp::UdpSocket;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use trackbed::clock;
+use trackbed::config::{Command, LocalConfig};
+use trackbed::ids::{Incarnation, MemberId};
+use trackbed::kernel::{self, LiveConfig, Signals};
+use trackbed::net::bind_tcp;
+use trackbed::random::{Random, stable_hash};
+
+/// The core address beside a control-plane address, on the same machine.
+pub(super) fn core_address(config: &LocalConfig, control_plane: SocketAddr) -> SocketAddr {
+    SocketAddr::new(control_plane.ip(), config.core_port())
+}
+
+/// Founders are the first seeds; every founder works out the same ids for all of them.
+fn founder(config: &LocalConfig, control_plane: SocketAddr) -> Voter {
+    let id = MemberId(stable_hash(&format!("founder {control_plane}")) | 1);
+    Voter { id, address: core_address(config, control_plane) }
+}
+
+/// What a start makes of an empty disk. Only the first start of the whole system founds anything:
+/// a lost disk has lost its promises, and learns before it votes.
+fn first_image(config: &LocalConfig, random: &mut Random) -> Image {
+    let own = config.listen.control_plane;
+    if config.initial_start && own.is_some_and(|own| config.seeds.contains(&own)) {
+        let mut voters: Vec<Voter> = config.seeds.iter().map(|seed| founder(config, *seed)).collect();
+        voters.sort_by_key(|voter| voter.id);
+        voters.dedup();
+        let member = own.map(|own| founder(config, own).id).unwrap_or_default();
+        return Image::empty(member, voters);
+    }
+    Image::empty(MemberId(random.next() | 1), Vec::new())
+}
+
+pub fn run(command: Command) -> Result<(), NodeError> {
+    let signals = Signals::register()?;
+    let config = command.config.clone();
+    let data = LocalConfig::require("data_directory", config.data_directory.clone(), "a folder for the state")?;
+    let control_plane =
+        LocalConfig::require("listen_addresses.control_plane", config.listen.control_plane, "an address to serve at")?;
+    let mut random = Random::from_system();
+    let (mut storage, recovered) = Storage::recover(FileDisk::open(&data)?)?;
+    let image = match recovered {
+        Recovered::Whole(image) => *image,
+        Recovered::Nothing => {
+            let image = first_image(&config, &mut random);
+            storage.write_image(&image)?;
+            image
+        }
+        Recovered::Damaged { what } => {
+            log::error!("the disk has lost something acknowledged ({what}): this node goes on as a new member");
+            let image = Image::empty(MemberId(random.next() | 1), Vec::new());
+            storage.write_image(&image)?;
+            image
+        }
+    };
+    log::info!("member {} starts at epoch {}, {} records", image.member, image.current, image.entries.len());
+    let now = clock::now();
+    let address = SocketAddr::new(config.ip_address, config.core_port());
+    let settled = Ledger::decode(&image.frame.state, config.bounds.history(), now)?;
+    let me = Voter { id: image.member, address };
+    let zab = Zab::start(image, me, Timing::default(), now);
+    let sibling = Sibling {
+        name: config.node_name.clone(),
+        incarnation: Incarnation(1),
+        role: Role::Core,
+        address,
+        zone: config.zone.clone(),
+        region: config.region.clone(),
+    };
+    let seeds = config.seeds.iter().map(|seed| core_address(&config, *seed)).collect();
+    let roster = Roster::new(sibling, seeds, RosterTiming::default(), random, now);
+    let (done, completions) = unbounded();
+    let disk = disk::start(storage, done)?;
+    let mut outcome = Ok(());
+    kernel::run(async {
+        outcome = async {
+            let live = Rc::new(LiveConfig::new(command.path, config));
+            let node = Rc::new(Signalbox {
+                live: live.clone(),
+                zab: RefCell::new(zab),
+                disk,
+                caller: Caller::default(),
+                roster: RefCell::new(roster),
+                datagrams: UdpSocket::bind(address)?,
+                settled: RefCell::new(settled),
+                ahead: RefCell::new(None),
+                holds: RefCell::default(),
+                waiting: RefCell::default(),
+                watchers: RefCell::default(),
+                imaged_weight: Cell::new(0),
+                next_members: Cell::new(now),
+                leaving: Cell::new(false),
+            });
+            monoio::spawn(serve_siblings(bind_tcp(address)?, node.clone()));
+            let serving = doors::open(control_plane, &node)?;
+            monoio::spawn(turn::watch_disk(node.clone(), completions));
+            monoio::spawn(turn::keep_time(node.clone()));
+            monoio::spawn(siblings::listen(node.clone()));
+            kernel::watch_platform(&signals, &live).await;
+            turn::leave(&node, &serving).await;
+            Ok::<(), NodeError>(())
+        }
+        .await;
+    })?;
+    outcome
+}
--- /dev/null
+++ b/crates/signalbox/src/node/turn.rs
@@ -0,0 +1,183 @@
+//! The loop's turns: time, the disk's completions, and what Zab wants done.
+
+use super::disk::Write;
+use super::start::core_address;
+use super::{Signalbox, members, siblings};
+use crate::ledger::{Change, Ledger};
+use borsh::BorshDeserialize;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_core::Stream;
+use interlocking::storage::{FileDisk, Storage};
+use interlocking::zab::{Action, Envelope, Ticket};
+use lineside::call::SiblingMessage;
+use lineside::gossip::Role;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use trackbed::clock::{self, Moment};
+use trackbed::http::Serving;
+
+const TICK: Duration = Duration::from_millis(50);
+/// History beyond this weight is folded into a new image.
+const IMAGE_EVERY_BYTES: usize = 2 << 20;
+const IMAGE_EVERY_ENTRIES: usize = 6000;
+/// Transactions kept for those a little behind.
+const TAIL_ENTRIES: usize = 1000;
+
+pub async fn watch_disk(node: Rc<Signalbox>, mut completions: UnboundedReceiver<Ticket>) {
+    loop {
+        let next = std::future::poll_fn(|context| Pin::new(&mut completions).poll_next(context)).await;
+        let Some(ticket) = next else { return };
+        let actions = node.zab.borrow_mut().durable(ticket, clock::now());
+        act(&node, actions);
+    }
+}
+
+pub async fn keep_time(node: Rc<Signalbox>) {
+    let mut turns = 0u64;
+    loop {
+        let now = clock::now();
+        if turns.is_multiple_of(10) {
+            refresh_contacts(&node);
+        }
+        let actions = node.zab.borrow_mut().tick(now);
+        act(&node, actions);
+        if turns.is_multiple_of(2) {
+            let actions = node.roster.borrow_mut().tick(now);
+            siblings::gossip(&node, actions);
+            members::tend(&node, now);
+            fold(&node);
+        }
+        turns += 1;
+        monoio::time::sleep(TICK).await;
+    }
+}
+
+fn refresh_contacts(node: &Signalbox) {
+    let config = node.live.get();
+    let seeds: Vec<SocketAddr> = config.seeds.iter().map(|seed| core_address(&config, *seed)).collect();
+    let mut contacts = seeds.clone();
+    contacts.extend(node.roster.borrow().alive(Role::Core).map(|sibling| sibling.address));
+    contacts.sort();
+    contacts.dedup();
+    node.zab.borrow_mut().set_contacts(contacts);
+    node.roster.borrow_mut().set_seeds(seeds);
+}
+
+/// Carries out what Zab wants.
+pub fn act(node: &Signalbox, actions: Vec<Action>) {
+    if actions.is_empty() {
+        return;
+    }
+    let now = clock::now();
+    for action in actions {
+        match action {
+            Action::Send { to, message } => {
+                let from = node.zab.borrow().me().clone();
+                let envelope = Envelope { from, to: to.id, message };
+                let bytes = borsh::to_vec(&envelope).expect("writing to memory can't fail");
+                node.caller.tell(to.address, &SiblingMessage::Zab(bytes));
+            }
+            Action::Persist { ticket, records } => {
+                let records = records.iter().map(|record| borsh::to_vec(record).expect("writing to memory can't fail"));
+                // The writer ends only with the process.
+                let _ = node.disk.send(Write::Append { ticket, records: records.collect() });
+            }
+            Action::Deliver { zxid, payload } => match Change::try_from_slice(&payload) {
+                Ok(change) => deliver(node, zxid, change, now),
+                Err(error) => log::error!("a transaction can't be read ({error}): upgrade this node"),
+            },
+            Action::DeliverFrame { zxid, state } => {
+                match Ledger::decode(&state, node.live.get().bounds.history(), now) {
+                    Ok(ledger) => *node.settled.borrow_mut() = ledger,
+                    Err(error) => log::error!("the frame at {zxid} can't be read ({error}): upgrade this node"),
+                }
+                tell_fleet(node);
+            }
+            Action::Ready { epoch } => {
+                log::info!("primary of epoch {epoch}");
+                take_over(node, now);
+            }
+            Action::Deposed => {
+                log::info!("no longer primary");
+                node.ahead.borrow_mut().take();
+                node.waiting.borrow_mut().clear();
+                node.watchers.borrow_mut().clear();
+                node.holds.borrow_mut().clear();
+            }
+        }
+    }
+    let delivered = node.zab.borrow().delivered();
+    let mut waiting = node.waiting.borrow_mut();
+    while let Some(first) = waiting.first_entry() {
+        if *first.key() > delivered {
+            break;
+        }
+        for sender in first.remove() {
+            let _ = sender.send(());
+        }
+    }
+}
+
+/// Every hold is counted anew: what the last primary granted without an order ends before this does.
+fn take_over(node: &Signalbox, now: Moment) {
+    let settled = node.settled.borrow();
+    *node.holds.borrow_mut() = settled
+        .locks
+        .iter()
+        .map(|(lock, record)| (lock.clone(), now + Duration::from_millis(record.hold_millis)))
+        .collect();
+    *node.ahead.borrow_mut() = Some(settled.clone());
+}
+
+fn deliver(node: &Signalbox, zxid: trackbed::ids::Zxid, change: Change, now: Moment) {
+    let group = match &change {
+        Change::CellPut { name, .. } => Some(crate::ledger::group_of(name).to_owned()),
+        _ => None,
+    };
+    let is_fleet = matches!(change, Change::Fleet(_));
+    node.settled.borrow_mut().apply(zxid, change, now);
+    if let Some(group) = group
+        && let Some(watchers) = node.watchers.borrow_mut().remove(&group)
+    {
+        for watcher in watchers {
+            let _ = watcher.send(());
+        }
+    }
+    if is_fleet {
+        tell_fleet(node);
+    }
+}
+
+fn tell_fleet(node: &Signalbox) {
+    let zxid = node.settled.borrow().fleet.zxid();
+    let actions = node.roster.borrow_mut().fleet_moved(zxid);
+    siblings::gossip(node, actions);
+}
+
+/// Folds a long history into an image on the slot not in use.
+fn fold(node: &Signalbox) {
+    let mut zab = node.zab.borrow_mut();
+    let grown = zab.history().weight().saturating_sub(node.imaged_weight.get());
+    if grown < IMAGE_EVERY_BYTES && zab.history().len() < IMAGE_EVERY_ENTRIES {
+        return;
+    }
+    let state = node.settled.borrow().encode();
+    zab.compact(state, TAIL_ENTRIES);
+    node.imaged_weight.set(zab.history().weight());
+    let encoded = Storage::<FileDisk>::encode_image(&zab.image());
+    let _ = node.disk.send(Write::Image { encoded });
+}
+
+/// Ends in order: no new calls, those under way get their answers.
+pub async fn leave(node: &Signalbox, serving: &Serving) {
+    node.leaving.set(true);
+    serving.leaving.set(true);
+    let actions = node.roster.borrow_mut().leave();
+    siblings::gossip(node, actions);
+    let limit = clock::now() + node.live.get().bounds.grace_period().mul_f64(0.3).min(Duration::from_millis(800));
+    while clock::now() < limit && serving.under_way.get() > 0 {
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/signalbox/src/resources/mod.rs
@@ -0,0 +1,87 @@
+//! One handler object for each resource. Each registers itself.
+
+mod cells;
+mod configuration;
+mod instances;
+mod locks;
+mod numbers;
+mod watch;
+
+pub use watch::look as watch_look;
+
+use crate::ledger::{Change, Ledger};
+use lineside::call::{ControlCall, ControlReturn};
+use std::collections::BTreeMap;
+use trackbed::clock::Moment;
+
+/// What a primary has at hand to decide a call.
+pub struct Desk<'a> {
+    /// All that was proposed, committed or not: changes are built on it.
+    pub ahead: &'a Ledger,
+    /// All that was committed: reads are answered from it.
+    pub settled: &'a Ledger,
+    /// Until when each lock's holder may count itself holder, on this primary's steady clock.
+    /// Invariant: never moves back for a holder.
+    pub holds: &'a mut BTreeMap<String, Moment>,
+    pub now: Moment,
+}
+
+/// What comes of a call, as data.
+pub enum Decision {
+    /// Answered from what is committed, under the lease.
+    Read(ControlReturn),
+    /// Answered once all that was proposed so far is committed: the answer rests on it.
+    Settled(ControlReturn),
+    Propose(Box<Change>, ControlReturn),
+    /// Waits for events of a group above a revision.
+    Watch { group: String, after: u64, wait_millis: u64 },
+}
+
+/// Invariant: decides from the desk alone, so that the same call is decided the same way anywhere.
+pub trait Resource: Sync {
+    /// The part of the path after which the name stands.
+    fn prefix(&self) -> &'static str;
+    fn decide(&self, name: &str, call: &ControlCall, desk: Desk<'_>) -> Decision;
+}
+
+pub struct ResourcePlug(pub &'static dyn Resource);
+inventory::collect!(ResourcePlug);
+
+/// The resource that a path names, and the name within it.
+pub fn find(path: &str) -> Option<(&'static dyn Resource, &str)> {
+    inventory::iter::<ResourcePlug>.into_iter().find_map(|plug| {
+        let name = path.strip_prefix(plug.0.prefix())?;
+        let named = plug.0.prefix().ends_with('/');
+        (named != name.is_empty() && name.len() <= 512).then_some((plug.0, name))
+    })
+}
+
+pub fn not_allowed() -> Decision {
+    Decision::Read(ControlReturn::fault(405, "this resource has no such method: see the documented calls"))
+}
+
+/// The part of a body that a call needs, read by pointers.
+struct Body(sonic_rs::Value);
+
+impl Body {
+    fn read(body: &[u8]) -> Option<Self> {
+        sonic_rs::from_slice(body).ok().map(Self)
+    }
+    fn text(&self, field: &str) -> Option<&str> {
+        use sonic_rs::JsonValueTrait;
+        self.0.pointer([field].iter()).and_then(|value| value.as_str())
+    }
+    fn number(&self, field: &str) -> Option<u64> {
+        use sonic_rs::JsonValueTrait;
+        self.0.pointer([field].iter()).and_then(|value| value.as_u64())
+    }
+    fn millis(&self, field: &str) -> Option<u64> {
+        use sonic_rs::JsonValueTrait;
+        let seconds = self.0.pointer([field].iter()).and_then(|value| value.as_f64())?;
+        (seconds.is_finite() && (0.0..1e7).contains(&seconds)).then_some((seconds * 1000.0).ceil() as u64)
+    }
+}
+
+fn bad(message: &str) -> Decision {
+    Decision::Read(ControlReturn::fault(400, message))
+}
--- a/crates/trackbed/src/net/mod.rs
+++ b/crates/trackbed/src/net/mod.rs
@@ -4,4 +4,4 @@
 mod sockets;
 
 pub use frames::{FrameError, FrameReader, encode_frame};
-pub use sockets::{SocketExt, StreamHandle, bind_tcp, connect};
+pub use sockets::{SocketExt, StreamHandle, bind_tcp, connect, send_datagram};
