--- a/crates/lineside/src/call/answering.rs
+++ b/crates/lineside/src/call/answering.rs
@@ -40,7 +40,10 @@
 
 async fn serve_sibling<A: Answering>(stream: TcpStream, answering: Rc<A>) {
     let (read, write) = stream.into_split();
-    let outbox = Rc::new(Outbox { write: RefCell::new(Some(write)), ..Outbox::default() });
+    let outbox = Rc::new(Outbox {
+        write: RefCell::new(Some(write)),
+        ..Outbox::default()
+    });
     let mut reader = FrameReader::new(read);
     while let Ok(message) = reader.next::<SiblingMessage>().await {
         match message {
@@ -67,7 +70,9 @@
         loop {
             let bytes = std::mem::take(&mut *self.frames.borrow_mut());
             let write = self.write.borrow_mut().take();
-            let (Some(mut write), false) = (write, bytes.is_empty()) else { break };
+            let (Some(mut write), false) = (write, bytes.is_empty()) else {
+                break;
+            };
             if write.write_all(bytes).await.0.is_err() {
                 return;
             }
--- a/crates/lineside/src/call/mod.rs
+++ b/crates/lineside/src/call/mod.rs
@@ -1,7 +1,7 @@
 //! Calls between the system's own processes, over streams that carry many at a time.
 
-mod caller;
 mod answering;
+mod caller;
 mod messages;
 
 pub use answering::{Answering, serve_siblings};
--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -310,12 +310,16 @@
             });
         }
         let differs = roster != self.digest();
-        let due = self.introduced.get(&name).is_none_or(|at| now.since(*at) >= self.timing.probe * 2);
+        let due = self
+            .introduced
+            .get(&name)
+            .is_none_or(|at| now.since(*at) >= self.timing.probe * 2);
         match kind {
             Kind::Ping { number } => self.send(from, Kind::Ack { number }),
             Kind::Ack { number } => {
                 let name = &name;
-                self.probes.retain(|probe| probe.number != number && probe.name != *name);
+                self.probes
+                    .retain(|probe| probe.number != number && probe.name != *name);
                 if let Some(at) = self.errands.iter().position(|(own, _, _)| *own == number)
                     && let Some((_, to, theirs)) = self.errands.remove(at)
                 {
--- a/crates/lineside/src/gossip/tests.rs
+++ b/crates/lineside/src/gossip/tests.rs
@@ -51,7 +51,7 @@
 
     fn begin(&mut self, index: u16) {
         let seeds = (0..3).map(address).collect();
-        let random = Random::seeded(self.random.next());
+        let random = Random::seeded(self.random.draw());
         let roster = Roster::new(sibling(index), seeds, RosterTiming::default(), random, self.now);
         self.rosters.insert(address(index), roster);
         self.fleet.insert(address(index), Zxid::ZERO);
@@ -102,7 +102,7 @@
                     self.act(to, actions);
                 }
             }
-            if self.now.micros() % 50_000 == 0 {
+            if self.now.micros().is_multiple_of(50_000) {
                 for at in self.rosters.keys().copied().collect::<Vec<_>>() {
                     let now = self.now;
                     let actions = self.rosters.get_mut(&at).unwrap().tick(now);
--- /dev/null
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -0,0 +1,187 @@
+//! Carrying a plan out: goes at one endpoint after the other, as far as rule and budget allow.
+
+use super::balance::Candidate;
+use super::errand::{Errand, GoResult, Outcome, Passed};
+use super::headers::CALLER;
+use super::plan::Plan;
+use super::{BudgetBounds, remote};
+use crate::node::Pointsman;
+use std::rc::Rc;
+use std::time::Duration;
+use trackbed::clock;
+use trackbed::http::{Inquiry, Return};
+use trackbed::ids::InstanceId;
+
+/// Nodes asked in vain before a request is given up.
+const ASKED_IN_VAIN: u32 = 3;
+/// What a go in another zone must save to be worth its bytes, in microseconds.
+const FAR_COST: f64 = 6_000.0;
+const SHUN_UNREACHABLE: Duration = Duration::from_millis(600);
+const SHUN_GONE: Duration = Duration::from_millis(300);
+const SHUN_FAILING: Duration = Duration::from_millis(150);
+
+/// Has not run and never will: says when to come back.
+pub fn come_back(node: &Pointsman, wait: Duration, reason: &str) -> Return {
+    let spread = node.random.borrow_mut().below(60) as u32;
+    let wait = wait.clamp(Duration::from_millis(15), Duration::from_millis(400)) + Duration::from_millis(spread as u64);
+    Return::text(503, reason).with_header("retry-after", &format!("{:.3}", wait.as_secs_f64()))
+}
+
+fn candidates(node: &Pointsman, plan: &Plan) -> Vec<Candidate> {
+    let config = node.live.get();
+    let fleet = node.fleet.borrow();
+    let roster = node.roster.borrow();
+    fleet
+        .serving(&plan.service)
+        .iter()
+        .filter(|instance| !instance.draining)
+        .filter(|instance| {
+            use lineside::gossip::Standing;
+            instance.node == config.node_name
+                || roster.standing(&instance.node).is_none_or(|is| is <= Standing::Suspect)
+        })
+        .map(|instance| Candidate {
+            instance: instance.id.clone(),
+            node: instance.node.clone(),
+            beside: instance.beside,
+            slots: instance.slots,
+            is_local: instance.node == config.node_name,
+            same_zone: instance.zone == config.zone,
+        })
+        .collect()
+}
+
+fn budget(node: &Pointsman) -> BudgetBounds {
+    let config = node.live.get();
+    let beside = node
+        .roster
+        .borrow()
+        .cards()
+        .filter(|card| card.sibling.role == lineside::gossip::Role::Beside)
+        .count();
+    BudgetBounds {
+        ratio: config.bounds.retry_budget_ratio(),
+        slack: config.bounds.retry_slack(),
+        window: config.bounds.budget_window(),
+        nodes: beside + 1,
+    }
+}
+
+async fn go(node: &Rc<Pointsman>, candidate: &Candidate, errand: &Errand) -> GoResult {
+    node.balance.borrow_mut().begin(&candidate.instance);
+    let result = if candidate.is_local {
+        node.platform.run(errand).await
+    } else {
+        remote::deliver(&node.siblings, candidate.beside, errand).await
+    };
+    let now = clock::now();
+    let mut balance = node.balance.borrow_mut();
+    balance.end(&candidate.instance);
+    if let Some(occupancy) = &result.occupancy {
+        balance.told(occupancy, now);
+    }
+    match &result.outcome {
+        Outcome::Answered(_) | Outcome::OverHorizon => balance.went_well(&candidate.instance),
+        Outcome::NotSent => balance.shun(&candidate.instance, now, SHUN_UNREACHABLE),
+        Outcome::NotTaken { why: Passed::Gone, .. } => balance.shun(&candidate.instance, now, SHUN_GONE),
+        Outcome::Failed(_) | Outcome::NotExecuted => balance.shun(&candidate.instance, now, SHUN_FAILING),
+        Outcome::NotTaken { .. } => {}
+    }
+    result
+}
+
+/// Sees a request through to its answer.
+pub async fn carry_out(node: &Rc<Pointsman>, plan: Plan, inquiry: Inquiry) -> Return {
+    let now = clock::now();
+    let repeats = plan.route.kind.repeats();
+    let bounds = budget(node);
+    let own_service = node.live.get().service_name.clone();
+    let mut errand = Errand {
+        inquiry,
+        attempt: plan.attempt.clone(),
+        instance: InstanceId::new(""),
+        caller: own_service
+            .map(|service| service.as_str().to_owned())
+            .unwrap_or_default(),
+        priority: plan.route.priority,
+        horizon: plan.horizon,
+        target: plan.target,
+    };
+    errand.inquiry.headers.remove(CALLER);
+    let mut left = candidates(node, &plan);
+    let mut asked_in_vain = 0;
+    let mut offered = 0;
+    let mut may_have_run = None;
+    let mut endpoint_said = None;
+    let mut free_in = Duration::from_millis(60);
+    node.budgets.borrow_mut().first_go(&plan.service, now, bounds.window);
+    loop {
+        let now = clock::now();
+        if errand.left(now).is_zero() {
+            break;
+        }
+        let chosen = {
+            let mut random = node.random.borrow_mut();
+            node.balance
+                .borrow()
+                .choose(left.iter(), now, FAR_COST, &mut random)
+                .cloned()
+        };
+        let Some(candidate) = chosen else { break };
+        let further = offered > 0;
+        if further && !node.budgets.borrow_mut().further_go(&plan.service, now, bounds) {
+            break;
+        }
+        errand.instance = candidate.instance.clone();
+        left.retain(|other| other.instance != candidate.instance);
+        match go(node, &candidate, &errand).await.outcome {
+            Outcome::Answered(answer) => {
+                // An endpoint's own failure of a repeatable request may go better elsewhere.
+                let failed = answer.status >= 500 && repeats;
+                offered += 1;
+                if !failed || offered >= plan.goes || left.is_empty() {
+                    return answer;
+                }
+                endpoint_said = Some(answer);
+            }
+            Outcome::NotTaken { free_in: wait, .. } => {
+                free_in = if asked_in_vain == 0 { wait } else { free_in.min(wait) };
+                asked_in_vain += 1;
+                if asked_in_vain >= ASKED_IN_VAIN {
+                    break;
+                }
+            }
+            Outcome::NotSent => {
+                asked_in_vain += 1;
+                if asked_in_vain >= ASKED_IN_VAIN * 2 {
+                    break;
+                }
+            }
+            Outcome::NotExecuted => {
+                offered += 1;
+                if offered >= plan.goes {
+                    break;
+                }
+            }
+            Outcome::Failed(reason) => {
+                offered += 1;
+                may_have_run = Some(reason);
+                if !repeats || offered >= plan.goes {
+                    break;
+                }
+            }
+            Outcome::OverHorizon => return Return::text(504, "the endpoint did not answer in time"),
+        }
+    }
+    if let Some(answer) = endpoint_said {
+        return answer;
+    }
+    match may_have_run {
+        Some(reason) => Return::text(502, reason),
+        None => come_back(
+            node,
+            free_in,
+            "no endpoint could take this request in time: it has not run",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -0,0 +1,64 @@
+//! One request on its way, and what may come of one go.
+
+use lineside::gossip::Occupancy;
+use std::time::Duration;
+use trackbed::clock::Moment;
+use trackbed::http::{Inquiry, Return};
+use trackbed::ids::InstanceId;
+
+/// A request as the node beside the endpoint gets it.
+#[derive(Clone, Debug)]
+pub struct Errand {
+    pub inquiry: Inquiry,
+    /// The id of the requester's try, unchanged on the whole way.
+    pub attempt: String,
+    /// The life that is to run it. Any other declines.
+    pub instance: InstanceId,
+    /// The service on the machine where the request began.
+    pub caller: String,
+    pub priority: u8,
+    /// Nobody waits for an answer after this.
+    pub horizon: Moment,
+    /// An answer by then earns its full worth.
+    pub target: Moment,
+}
+
+impl Errand {
+    pub fn left(&self, now: Moment) -> Duration {
+        now.until(self.horizon)
+    }
+}
+
+/// Why a node did not take an errand. Invariant: the endpoint was not offered it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passed {
+    /// That life is not here, or is on its way out.
+    Gone,
+    /// It could not be run in time.
+    Busy,
+    /// Its horizon passed in the queue.
+    Late,
+}
+
+#[derive(Debug)]
+pub enum Outcome {
+    /// The endpoint's whole answer.
+    Answered(Return),
+    /// Not taken: it has not run, and the endpoint never saw it.
+    NotTaken { why: Passed, free_in: Duration },
+    /// The endpoint says that it did not run it.
+    NotExecuted,
+    /// The way to the node or endpoint could not be opened: it has not run.
+    NotSent,
+    /// It may have run.
+    Failed(&'static str),
+    /// The horizon passed while the endpoint was at work.
+    OverHorizon,
+}
+
+/// What one go at one node brought, with how busy its endpoint is.
+#[derive(Debug)]
+pub struct GoResult {
+    pub outcome: Outcome,
+    pub occupancy: Option<Occupancy>,
+}
--- /dev/null
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -0,0 +1,145 @@
+//! Headers between own nodes, and those that PROTOCOL names, typed at the door.
+
+use super::errand::{Errand, GoResult, Outcome, Passed};
+use lineside::gossip::Occupancy;
+use std::time::Duration;
+use trackbed::clock::Moment;
+use trackbed::http::{Inquiry, Return};
+use trackbed::ids::InstanceId;
+
+pub const ATTEMPT: &str = "ferryhinge-attempt-id";
+pub const DEADLINE: &str = "ferryhinge-deadline-ms";
+pub const EXPECTED: &str = "ferryhinge-expected-instance";
+pub const STAMP: &str = "ferryhinge-server-stamp";
+pub const NOT_EXECUTED: &str = "ferryhinge-not-executed";
+pub const CALLER: &str = "ferryhinge-caller-service";
+/// Between own nodes only.
+pub const PRIORITY: &str = "ferryhinge-line-priority";
+pub const TARGET: &str = "ferryhinge-line-target-ms";
+pub const OUTCOME: &str = "ferryhinge-line-outcome";
+pub const OCCUPANCY: &str = "ferryhinge-line-occupancy";
+pub const FREE_IN: &str = "ferryhinge-line-free-in-ms";
+
+/// What never goes to an endpoint or requester, whoever sent it.
+pub const LINE_HEADERS: [&str; 5] = [PRIORITY, TARGET, OUTCOME, OCCUPANCY, FREE_IN];
+
+/// Reads what a sibling node passes on.
+pub fn read_errand(inquiry: Inquiry, now: Moment) -> Option<Errand> {
+    let millis = |name: &str| {
+        inquiry
+            .header(name)
+            .and_then(|text| text.parse::<u64>().ok())
+            .map(Duration::from_millis)
+    };
+    let attempt = inquiry.header(ATTEMPT)?.to_owned();
+    let instance = InstanceId::new(inquiry.header(EXPECTED)?);
+    let caller = inquiry.header(CALLER)?.to_owned();
+    let priority = inquiry.header(PRIORITY)?.parse().ok()?;
+    let (horizon, target) = (now + millis(DEADLINE)?, now + millis(TARGET)?);
+    Some(Errand {
+        inquiry,
+        attempt,
+        instance,
+        caller,
+        priority,
+        horizon,
+        target,
+    })
+}
+
+fn word_of(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(_) => "answered",
+        Outcome::NotTaken { why: Passed::Gone, .. } => "gone",
+        Outcome::NotTaken { why: Passed::Busy, .. } => "busy",
+        Outcome::NotTaken { why: Passed::Late, .. } => "late",
+        Outcome::NotExecuted => "not-executed",
+        Outcome::NotSent => "not-sent",
+        Outcome::Failed(_) => "failed",
+        Outcome::OverHorizon => "over-horizon",
+    }
+}
+
+/// A go's result as an answer to a sibling node.
+pub fn write_outcome(result: GoResult, attempt: &str) -> Return {
+    let word = word_of(&result.outcome);
+    let free_in = match &result.outcome {
+        Outcome::NotTaken { free_in, .. } => Some(free_in.as_millis().to_string()),
+        _ => None,
+    };
+    let mut answer = match result.outcome {
+        Outcome::Answered(answer) => answer,
+        _ => Return::new(503),
+    };
+    answer.closes = false;
+    for name in LINE_HEADERS {
+        answer.headers.remove(name);
+    }
+    let mut answer = answer.with_header(OUTCOME, word).with_header(ATTEMPT, attempt);
+    if let Some(free_in) = free_in {
+        answer = answer.with_header(FREE_IN, &free_in);
+    }
+    match result.occupancy {
+        Some(occupancy) => answer.with_header(OCCUPANCY, &write_occupancy(&occupancy)),
+        None => answer,
+    }
+}
+
+/// The result that a sibling's answer tells of; nothing when it tells of none.
+pub fn read_outcome(mut answer: Return, attempt: &str) -> Option<GoResult> {
+    let header = |name: &str| trackbed::http::single(&answer.headers, name);
+    if header(ATTEMPT) != Some(attempt) {
+        return None;
+    }
+    let occupancy = header(OCCUPANCY).and_then(read_occupancy);
+    let free_in = header(FREE_IN)
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_millis)
+        .unwrap_or_default();
+    let not_taken = |why| Outcome::NotTaken { why, free_in };
+    let outcome = match header(OUTCOME)? {
+        "answered" => None,
+        "gone" => Some(not_taken(Passed::Gone)),
+        "busy" => Some(not_taken(Passed::Busy)),
+        "late" => Some(not_taken(Passed::Late)),
+        "not-executed" => Some(Outcome::NotExecuted),
+        "not-sent" => Some(Outcome::NotSent),
+        "over-horizon" => Some(Outcome::OverHorizon),
+        _ => Some(Outcome::Failed("the endpoint's answer was lost")),
+    };
+    for name in LINE_HEADERS {
+        answer.headers.remove(name);
+    }
+    answer.closes = false;
+    Some(GoResult {
+        outcome: outcome.unwrap_or(Outcome::Answered(answer)),
+        occupancy,
+    })
+}
+
+fn write_occupancy(occupancy: &Occupancy) -> String {
+    format!(
+        "{},{},{},{},{},{}",
+        occupancy.running,
+        occupancy.queued,
+        occupancy.slots,
+        occupancy.service_micros,
+        occupancy.closed as u8,
+        occupancy.instance
+    )
+}
+
+fn read_occupancy(text: &str) -> Option<Occupancy> {
+    let mut parts = text.splitn(6, ',');
+    let mut number = || parts.next()?.parse::<u32>().ok();
+    let (running, queued, slots, service_micros, closed) = (number()?, number()?, number()?, number()?, number()?);
+    let instance = InstanceId::new(parts.next()?);
+    Some(Occupancy {
+        instance,
+        running,
+        queued,
+        slots,
+        service_micros,
+        closed: closed != 0,
+    })
+}
--- /dev/null
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -0,0 +1,19 @@
+//! A request's way: a plan is made, as data, and then carried out.
+
+mod balance;
+mod budget;
+mod carry;
+mod errand;
+mod headers;
+mod plan;
+mod pool;
+mod remote;
+
+pub use balance::Balance;
+pub use budget::{BudgetBounds, Budgets};
+pub use carry::carry_out;
+pub use carry::come_back;
+pub use errand::{Errand, GoResult, Outcome, Passed};
+pub use headers::{ATTEMPT, CALLER, DEADLINE, EXPECTED, LINE_HEADERS, NOT_EXECUTED, STAMP, read_errand, write_outcome};
+pub use plan::{Plan, Unplanned};
+pub use pool::Pool;
--- /dev/null
+++ b/crates/pointsman/src/dispatch/plan.rs
@@ -0,0 +1,63 @@
+//! What is to be done with a request, as data.
+
+use super::headers::{ATTEMPT, DEADLINE};
+use std::rc::Rc;
+use std::time::Duration;
+use timetable::configuration::{Route, Routes};
+use trackbed::clock::Moment;
+use trackbed::http::Inquiry;
+use trackbed::ids::ServiceName;
+use trackbed::random::stable_hash;
+
+#[derive(Debug)]
+pub struct Plan {
+    pub attempt: String,
+    pub route: Rc<Route>,
+    pub service: ServiceName,
+    pub horizon: Moment,
+    pub target: Moment,
+    /// Endpoints it may be offered to at most.
+    pub goes: u32,
+}
+
+/// Why there is no plan: the request is wrong, or nothing is known yet.
+#[derive(Debug, PartialEq)]
+pub enum Unplanned {
+    Malformed(&'static str),
+    NoRoute,
+    NothingKnown,
+}
+
+impl Plan {
+    pub fn make(inquiry: &Inquiry, routes: Option<&Rc<Routes>>, now: Moment) -> Result<Self, Unplanned> {
+        let attempt = inquiry
+            .header(ATTEMPT)
+            .filter(|attempt| !attempt.is_empty() && attempt.len() <= 256);
+        let attempt = attempt.ok_or(Unplanned::Malformed("Ferryhinge-Attempt-Id is missing or not single"))?;
+        let deadline = match inquiry.headers.get_all(DEADLINE).iter().count() {
+            0 => None,
+            _ => {
+                let millis = inquiry.header(DEADLINE).and_then(|text| text.parse::<f64>().ok());
+                let millis = millis.filter(|millis| millis.is_finite() && *millis >= 0.0 && *millis < 1e9);
+                let millis = millis.ok_or(Unplanned::Malformed("Ferryhinge-Deadline-Ms is not a number"))?;
+                Some(Duration::from_secs_f64(millis / 1000.0))
+            }
+        };
+        let host = inquiry.header("host").ok_or(Unplanned::Malformed("Host is missing"))?;
+        let route = routes
+            .ok_or(Unplanned::NothingKnown)?
+            .find(host, inquiry.path())
+            .ok_or(Unplanned::NoRoute)?;
+        let span = deadline
+            .map(|deadline| deadline.min(route.timeout))
+            .unwrap_or(route.timeout);
+        Ok(Self {
+            attempt: attempt.to_owned(),
+            service: route.service_for(stable_hash(attempt)).clone(),
+            horizon: now + span,
+            target: now + route.target.min(span),
+            goes: route.max_goes,
+            route: route.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/dispatch/pool.rs
@@ -0,0 +1,62 @@
+//! Connections kept for further use.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use trackbed::clock::Moment;
+use trackbed::http::Line;
+
+struct Kept {
+    line: Line,
+    since: Moment,
+    until: Moment,
+}
+
+/// Invariant: a line is here only after a whole, well-framed answer with nothing behind it.
+#[derive(Default)]
+pub struct Pool {
+    kept: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+}
+
+impl Pool {
+    /// The line used last that is still fit: quiet, open, and not about to be closed over there.
+    pub fn take(&self, to: SocketAddr, now: Moment, longest_idle: Duration) -> Option<Line> {
+        let mut kept = self.kept.borrow_mut();
+        let lines = kept.get_mut(&to)?;
+        while let Some(Kept { line, since, until }) = lines.pop() {
+            if now < until && now.since(since) < longest_idle && line.is_quiet() {
+                return Some(line);
+            }
+        }
+        None
+    }
+
+    pub fn keep(&self, to: SocketAddr, line: Line, now: Moment, span: Duration) {
+        if line.has_surplus() {
+            line.break_off();
+            return;
+        }
+        let mut kept = self.kept.borrow_mut();
+        let lines = kept.entry(to).or_default();
+        if lines.len() < 64 {
+            lines.push(Kept {
+                line,
+                since: now,
+                until: now + span,
+            });
+        }
+    }
+
+    /// Lets go of what has been idle too long.
+    pub fn tidy(&self, now: Moment) {
+        self.kept.borrow_mut().retain(|_, lines| {
+            lines.retain(|kept| now < kept.until);
+            !lines.is_empty()
+        });
+    }
+
+    pub fn clear(&self, to: SocketAddr) {
+        self.kept.borrow_mut().remove(&to);
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -0,0 +1,87 @@
+//! A go at the node beside another endpoint.
+
+use super::errand::{Errand, GoResult, Outcome};
+use super::headers::{CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PRIORITY, TARGET, read_outcome};
+use super::pool::Pool;
+use http::Method;
+use std::net::SocketAddr;
+use std::time::Duration;
+use trackbed::clock;
+use trackbed::http::{Line, ReturnError, write_inquiry};
+use trackbed::net::connect;
+
+/// How long a sibling may take to accept a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// How long past the horizon the sibling's own word is waited for.
+const LAST_WORD: Duration = Duration::from_millis(25);
+/// Longest body held.
+pub const BODY_LIMIT: u64 = 64 << 20;
+const IDLE: Duration = Duration::from_secs(20);
+
+fn only(outcome: Outcome) -> GoResult {
+    GoResult {
+        outcome,
+        occupancy: None,
+    }
+}
+
+pub async fn deliver(pool: &Pool, beside: SocketAddr, errand: &Errand) -> GoResult {
+    let now = clock::now();
+    let line = match pool.take(beside, now, IDLE) {
+        Some(line) => Some(line),
+        None => {
+            let limit = CONNECT_LIMIT.min(errand.left(now));
+            connect(beside, limit).await.ok().map(Line::new)
+        }
+    };
+    let Some(mut line) = line else {
+        pool.clear(beside);
+        return only(Outcome::NotSent);
+    };
+    let now = clock::now();
+    let left = errand.left(now);
+    if left.is_zero() {
+        return only(Outcome::NotSent);
+    }
+    let deadline = (left.as_millis().max(1)).to_string();
+    let target = now.until(errand.target).as_millis().to_string();
+    let priority = errand.priority.to_string();
+    let replaced = [
+        (EXPECTED, errand.instance.as_str()),
+        (DEADLINE, deadline.as_str()),
+        (TARGET, target.as_str()),
+        (PRIORITY, priority.as_str()),
+        (CALLER, errand.caller.as_str()),
+    ];
+    let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
+    let bodyless = errand.inquiry.method == Method::HEAD;
+    let exchange = async {
+        line.write(bytes).await.map_err(|_| ReturnError::Silent)?;
+        line.read_return(bodyless, BODY_LIMIT).await
+    };
+    match monoio::time::timeout(left + LAST_WORD, exchange).await {
+        Ok(Ok(answer)) => {
+            let closes = answer.closes;
+            match read_outcome(answer, &errand.attempt) {
+                Some(result) => {
+                    if !closes {
+                        pool.keep(beside, line, clock::now(), IDLE);
+                    }
+                    result
+                }
+                None => {
+                    line.break_off();
+                    only(Outcome::Failed("the sibling's answer belongs to another request"))
+                }
+            }
+        }
+        Ok(Err(_)) => {
+            pool.clear(beside);
+            only(Outcome::Failed("the sibling's connection broke off"))
+        }
+        Err(_) => {
+            line.break_off();
+            only(Outcome::OverHorizon)
+        }
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/node/doors.rs
@@ -0,0 +1,85 @@
+//! The doors: requesters and the endpoint's own calls, sibling nodes, and the platform's probes.
+
+use super::Pointsman;
+use crate::dispatch::{self, Plan, Unplanned, read_errand, write_outcome};
+use std::rc::Rc;
+use std::time::Duration;
+use trackbed::clock;
+use trackbed::http::{DoorLimits, Handler, Inquiry, Return};
+
+/// Requests begin here.
+pub struct OutboundDoor(pub Rc<Pointsman>);
+/// Sibling nodes pass requests on here.
+pub struct InboundDoor(pub Rc<Pointsman>);
+pub struct ReadinessDoor(pub Rc<Pointsman>);
+
+impl Handler for OutboundDoor {
+    fn limits(&self) -> DoorLimits {
+        let fleet = self.0.fleet.borrow();
+        let Some(routes) = fleet.routes() else {
+            return DoorLimits::default();
+        };
+        // What may be held at once is bounded by the memory there is.
+        let most = (self.0.live.get().limits.memory_mb << 20) / 8;
+        DoorLimits {
+            header_bytes: routes.limits.header_bytes as usize,
+            body_bytes: routes.limits.body_bytes.min(most.max(1 << 20)),
+            header_time: routes.limits.header_time,
+            idle_time: routes.limits.idle_time,
+            ..DoorLimits::default()
+        }
+    }
+
+    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+        let node = &self.0;
+        let now = clock::now();
+        let routes = node.fleet.borrow().routes().cloned();
+        Some(match Plan::make(&inquiry, routes.as_ref(), now) {
+            Ok(plan) => dispatch::carry_out(node, plan, inquiry).await,
+            Err(Unplanned::Malformed(reason)) => Return::text(400, reason),
+            Err(Unplanned::NoRoute) => Return::text(404, "no route leads there"),
+            Err(Unplanned::NothingKnown) => dispatch::come_back(
+                node,
+                Duration::from_millis(200),
+                "no configuration is known here yet: it has not run",
+            ),
+        })
+    }
+}
+
+impl Handler for InboundDoor {
+    fn limits(&self) -> DoorLimits {
+        DoorLimits {
+            header_bytes: 128 << 10,
+            idle_time: Duration::from_secs(30),
+            ..DoorLimits::default()
+        }
+    }
+
+    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+        let Some(errand) = read_errand(inquiry, clock::now()) else {
+            return Some(Return::text(400, "only sibling nodes pass requests on here").closing());
+        };
+        let result = self.0.platform.run(&errand).await;
+        Some(write_outcome(result, &errand.attempt))
+    }
+}
+
+impl Handler for ReadinessDoor {
+    fn limits(&self) -> DoorLimits {
+        DoorLimits::default()
+    }
+
+    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+        let node = &self.0;
+        if inquiry.path() != "/v1/readiness" {
+            return Some(Return::text(404, "ask for /v1/readiness"));
+        }
+        let knows = node.assured.get() && node.fleet.borrow().routes().is_some();
+        Some(match (knows, node.leaving.get()) {
+            (true, false) => Return::text(200, "ready"),
+            (_, true) => Return::text(503, "leaving"),
+            (false, _) => Return::text(503, "the fleet's state is not known yet"),
+        })
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/node/learn.rs
@@ -0,0 +1,161 @@
+//! How this node comes to know the fleet: all of it at the start, then news from whoever is ahead.
+
+use super::{Pointsman, core_calls};
+use crate::platform::Life;
+use borsh::BorshDeserialize;
+use lineside::call::{Answering, Ask, Reply};
+use lineside::gossip::{Datagram, GossipAction, Sibling};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use timetable::fleet::FleetNews;
+use trackbed::clock;
+use trackbed::ids::Zxid;
+
+impl Answering for Pointsman {
+    fn on_zab(&self, _: &[u8]) {}
+
+    async fn answer(self: Rc<Self>, ask: Ask) -> Reply {
+        match ask {
+            Ask::News { since, assured: false } => {
+                let fleet = self.fleet.borrow();
+                Reply::News {
+                    news: fleet.news_since(since),
+                    zxid: fleet.zxid(),
+                }
+            }
+            Ask::Occupancy => Reply::Occupancy(self.platform.occupancy(clock::now())),
+            _ => Reply::NotNow("this node holds no order: ask a core node".into()),
+        }
+    }
+}
+
+/// Learns all that was acknowledged so far, from a node that a majority backs.
+pub async fn learn_all(node: Rc<Pointsman>) {
+    loop {
+        let since = node.fleet.borrow().zxid();
+        let ask = Ask::News { since, assured: true };
+        if let Some(Reply::News { news, .. }) = core_calls::ask_core(&node, ask, Duration::from_secs(2)).await {
+            take(&node, since, news);
+            if !node.assured.replace(true) {
+                log::info!("the fleet's state is known up to {}", node.fleet.borrow().zxid());
+            }
+            if node.fleet.borrow().routes().is_some() {
+                return;
+            }
+        }
+        monoio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn take(node: &Rc<Pointsman>, since: Zxid, news: Option<FleetNews>) {
+    let Some(news) = news else { return };
+    if !node.fleet.borrow_mut().take(since, news) {
+        return;
+    }
+    adopt_life(node);
+    let fleet = node.fleet.borrow();
+    node.balance
+        .borrow_mut()
+        .forget_all_but(|instance| fleet.instance(instance).is_some());
+    let actions = node.roster.borrow_mut().fleet_moved(fleet.zxid());
+    drop(fleet);
+    gossip(node, actions);
+}
+
+/// A node that started anew rebuilds what it knew of its endpoint from what was ordered.
+fn adopt_life(node: &Pointsman) {
+    let name = node.live.get().node_name.clone();
+    let fleet = node.fleet.borrow();
+    let mut life = node.platform.life.borrow_mut();
+    if let Some(life) = life.as_mut() {
+        if fleet.has_ended(&life.instance.id) {
+            life.leaving = true;
+        }
+        return;
+    }
+    let own = fleet
+        .instances()
+        .find(|instance| instance.node == name && Some(instance.address) == node.platform.address);
+    if let Some(instance) = own {
+        let now = clock::now();
+        node.platform.admission.set_slots(instance.slots);
+        *life = Some(Life {
+            instance: instance.clone(),
+            sequence: 0,
+            heard: now,
+            leaving: instance.draining,
+            cold_until: now,
+        });
+    }
+}
+
+/// Fetches what a sibling has and this node lacks.
+fn fetch(node: &Rc<Pointsman>, sibling: Sibling) {
+    if node.fetching.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    monoio::spawn(async move {
+        let since = node.fleet.borrow().zxid();
+        let ask = Ask::News { since, assured: false };
+        let reply = node.caller.call(sibling.address, ask, Duration::from_millis(400)).await;
+        node.fetching.set(false);
+        if let Ok(Reply::News { news, .. }) = reply {
+            take(&node, since, news);
+        }
+    });
+}
+
+pub async fn listen(node: Rc<Pointsman>) {
+    loop {
+        let (bytes, from) = node.datagrams.receive().await;
+        if let Ok(datagram) = Datagram::try_from_slice(&bytes) {
+            let now = clock::now();
+            if let Some(occupancy) = &datagram.occupancy {
+                node.balance.borrow_mut().told(occupancy, now);
+            }
+            let actions = node.roster.borrow_mut().receive(from, datagram, now);
+            gossip(&node, actions);
+        }
+    }
+}
+
+pub fn gossip(node: &Rc<Pointsman>, actions: Vec<GossipAction>) {
+    for action in actions {
+        match action {
+            GossipAction::Send { to, datagram } => {
+                let bytes = borsh::to_vec(&datagram).expect("writing to memory can't fail");
+                node.datagrams.send(&bytes, to);
+            }
+            GossipAction::Ahead { sibling } => fetch(node, sibling),
+        }
+    }
+}
+
+pub async fn keep_time(node: Rc<Pointsman>) {
+    let mut turns = 0u64;
+    loop {
+        let now = clock::now();
+        let actions = {
+            let mut roster = node.roster.borrow_mut();
+            roster.set_occupancy(node.platform.occupancy(now));
+            if turns.is_multiple_of(10) {
+                let config = node.live.get();
+                roster.set_seeds(
+                    config
+                        .seeds
+                        .iter()
+                        .map(|seed| SocketAddr::new(seed.ip(), config.core_port()))
+                        .collect(),
+                );
+                node.siblings.tidy(now);
+                node.platform.lines.tidy(now);
+            }
+            roster.tick(now)
+        };
+        gossip(&node, actions);
+        turns += 1;
+        monoio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/node/start.rs
@@ -0,0 +1,135 @@
+//! From settings to a running node, and to its end.
+
+use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
+use super::{NodeError, Pointsman, learn};
+use crate::dispatch::{Balance, Budgets, Pool};
+use crate::platform::{BeatsDoor, Platform};
+use lineside::call::{Caller, serve_siblings};
+use lineside::gossip::{Role, Roster, RosterTiming, Sibling};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use timetable::fleet::FleetState;
+use trackbed::clock;
+use trackbed::config::{Command, LocalConfig};
+use trackbed::http::{Handler, Serving, serve_listener};
+use trackbed::ids::Incarnation;
+use trackbed::kernel::{self, LiveConfig, Signals};
+use trackbed::net::{Datagrams, bind_tcp};
+use trackbed::random::Random;
+
+struct Doors {
+    outbound: Rc<Serving>,
+    inbound: Rc<Serving>,
+}
+
+pub fn run(command: Command) -> Result<(), NodeError> {
+    let signals = Signals::register()?;
+    let config = command.config.clone();
+    let now = clock::now();
+    let address = SocketAddr::new(config.ip_address, config.beside_port());
+    let sibling = Sibling {
+        name: config.node_name.clone(),
+        incarnation: Incarnation(1),
+        role: Role::Beside,
+        address,
+        zone: config.zone.clone(),
+        region: config.region.clone(),
+    };
+    let seeds = config
+        .seeds
+        .iter()
+        .map(|seed| SocketAddr::new(seed.ip(), config.core_port()))
+        .collect();
+    let roster = Roster::new(sibling, seeds, RosterTiming::default(), Random::from_system(), now);
+    let mut outcome = Ok(());
+    kernel::run(async {
+        outcome = async {
+            let live = Rc::new(LiveConfig::new(command.path, config.clone()));
+            let node = Rc::new(Pointsman {
+                live: live.clone(),
+                fleet: RefCell::new(FleetState::default()),
+                roster: RefCell::new(roster),
+                datagrams: Datagrams::bind(address)?,
+                caller: Caller::default(),
+                platform: Platform::new(config.app_address),
+                balance: RefCell::new(Balance::default()),
+                budgets: RefCell::new(Budgets::new(now)),
+                siblings: Pool::default(),
+                random: RefCell::new(Random::from_system()),
+                assured: Cell::new(false),
+                leaving: Cell::new(false),
+                fetching: Cell::new(false),
+            });
+            monoio::spawn(serve_siblings(bind_tcp(address)?, node.clone()));
+            let doors = open_doors(&node, &config)?;
+            monoio::spawn(learn::listen(node.clone()));
+            monoio::spawn(learn::keep_time(node.clone()));
+            monoio::spawn(learn::learn_all(node.clone()));
+            kernel::watch_platform(&signals, &live).await;
+            leave(&node, &doors).await;
+            Ok::<(), NodeError>(())
+        }
+        .await;
+    })?;
+    outcome
+}
+
+fn open<H: Handler>(address: SocketAddr, most_open: usize, handler: H) -> Result<Rc<Serving>, NodeError> {
+    let serving = Rc::new(Serving::default());
+    serving.most_open.set(most_open);
+    monoio::spawn(serve_listener(bind_tcp(address)?, serving.clone(), Rc::new(handler)));
+    Ok(serving)
+}
+
+fn open_doors(node: &Rc<Pointsman>, config: &LocalConfig) -> Result<Doors, NodeError> {
+    let wanted = "an address to listen at";
+    let find = |field: &str, address| LocalConfig::require(field, address, wanted);
+    // 200 descriptors are kept back, and as many for lines to siblings and the endpoint.
+    let most = (config.limits.file_descriptors as usize).saturating_sub(500).max(64);
+    open(
+        find("listen_addresses.readiness", config.listen.readiness)?,
+        32,
+        ReadinessDoor(node.clone()),
+    )?;
+    open(
+        find("listen_addresses.control_plane", config.listen.control_plane)?,
+        64,
+        BeatsDoor(node.clone()),
+    )?;
+    let inbound = find("listen_addresses.inbound", config.listen.inbound)?;
+    let outbound = find("listen_addresses.outbound", config.listen.outbound)?;
+    Ok(Doors {
+        inbound: open(inbound, most / 3, InboundDoor(node.clone()))?,
+        outbound: open(outbound, most / 2, OutboundDoor(node.clone()))?,
+    })
+}
+
+/// Readiness off, serve on, finish, leave.
+async fn leave(node: &Rc<Pointsman>, doors: &Doors) {
+    log::info!("leaving");
+    let begun = clock::now();
+    let grace = node.live.get().bounds.grace_period();
+    node.leaving.set(true);
+    let actions = node.roster.borrow_mut().leave();
+    learn::gossip(node, actions);
+    // The siblings are told before the endpoint's door closes to new errands.
+    monoio::time::sleep(Duration::from_millis(250).min(grace / 10)).await;
+    node.platform.closed.set(true);
+    doors.outbound.leaving.set(true);
+    // The platform asks once a second and takes two misses.
+    let shortest = begun + Duration::from_millis(2600).min(grace.mul_f64(0.5));
+    let longest = begun + grace.mul_f64(0.88);
+    loop {
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        let now = clock::now();
+        let busy = doors.outbound.under_way.get() + doors.inbound.under_way.get();
+        if now >= longest || (now >= shortest && busy == 0 && doors.outbound.open.get() == 0) {
+            return;
+        }
+        if now >= shortest + Duration::from_millis(600) && busy == 0 {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/platform/beats.rs
@@ -0,0 +1,185 @@
+//! The endpoint's beats and its sign-off, on its own machine.
+
+use super::Life;
+use crate::node::{Pointsman, core_calls};
+use lineside::call::{Ask, Reply};
+use sonic_rs::{JsonValueTrait, Value};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use timetable::fleet::Instance;
+use trackbed::clock;
+use trackbed::http::{DoorLimits, Handler, Inquiry, JsonReturn, Return};
+use trackbed::ids::{InstanceId, ServiceName, ZoneName};
+
+pub struct BeatsDoor(pub Rc<Pointsman>);
+
+const PREFIX: &str = "/v1/instances/";
+/// The endpoint moves on after a second.
+const ACKNOWLEDGE_LIMIT: Duration = Duration::from_millis(900);
+
+struct Beat {
+    instance: Instance,
+    sequence: u64,
+    cold: Duration,
+}
+
+impl Handler for BeatsDoor {
+    fn limits(&self) -> DoorLimits {
+        DoorLimits {
+            body_bytes: 64 << 10,
+            ..DoorLimits::default()
+        }
+    }
+
+    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+        let Some(id) = inquiry
+            .path()
+            .strip_prefix(PREFIX)
+            .filter(|id| !id.is_empty() && id.len() < 200)
+        else {
+            return Some(Return::fault(404, "no such resource: beats go to /v1/instances/ID"));
+        };
+        let id = InstanceId::new(id);
+        Some(match inquiry.method.as_str() {
+            "PUT" => self.beat(id, &inquiry).await,
+            "DELETE" => self.sign_off(id).await,
+            _ => Return::fault(405, "use PUT to beat and DELETE to sign off"),
+        })
+    }
+
+    fn turned_away(&self, status: u16, reason: &'static str) -> Return {
+        Return::fault(status, reason)
+    }
+}
+
+fn acknowledged() -> Return {
+    Return::json(200, "{}".into())
+}
+
+fn not_now() -> Return {
+    Return::fault(503, "the control plane can't be reached just now: beat again")
+}
+
+impl BeatsDoor {
+    fn read(&self, id: InstanceId, body: &[u8]) -> Result<Beat, &'static str> {
+        let value: Value = sonic_rs::from_slice(body).map_err(|_| "the body is not JSON")?;
+        let text = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_str());
+        let number = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_f64());
+        let address: SocketAddr = text("address")
+            .and_then(|text| text.parse().ok())
+            .ok_or("address is missing or can't be read")?;
+        let slots = number("capacity_slots").filter(|slots| *slots >= 1.0).unwrap_or(1.0) as u32;
+        let config = self.0.live.get();
+        let draining = match text("lifecycle_state") {
+            Some("draining") => true,
+            Some("ready") | None => false,
+            Some(_) => return Err("lifecycle_state is neither ready nor draining"),
+        };
+        let instance = Instance {
+            id,
+            service: ServiceName::new(text("service_name").ok_or("service_name is missing")?),
+            address,
+            zone: text("zone").map(ZoneName::new).unwrap_or_else(|| config.zone.clone()),
+            node: config.node_name.clone(),
+            beside: config.listen.inbound.ok_or("this node takes no inbound requests")?,
+            slots: slots.min(10_000),
+            draining,
+        };
+        let cold = number("cold_remaining_s")
+            .filter(|cold| (0.0..1e6).contains(cold))
+            .unwrap_or(0.0);
+        let sequence = number("sequence").filter(|sequence| *sequence >= 0.0).unwrap_or(0.0) as u64;
+        Ok(Beat {
+            instance,
+            sequence,
+            cold: Duration::from_secs_f64(cold),
+        })
+    }
+
+    async fn beat(&self, id: InstanceId, inquiry: &Inquiry) -> Return {
+        let mut beat = match self.read(id, &inquiry.body) {
+            Ok(beat) => beat,
+            Err(reason) => return Return::fault(400, reason),
+        };
+        if !self.take_in(&mut beat) {
+            return acknowledged();
+        }
+        let ordered = self.0.fleet.borrow().instance(&beat.instance.id) == Some(&beat.instance);
+        if ordered {
+            return acknowledged();
+        }
+        match core_calls::ask_core(&self.0, Ask::Register(beat.instance), ACKNOWLEDGE_LIMIT).await {
+            Some(Reply::Done) => acknowledged(),
+            _ => not_now(),
+        }
+    }
+
+    /// What a beat changes here, at once. False when it is late and changes nothing.
+    fn take_in(&self, beat: &mut Beat) -> bool {
+        let platform = &self.0.platform;
+        let now = clock::now();
+        if platform.ended.borrow().contains(&beat.instance.id) {
+            return false;
+        }
+        let mut life = platform.life.borrow_mut();
+        match life.as_mut() {
+            Some(life) if life.instance.id == beat.instance.id => {
+                if beat.sequence <= life.sequence && life.sequence > 0 {
+                    return false;
+                }
+                // What it said once of leaving holds for the rest of this life.
+                beat.instance.draining |= life.leaving;
+                life.sequence = beat.sequence;
+                life.heard = now;
+                life.leaving = beat.instance.draining;
+                life.cold_until = now + beat.cold;
+                life.instance = beat.instance.clone();
+            }
+            _ => {
+                let ordered = self
+                    .0
+                    .fleet
+                    .borrow()
+                    .instance(&beat.instance.id)
+                    .is_some_and(|known| known.draining);
+                beat.instance.draining |= ordered;
+                if let Some(last) = life.as_ref() {
+                    platform.ended.borrow_mut().push(last.instance.id.clone());
+                }
+                platform.lines.clear(beat.instance.address);
+                *life = Some(Life {
+                    instance: beat.instance.clone(),
+                    sequence: beat.sequence,
+                    heard: now,
+                    leaving: beat.instance.draining,
+                    cold_until: now + beat.cold,
+                });
+            }
+        }
+        drop(life);
+        platform.unreachable_until.set(Default::default());
+        platform.admission.set_slots(beat.instance.slots);
+        true
+    }
+
+    async fn sign_off(&self, id: InstanceId) -> Return {
+        let platform = &self.0.platform;
+        {
+            let mut life = platform.life.borrow_mut();
+            if let Some(life) = life.as_mut().filter(|life| life.instance.id == id) {
+                life.leaving = true;
+            }
+            let mut ended = platform.ended.borrow_mut();
+            if !ended.contains(&id) {
+                ended.push(id.clone());
+            }
+            let surplus = ended.len().saturating_sub(64);
+            ended.drain(..surplus);
+        }
+        match core_calls::ask_core(&self.0, Ask::SignOff(id), ACKNOWLEDGE_LIMIT).await {
+            Some(Reply::Done) => acknowledged(),
+            _ => not_now(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -0,0 +1,104 @@
+//! One request at the endpoint, and what its bytes back are worth.
+
+use super::Platform;
+use crate::dispatch::{ATTEMPT, CALLER, DEADLINE, EXPECTED, Errand, LINE_HEADERS, NOT_EXECUTED, Outcome, STAMP};
+use http::Method;
+use std::net::SocketAddr;
+use std::time::Duration;
+use trackbed::clock;
+use trackbed::http::{Line, Return, ReturnError, single, write_inquiry};
+use trackbed::net::connect;
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+const BODY_LIMIT: u64 = 64 << 20;
+/// An idle connection is not trusted for longer, whatever the endpoint says.
+const LONGEST_IDLE: Duration = Duration::from_secs(5);
+/// Where it says nothing.
+const USUAL_KEEP: Duration = Duration::from_secs(3);
+/// Left of the endpoint's own time, within which it may close at any moment.
+const KEEP_MARGIN: Duration = Duration::from_millis(700);
+
+pub async fn at_endpoint(platform: &Platform, errand: &Errand) -> Outcome {
+    let Some(address) = platform.address else {
+        return Outcome::NotSent;
+    };
+    let now = clock::now();
+    let line = match platform.lines.take(address, now, LONGEST_IDLE) {
+        Some(line) => line,
+        None => match connect(address, CONNECT_LIMIT.min(errand.left(now))).await {
+            Ok(stream) => Line::new(stream),
+            Err(_) => return Outcome::NotSent,
+        },
+    };
+    exchange(platform, address, line, errand).await
+}
+
+async fn exchange(platform: &Platform, address: SocketAddr, mut line: Line, errand: &Errand) -> Outcome {
+    let left = errand.left(clock::now());
+    if left < Duration::from_millis(1) {
+        return Outcome::NotSent;
+    }
+    let deadline = left.as_millis().max(1).to_string();
+    let replaced = [
+        (EXPECTED, errand.instance.as_str()),
+        (DEADLINE, deadline.as_str()),
+        (CALLER, errand.caller.as_str()),
+    ];
+    let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
+    let bodyless = errand.inquiry.method == Method::HEAD;
+    let whole = async {
+        line.write(bytes).await.map_err(|_| ReturnError::Cut)?;
+        let answer = line.read_return(bodyless, BODY_LIMIT).await?;
+        if single(&answer.headers, ATTEMPT) == Some(errand.attempt.as_str()) {
+            return Ok((answer, true));
+        }
+        // A surplus answer to an earlier request may stand in this one's place: the next is looked at,
+        // and the line is not used again.
+        let next = line.read_return(bodyless, BODY_LIMIT).await?;
+        match single(&next.headers, ATTEMPT) == Some(errand.attempt.as_str()) {
+            true => Ok((next, false)),
+            false => Err(ReturnError::Malformed("the answer belongs to another request")),
+        }
+    };
+    match monoio::time::timeout(left, whole).await {
+        Err(_) => {
+            line.break_off();
+            Outcome::OverHorizon
+        }
+        Ok(Err(_)) => {
+            line.break_off();
+            Outcome::Failed("the endpoint's answer broke off or can't be read")
+        }
+        Ok(Ok((answer, in_step))) => {
+            if in_step && !answer.closes && !line.has_surplus() {
+                let keep = match answer.keep_alive {
+                    Some(seconds) => Duration::from_secs(seconds).saturating_sub(KEEP_MARGIN),
+                    None => USUAL_KEEP,
+                };
+                platform.lines.keep(address, line, clock::now(), keep);
+            } else {
+                line.break_off();
+            }
+            judge(answer)
+        }
+    }
+}
+
+/// What an endpoint's whole answer says of the request.
+fn judge(answer: Return) -> Outcome {
+    let not_run = answer.headers.contains_key(NOT_EXECUTED);
+    match answer.status {
+        421 => Outcome::NotTaken {
+            why: crate::dispatch::Passed::Gone,
+            free_in: Duration::from_millis(50),
+        },
+        429 | 503 | 408 | 400 if not_run => Outcome::NotExecuted,
+        // These promise that it has not run, and the endpoint does not say so.
+        429 | 503 | 408 => Outcome::Failed("the endpoint turned the request away without saying that it has not run"),
+        200..300 if !answer.headers.contains_key(STAMP) => Outcome::Failed("the answer lacks the endpoint's stamp"),
+        200..300 if answer.headers.contains_key(http::header::CONTENT_ENCODING) => {
+            Outcome::Failed("the answer is not the endpoint's body")
+        }
+        _ => Outcome::Answered(answer),
+    }
+}
--- /dev/null
+++ b/crates/pointsman/src/platform/mod.rs
@@ -0,0 +1,127 @@
+//! The endpoint beside this node, and all that is true of it.
+
+mod admission;
+mod beats;
+mod exchange;
+
+pub use admission::{Admission, TurnedAway};
+pub use beats::BeatsDoor;
+
+use crate::dispatch::{Errand, GoResult, Outcome, Passed, Pool};
+use lineside::gossip::Occupancy;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use timetable::fleet::Instance;
+use trackbed::clock::{self, Moment};
+use trackbed::ids::InstanceId;
+
+/// One life of the endpoint, as this node knows it.
+#[derive(Clone, Debug)]
+pub struct Life {
+    pub instance: Instance,
+    /// The highest sequence heard. Invariant: a beat below it changes nothing.
+    pub sequence: u64,
+    pub heard: Moment,
+    /// It says so, or has signed off: nothing new goes to it. Invariant: never taken back in one life.
+    pub leaving: bool,
+    pub cold_until: Moment,
+}
+
+pub struct Platform {
+    pub address: Option<SocketAddr>,
+    pub life: RefCell<Option<Life>>,
+    /// Lives that signed off, so that a late beat revives none.
+    pub ended: RefCell<Vec<InstanceId>>,
+    pub admission: Rc<Admission>,
+    pub lines: Pool,
+    /// The endpoint could not be reached; it is tried again after this.
+    pub unreachable_until: Cell<Moment>,
+    /// This node is about to end and takes nothing more for the endpoint.
+    pub closed: Cell<bool>,
+}
+
+impl Platform {
+    pub fn new(address: Option<SocketAddr>) -> Self {
+        Self {
+            address,
+            life: RefCell::new(None),
+            ended: RefCell::new(Vec::new()),
+            admission: Rc::default(),
+            lines: Pool::default(),
+            unreachable_until: Cell::default(),
+            closed: Cell::new(false),
+        }
+    }
+
+    /// How busy the endpoint is, for all to know.
+    pub fn occupancy(&self, now: Moment) -> Option<Occupancy> {
+        let life = self.life.borrow();
+        let life = life.as_ref()?;
+        let (running, queued) = self.admission.counts();
+        let cold = if now < life.cold_until { 2 } else { 1 };
+        Some(Occupancy {
+            instance: life.instance.id.clone(),
+            running,
+            queued,
+            slots: life.instance.slots,
+            service_micros: self.admission.service_micros() * cold,
+            closed: life.leaving || self.closed.get() || now < self.unreachable_until.get(),
+        })
+    }
+
+    fn result(&self, outcome: Outcome) -> GoResult {
+        GoResult {
+            outcome,
+            occupancy: self.occupancy(clock::now()),
+        }
+    }
+
+    fn passed(&self, why: Passed, free_in: Duration) -> GoResult {
+        self.result(Outcome::NotTaken { why, free_in })
+    }
+
+    /// Whether the life that an errand names is here and takes errands.
+    fn takes(&self, errand: &Errand, now: Moment) -> bool {
+        let life = self.life.borrow();
+        life.as_ref()
+            .is_some_and(|life| life.instance.id == errand.instance && !life.leaving)
+            && !self.closed.get()
+            && now >= self.unreachable_until.get()
+    }
+
+    /// Takes an errand to the endpoint, if it can be run in time.
+    pub async fn run(&self, errand: &Errand) -> GoResult {
+        let now = clock::now();
+        if !self.takes(errand, now) {
+            return self.passed(Passed::Gone, Duration::from_millis(50));
+        }
+        let slot = match self.admission.admit(errand, now).await {
+            Ok(slot) => slot,
+            Err(TurnedAway { late, free_in }) => {
+                return self.passed(if late { Passed::Late } else { Passed::Busy }, free_in);
+            }
+        };
+        // The life may have gone, and the time run out, while the errand stood in the queue.
+        let now = clock::now();
+        if !self.takes(errand, now) {
+            return self.passed(Passed::Gone, Duration::from_millis(20));
+        }
+        if errand.left(now) < Duration::from_millis(2) {
+            return self.passed(Passed::Late, Duration::from_millis(50));
+        }
+        let outcome = exchange::at_endpoint(self, errand).await;
+        match &outcome {
+            Outcome::Answered(answer) => {
+                if answer.is_success() {
+                    self.admission.measured(clock::now().since(now));
+                }
+            }
+            Outcome::NotSent => self.unreachable_until.set(clock::now() + Duration::from_millis(250)),
+            _ => {}
+        }
+        drop(slot);
+        self.result(outcome)
+    }
+}
--- a/crates/signalbox/src/ledger/changes.rs
+++ b/crates/signalbox/src/ledger/changes.rs
@@ -7,10 +7,25 @@
 pub enum Change {
     Fleet(FleetChange),
     /// The lock is the holder's. Invariant: a new holder's fence is above every fence before it.
-    LockTaken { lock: String, holder: String, fence: u64, hold_millis: u64 },
-    LockFreed { lock: String, fence: u64 },
+    LockTaken {
+        lock: String,
+        holder: String,
+        fence: u64,
+        hold_millis: u64,
+    },
+    LockFreed {
+        lock: String,
+        fence: u64,
+    },
     /// The number given. Invariant: above every number given under that name.
-    Number { name: String, value: u64 },
+    Number {
+        name: String,
+        value: u64,
+    },
     /// Invariant: the revision is the group's next.
-    CellPut { name: String, value: String, revision: u64 },
+    CellPut {
+        name: String,
+        value: String,
+        revision: u64,
+    },
 }
--- a/crates/signalbox/src/ledger/mod.rs
+++ b/crates/signalbox/src/ledger/mod.rs
@@ -4,6 +4,5 @@
 mod changes;
 mod state;
 
-pub use cells::{CellGroup, Event};
 pub use changes::Change;
-pub use state::{Ledger, LockRecord, group_of};
+pub use state::{Ledger, group_of};
--- a/crates/signalbox/src/node/disk.rs
+++ b/crates/signalbox/src/node/disk.rs
@@ -7,28 +7,47 @@
 use std::time::Duration;
 
 pub enum Write {
-    Append { ticket: Ticket, records: Vec<Vec<u8>> },
+    Append {
+        ticket: Ticket,
+        records: Vec<Vec<u8>>,
+    },
     /// Invariant: holds all that was appended before it.
-    Image { encoded: Vec<u8> },
+    Image {
+        encoded: Vec<u8>,
+    },
 }
 
-pub fn start<D: Disk + Send + 'static>(storage: Storage<D>, done: UnboundedSender<Ticket>) -> std::io::Result<Sender<Write>> {
+pub fn start<D: Disk + Send + 'static>(
+    storage: Storage<D>,
+    done: UnboundedSender<Ticket>,
+) -> std::io::Result<Sender<Write>> {
     let (sender, receiver) = channel();
-    std::thread::Builder::new().name("disk".into()).stack_size(256 << 10).spawn(move || run(storage, receiver, done))?;
+    std::thread::Builder::new()
+        .name("disk".into())
+        .stack_size(256 << 10)
+        .spawn(move || run(storage, receiver, done))?;
     Ok(sender)
 }
 
 fn run<D: Disk>(mut storage: Storage<D>, writes: Receiver<Write>, done: UnboundedSender<Ticket>) {
     let mut held = None;
     loop {
-        let Some(first) = held.take().or_else(|| writes.recv().ok()) else { return };
+        let Some(first) = held.take().or_else(|| writes.recv().ok()) else {
+            return;
+        };
         match first {
             Write::Image { encoded } => insist(|| storage.write_encoded_image(&encoded)),
-            Write::Append { mut ticket, mut records } => {
+            Write::Append {
+                mut ticket,
+                mut records,
+            } => {
                 // All that waits goes out under one sync.
                 while let Ok(next) = writes.try_recv() {
                     match next {
-                        Write::Append { ticket: later, records: more } => {
+                        Write::Append {
+                            ticket: later,
+                            records: more,
+                        } => {
                             ticket = later;
                             records.extend(more);
                         }
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -18,7 +18,6 @@
 use interlocking::zab::Zab;
 use lineside::call::Caller;
 use lineside::gossip::Roster;
-use monoio::net::udp::UdpSocket;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -26,6 +25,7 @@
 use trackbed::clock::Moment;
 use trackbed::ids::Zxid;
 use trackbed::kernel::LiveConfig;
+use trackbed::net::Datagrams;
 
 /// All that a core node holds.
 pub struct Signalbox {
@@ -34,7 +34,7 @@
     pub disk: mpsc::Sender<Write>,
     pub caller: Caller,
     pub roster: RefCell<Roster>,
-    pub datagrams: UdpSocket,
+    pub datagrams: Datagrams,
     /// Invariant: exactly what Zab delivered here.
     pub settled: RefCell<Ledger>,
     /// Invariant: only while this node is the primary; `settled` and all that was proposed since.
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/siblings.rs
@@ -6,7 +6,6 @@
 use lineside::call::{Answering, Ask, Reply};
 use lineside::gossip::{Datagram, GossipAction};
 use std::rc::Rc;
-use std::time::Duration;
 use trackbed::clock;
 
 impl Answering for Signalbox {
@@ -24,7 +23,10 @@
         match ask {
             Ask::News { since, assured: false } => {
                 let settled = self.settled.borrow();
-                Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() }
+                Reply::News {
+                    news: settled.fleet.news_since(since),
+                    zxid: settled.fleet.zxid(),
+                }
             }
             Ask::News { since, assured: true } => primary::assured_news(&self, since).await,
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
@@ -37,16 +39,10 @@
 
 pub async fn listen(node: Rc<Signalbox>) {
     loop {
-        let (outcome, buffer) = node.datagrams.recv_from(Vec::with_capacity(4 << 10)).await;
-        match outcome {
-            Ok((count, from)) => {
-                if let Ok(datagram) = Datagram::try_from_slice(&buffer[..count]) {
-                    let actions = node.roster.borrow_mut().receive(from, datagram, clock::now());
-                    gossip(&node, actions);
-                }
-            }
-            // A port that nobody listens at answers so: the roster finds out by silence.
-            Err(_) => monoio::time::sleep(Duration::from_millis(5)).await,
+        let (bytes, from) = node.datagrams.receive().await;
+        if let Ok(datagram) = Datagram::try_from_slice(&bytes) {
+            let actions = node.roster.borrow_mut().receive(from, datagram, clock::now());
+            gossip(&node, actions);
         }
     }
 }
@@ -56,15 +52,7 @@
     for action in actions {
         if let GossipAction::Send { to, datagram } = action {
             let bytes = borsh::to_vec(&datagram).expect("writing to memory can't fail");
-            send_datagram(node, to, bytes);
+            node.datagrams.send(&bytes, to);
         }
     }
 }
-
-fn send_datagram(node: &Signalbox, to: std::net::SocketAddr, bytes: Vec<u8>) {
-    use std::os::fd::{AsRawFd, BorrowedFd};
-    // SAFETY: the socket lives as long as the node, which outlasts this call.
-    let descriptor = unsafe { BorrowedFd::borrow_raw(node.datagrams.as_raw_fd()) };
-    // A datagram that can't go now is one that was lost.
-    let _ = trackbed::net::send_datagram(&descriptor, &bytes, to);
-}
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -7,7 +7,6 @@
 use interlocking::zab::{Image, Timing, Voter, Zab};
 use lineside::call::{Caller, serve_siblings};
 use lineside::gossip::{Role, Roster, RosterTiming, Sibling};
-use monoio::net::udp::UdpSocket;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,7 +14,7 @@
 use trackbed::config::{Command, LocalConfig};
 use trackbed::ids::{Incarnation, MemberId};
 use trackbed::kernel::{self, LiveConfig, Signals};
-use trackbed::net::bind_tcp;
+use trackbed::net::{Datagrams, bind_tcp};
 use trackbed::random::{Random, stable_hash};
 
 /// The core address beside a control-plane address, on the same machine.
@@ -26,7 +25,10 @@
 /// Founders are the first seeds; every founder works out the same ids for all of them.
 fn founder(config: &LocalConfig, control_plane: SocketAddr) -> Voter {
     let id = MemberId(stable_hash(&format!("founder {control_plane}")) | 1);
-    Voter { id, address: core_address(config, control_plane) }
+    Voter {
+        id,
+        address: core_address(config, control_plane),
+    }
 }
 
 /// What a start makes of an empty disk. Only the first start of the whole system founds anything:
@@ -40,15 +42,22 @@
         let member = own.map(|own| founder(config, own).id).unwrap_or_default();
         return Image::empty(member, voters);
     }
-    Image::empty(MemberId(random.next() | 1), Vec::new())
+    Image::empty(MemberId(random.draw() | 1), Vec::new())
 }
 
 pub fn run(command: Command) -> Result<(), NodeError> {
     let signals = Signals::register()?;
     let config = command.config.clone();
-    let data = LocalConfig::require("data_directory", config.data_directory.clone(), "a folder for the state")?;
-    let control_plane =
-        LocalConfig::require("listen_addresses.control_plane", config.listen.control_plane, "an address to serve at")?;
+    let data = LocalConfig::require(
+        "data_directory",
+        config.data_directory.clone(),
+        "a folder for the state",
+    )?;
+    let control_plane = LocalConfig::require(
+        "listen_addresses.control_plane",
+        config.listen.control_plane,
+        "an address to serve at",
+    )?;
     let mut random = Random::from_system();
     let (mut storage, recovered) = Storage::recover(FileDisk::open(&data)?)?;
     let image = match recovered {
@@ -60,16 +69,24 @@
         }
         Recovered::Damaged { what } => {
             log::error!("the disk has lost something acknowledged ({what}): this node goes on as a new member");
-            let image = Image::empty(MemberId(random.next() | 1), Vec::new());
+            let image = Image::empty(MemberId(random.draw() | 1), Vec::new());
             storage.write_image(&image)?;
             image
         }
     };
-    log::info!("member {} starts at epoch {}, {} records", image.member, image.current, image.entries.len());
+    log::info!(
+        "member {} starts at epoch {}, {} records",
+        image.member,
+        image.current,
+        image.entries.len()
+    );
     let now = clock::now();
     let address = SocketAddr::new(config.ip_address, config.core_port());
     let settled = Ledger::decode(&image.frame.state, config.bounds.history(), now)?;
-    let me = Voter { id: image.member, address };
+    let me = Voter {
+        id: image.member,
+        address,
+    };
     let zab = Zab::start(image, me, Timing::default(), now);
     let sibling = Sibling {
         name: config.node_name.clone(),
@@ -93,7 +110,7 @@
                 disk,
                 caller: Caller::default(),
                 roster: RefCell::new(roster),
-                datagrams: UdpSocket::bind(address)?,
+                datagrams: Datagrams::bind(address)?,
                 settled: RefCell::new(settled),
                 ahead: RefCell::new(None),
                 holds: RefCell::default(),
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -34,7 +34,11 @@
     Settled(ControlReturn),
     Propose(Box<Change>, ControlReturn),
     /// Waits for events of a group above a revision.
-    Watch { group: String, after: u64, wait_millis: u64 },
+    Watch {
+        group: String,
+        after: u64,
+        wait_millis: u64,
+    },
 }
 
 /// Invariant: decides from the desk alone, so that the same call is decided the same way anywhere.
@@ -57,7 +61,10 @@
 }
 
 pub fn not_allowed() -> Decision {
-    Decision::Read(ControlReturn::fault(405, "this resource has no such method: see the documented calls"))
+    Decision::Read(ControlReturn::fault(
+        405,
+        "this resource has no such method: see the documented calls",
+    ))
 }
 
 /// The part of a body that a call needs, read by pointers.
--- /dev/null
+++ b/crates/trackbed/src/net/datagrams.rs
@@ -0,0 +1,59 @@
+//! Datagrams. The library's own receive gives up on a datagram without a sender's address, so
+//! only its readiness is used.
+
+use monoio::net::udp::UdpSocket;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, BorrowedFd};
+use std::time::Duration;
+
+const LONGEST: usize = 4 << 10;
+
+pub struct Datagrams(UdpSocket);
+
+impl Datagrams {
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        UdpSocket::bind(address).map(Self)
+    }
+
+    fn with_socket<R>(&self, action: impl FnOnce(socket2::SockRef<'_>) -> R) -> R {
+        // SAFETY: the descriptor is open as long as `self` is borrowed, which outlasts this call.
+        let descriptor = unsafe { BorrowedFd::borrow_raw(self.0.as_raw_fd()) };
+        action(socket2::SockRef::from(&descriptor))
+    }
+
+    /// Sends if that can be done at once. A datagram that can't go now is one that was lost.
+    pub fn send(&self, bytes: &[u8], to: SocketAddr) {
+        self.with_socket(|socket| {
+            if let Err(error) = socket.send_to(bytes, &to.into()) {
+                log::debug!("a datagram to {to} was not sent: {error}");
+            }
+        });
+    }
+
+    pub async fn receive(&self) -> (Vec<u8>, SocketAddr) {
+        loop {
+            let mut space = [MaybeUninit::<u8>::uninit(); LONGEST];
+            match self.with_socket(|socket| socket.recv_from(&mut space)) {
+                Ok((count, from)) => {
+                    // SAFETY: the operating system wrote `count` bytes.
+                    let bytes: Vec<u8> = space[..count]
+                        .iter()
+                        .map(|byte| unsafe { byte.assume_init() })
+                        .collect();
+                    if let Some(from) = from.as_socket() {
+                        return (bytes, from);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    if self.0.readable(false).await.is_err() {
+                        monoio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                }
+                // A port that nobody listens at answers so: the roster finds out by silence.
+                Err(_) => monoio::time::sleep(Duration::from_millis(1)).await,
+            }
+        }
+    }
+}
--- a/crates/trackbed/src/net/mod.rs
+++ b/crates/trackbed/src/net/mod.rs
@@ -1,7 +1,9 @@
 //! Sockets, and borsh frames between the system's own processes.
 
+mod datagrams;
 mod frames;
 mod sockets;
 
+pub use datagrams::Datagrams;
 pub use frames::{FrameError, FrameReader, encode_frame};
-pub use sockets::{SocketExt, StreamHandle, bind_tcp, connect, send_datagram};
+pub use sockets::{SocketExt, StreamHandle, bind_tcp, connect};
--- a/crates/trackbed/src/net/sockets.rs
+++ b/crates/trackbed/src/net/sockets.rs
@@ -91,8 +91,3 @@
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
 }
-
-/// Sends a datagram if that can be done at once.
-pub fn send_datagram(descriptor: &BorrowedFd<'_>, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
-    socket2::SockRef::from(descriptor).send_to(bytes, &to.into())
-}
--- a/crates/trackbed/src/random.rs
+++ b/crates/trackbed/src/random.rs
@@ -23,7 +23,7 @@
         Self::seeded(seed)
     }
 
-    pub fn next(&mut self) -> u64 {
+    pub fn draw(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.0;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -33,11 +33,11 @@
 
     /// A number below `limit`; zero when the limit is zero.
     pub fn below(&mut self, limit: u64) -> u64 {
-        if limit == 0 { 0 } else { self.next() % limit }
+        if limit == 0 { 0 } else { self.draw() % limit }
     }
 
     pub fn chance(&mut self, share: f64) -> bool {
-        (self.next() >> 11) as f64 / (1u64 << 53) as f64 <= share
+        (self.draw() >> 11) as f64 / (1u64 << 53) as f64 <= share
     }
 
     pub fn shuffle<T>(&mut self, items: &mut [T]) {
@@ -53,5 +53,5 @@
     for byte in text.bytes() {
         hash = (hash ^ byte as u64).wrapping_mul(0x0100_0000_01b3);
     }
-    Random(hash).next()
+    Random(hash).draw()
 }
