--- a/crates/interlocking/src/zab/following.rs
+++ b/crates/interlocking/src/zab/following.rs
@@ -132,17 +132,15 @@
         }
         following.heard = now;
         let mut records = Vec::new();
-        if let Some(frame) = frame {
-            if frame.zxid > self.delivered {
-                records.push(Record::Restart(frame.clone()));
-                self.delivered = frame.zxid;
-                self.committed = frame.zxid;
-                self.actions.push(Action::DeliverFrame {
-                    zxid: frame.zxid,
-                    state: frame.state.clone(),
-                });
-                self.history = History::new(frame);
-            }
+        if let Some(frame) = frame.filter(|frame| frame.zxid > self.delivered) {
+            records.push(Record::Restart(frame.clone()));
+            self.delivered = frame.zxid;
+            self.committed = frame.zxid;
+            self.actions.push(Action::DeliverFrame {
+                zxid: frame.zxid,
+                state: frame.state.clone(),
+            });
+            self.history = History::new(frame);
         }
         if !self.history.contains(previous) {
             let last = self.history.place_not_after(previous).unwrap_or(Zxid::ZERO);
