--- a/crates/interlocking/src/zab/election.rs
+++ b/crates/interlocking/src/zab/election.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 
-const POLL_EVERY: Duration = Duration::from_millis(120);
+const POLL_EVERY: Duration = Duration::from_millis(90);
 /// How long what a member said of itself counts.
 const POLL_FRESH: Duration = Duration::from_millis(500);
 /// How long a bare quorum waits for the other voters to speak.
-const POLL_PAUSE: Duration = Duration::from_millis(200);
+const POLL_PAUSE: Duration = Duration::from_millis(120);
 
 impl Zab {
     fn own_poll(&self) -> Message {
@@ -21,6 +21,7 @@
             Role::Following(following) if following.is_in_step(self.current) => {
                 PollState::Following(following.leader.clone())
             }
+            Role::Leading(_) => PollState::Electing,
             _ => PollState::Looking,
         };
         Message::Poll {
@@ -33,6 +34,7 @@
 
     pub(super) fn on_poll(&mut self, heard: Heard, asked_by_address: bool) {
         let from = heard.voter.clone();
+        self.weigh_lease(&heard);
         if heard.state == PollState::Looking
             && matches!(&self.role, Role::Following(following) if following.leader.id == from.id)
         {
@@ -41,7 +43,7 @@
         }
         if !matches!(self.role, Role::Looking { .. }) || asked_by_address {
             // A member that looks for a leader is told of this one's.
-            if heard.state == PollState::Looking {
+            if matches!(heard.state, PollState::Looking | PollState::Electing) {
                 let poll = self.own_poll();
                 self.send(from.clone(), poll);
             }
@@ -62,6 +64,29 @@
         }
     }
 
+    /// A lease given is void once the leader it was given to is seen not to lead any more. After a
+    /// restart nobody knows whom the last life gave one: then every other voter must be seen so.
+    ///
+    /// A poll of before the lease is told apart by its promise, which is below the lease's epoch;
+    /// one that reached this life of the process was sent after all leases of the last.
+    fn weigh_lease(&mut self, heard: &Heard) {
+        if heard.state != PollState::Looking || heard.promised < self.current || self.now >= self.lease_given.1 {
+            return;
+        }
+        let void = if self.lease_given.0 == MemberId(0) {
+            self.seen_idle.insert(heard.voter.id);
+            let me = self.me.id;
+            self.voters()
+                .iter()
+                .all(|voter| voter.id == me || self.seen_idle.contains(&voter.id))
+        } else {
+            self.lease_given.0 == heard.voter.id
+        };
+        if void {
+            self.lease_given.1 = self.now;
+        }
+    }
+
     pub(super) fn tick_looking(&mut self) {
         let now = self.now;
         if now >= self.next_poll {
--- a/crates/interlocking/src/zab/messages.rs
+++ b/crates/interlocking/src/zab/messages.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum PollState {
     Looking,
+    /// Leads an attempt that is not established yet.
+    Electing,
     Following(Voter),
     /// An established primary.
     Leading,
--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -5,7 +5,7 @@
 use super::history::{Entry, Frame, History, Payload, Voter};
 use super::leading::Leading;
 use super::messages::{Envelope, Message, PollState};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use trackbed::clock::Moment;
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
@@ -23,9 +23,9 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            beat: Duration::from_millis(150),
-            patience: Duration::from_millis(1000),
-            lease: Duration::from_millis(850),
+            beat: Duration::from_millis(110),
+            patience: Duration::from_millis(700),
+            lease: Duration::from_millis(560),
         }
     }
 }
@@ -126,6 +126,8 @@
     pub(super) next_poll: Moment,
     /// Until then no other leader's epoch is promised: the lease of the one last heard may run.
     pub(super) lease_given: (MemberId, Moment),
+    /// Voters seen idle in this life of the process.
+    pub(super) seen_idle: BTreeSet<MemberId>,
     /// Where to ask when no voter is known or reachable.
     pub(super) contacts: Vec<std::net::SocketAddr>,
     pub(super) waiting: VecDeque<(Ticket, Then)>,
@@ -156,6 +158,7 @@
             polls: BTreeMap::new(),
             next_poll: now,
             lease_given: (MemberId(0), held_until),
+            seen_idle: BTreeSet::new(),
             contacts: Vec::new(),
             waiting: VecDeque::new(),
             next_ticket: 0,
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -11,11 +11,15 @@
 use trackbed::clock;
 use trackbed::http::{Inquiry, Return};
 use trackbed::ids::InstanceId;
+use trackbed::random::stable_hash;
 
 /// Nodes asked in vain before a request is given up.
 const ASKED_IN_VAIN: u32 = 3;
-/// What a go in another zone must save to be worth its bytes, in microseconds.
-const FAR_COST: f64 = 6_000.0;
+/// What a go in another zone must save to be worth its way and its bytes, in microseconds.
+const FAR_COST: f64 = 3_000.0;
+const FAR_COST_OF_A_BYTE: f64 = 1.0;
+/// Heads on the way there and back.
+const HEAD_BYTES: f64 = 700.0;
 const SHUN_UNREACHABLE: Duration = Duration::from_millis(600);
 const SHUN_GONE: Duration = Duration::from_millis(300);
 const SHUN_FAILING: Duration = Duration::from_millis(150);
@@ -104,6 +108,7 @@
             .map(|service| service.as_str().to_owned())
             .unwrap_or_default(),
         priority: plan.route.priority,
+        sort: stable_hash(&plan.route.name),
         horizon: plan.horizon,
         target: plan.target,
     };
@@ -115,6 +120,8 @@
     let mut endpoint_said = None;
     let mut free_in = Duration::from_millis(60);
     node.budgets.borrow_mut().first_go(&plan.service, now, bounds.window);
+    let bytes = HEAD_BYTES + errand.inquiry.body.len() as f64 + node.sizes.borrow().get(&errand.sort).unwrap_or(&0.0);
+    let far_cost = FAR_COST + FAR_COST_OF_A_BYTE * bytes;
     loop {
         let now = clock::now();
         if errand.left(now).is_zero() {
@@ -124,7 +131,7 @@
             let mut random = node.random.borrow_mut();
             node.balance
                 .borrow()
-                .choose(left.iter(), now, FAR_COST, &mut random)
+                .choose(left.iter(), now, far_cost, &mut random)
                 .cloned()
         };
         let Some(candidate) = chosen else { break };
@@ -138,6 +145,10 @@
             Outcome::Answered(answer) => {
                 // An endpoint's own failure of a repeatable request may go better elsewhere.
                 let failed = answer.status >= 500 && repeats;
+                let mut sizes = node.sizes.borrow_mut();
+                let size = sizes.entry(errand.sort).or_insert(answer.body.len() as f64);
+                *size = *size * 0.9 + answer.body.len() as f64 * 0.1;
+                drop(sizes);
                 offered += 1;
                 if !failed || offered >= plan.goes || left.is_empty() {
                     return answer;
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -17,6 +17,8 @@
     /// The service on the machine where the request began.
     pub caller: String,
     pub priority: u8,
+    /// Names the route, for what is measured of it.
+    pub sort: u64,
     /// Nobody waits for an answer after this.
     pub horizon: Moment,
     /// An answer by then earns its full worth.
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -24,7 +24,7 @@
 pub const LINE_HEADERS: [&str; 5] = [PRIORITY, TARGET, OUTCOME, OCCUPANCY, FREE_IN];
 
 /// Reads what a sibling node passes on.
-pub fn read_errand(inquiry: Inquiry, now: Moment) -> Option<Errand> {
+pub fn read_errand(inquiry: Inquiry, sort: u64, now: Moment) -> Option<Errand> {
     let millis = |name: &str| {
         inquiry
             .header(name)
@@ -42,6 +42,7 @@
         instance,
         caller,
         priority,
+        sort,
         horizon,
         target,
     })
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use trackbed::clock;
 use trackbed::http::{DoorLimits, Handler, Inquiry, Return};
+use trackbed::random::stable_hash;
 
 /// Requests begin here.
 pub struct OutboundDoor(pub Rc<Pointsman>);
@@ -57,7 +58,13 @@
     }
 
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
-        let Some(errand) = read_errand(inquiry, clock::now()) else {
+        let routes = self.0.fleet.borrow().routes().cloned();
+        let route = inquiry
+            .header("host")
+            .zip(routes)
+            .and_then(|(host, routes)| routes.find(host, inquiry.path()).cloned());
+        let sort = route.map(|route| stable_hash(&route.name)).unwrap_or_default();
+        let Some(errand) = read_errand(inquiry, sort, clock::now()) else {
             return Some(Return::text(400, "only sibling nodes pass requests on here").closing());
         };
         let result = self.0.platform.run(&errand).await;
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -14,6 +14,7 @@
 use lineside::call::Caller;
 use lineside::gossip::Roster;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use timetable::fleet::FleetState;
 use trackbed::kernel::LiveConfig;
@@ -33,6 +34,8 @@
     pub budgets: RefCell<Budgets>,
     /// Lines to the nodes beside other endpoints.
     pub siblings: Pool,
+    /// Measured size of answers, by route.
+    pub sizes: RefCell<HashMap<u64, f64>>,
     pub random: RefCell<Random>,
     /// All that was acknowledged before this process started is known here.
     pub assured: Cell<bool>,
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -57,6 +57,7 @@
                 balance: RefCell::new(Balance::default()),
                 budgets: RefCell::new(Budgets::new(now)),
                 siblings: Pool::default(),
+                sizes: RefCell::default(),
                 random: RefCell::new(Random::from_system()),
                 assured: Cell::new(false),
                 leaving: Cell::new(false),
--- a/crates/pointsman/src/platform/admission.rs
+++ b/crates/pointsman/src/platform/admission.rs
@@ -1,19 +1,25 @@
-//! Who goes to the endpoint when: its slots, and a short queue by priority.
+//! Who goes to the endpoint when: its slots, and a short queue by rank and latest start.
 
 use crate::dispatch::Errand;
 use futures_channel::oneshot;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock::{self, Moment};
 
 const FIRST_GUESS_MICROS: f64 = 50_000.0;
 /// A queue holds at most this many times the slots.
-const QUEUE_FACTOR: usize = 4;
+const QUEUE_FACTOR: usize = 6;
+/// Work below this share of the mean is short: turning it away frees next to nothing.
+const SHORT_SHARE: f64 = 0.6;
+
+/// Who is let in first: rank, then the latest moment at which starting still serves in time.
+type Place = (u8, Moment, u64);
 
 struct Waiter {
-    priority: u8,
-    order: u64,
+    place: Place,
+    expected: f64,
     horizon: Moment,
     sender: oneshot::Sender<Slot>,
 }
@@ -24,8 +30,9 @@
     running: Cell<u32>,
     queue: RefCell<Vec<Waiter>>,
     next_order: Cell<u64>,
-    /// Measured time of one request at the endpoint.
+    /// Measured time of one request at the endpoint, over all routes and by route.
     service: Cell<f64>,
+    by_sort: RefCell<HashMap<u64, f64>>,
 }
 
 impl Default for Admission {
@@ -36,6 +43,7 @@
             queue: RefCell::default(),
             next_order: Cell::new(0),
             service: Cell::new(FIRST_GUESS_MICROS),
+            by_sort: RefCell::default(),
         }
     }
 }
@@ -57,6 +65,10 @@
     pub free_in: Duration,
 }
 
+fn micros(span: f64) -> Duration {
+    Duration::from_micros(span.max(0.0) as u64)
+}
+
 impl Admission {
     pub fn set_slots(self: &Rc<Self>, slots: u32) {
         self.slots.set(slots.max(1));
@@ -71,14 +83,31 @@
         self.service.get() as u32
     }
 
-    pub fn measured(&self, span: Duration) {
+    pub fn measured(&self, sort: u64, span: Duration) {
         let micros = span.as_micros() as f64;
         self.service.set(self.service.get() * 0.95 + micros * 0.05);
+        let mut by_sort = self.by_sort.borrow_mut();
+        if by_sort.len() > 4096 {
+            by_sort.clear();
+        }
+        let known = by_sort.entry(sort).or_insert(micros);
+        *known = *known * 0.93 + micros * 0.07;
+    }
+
+    fn expected(&self, sort: u64) -> f64 {
+        self.by_sort.borrow().get(&sort).copied().unwrap_or(self.service.get())
     }
 
-    fn wait_behind(&self, ahead: usize) -> Duration {
-        let turns = (ahead + 1) as f64 / self.slots.get() as f64;
-        Duration::from_micros((self.service.get() * turns) as u64)
+    /// How long someone at this place is likely to wait.
+    fn wait_at(&self, place: Place) -> Duration {
+        let queue = self.queue.borrow();
+        let ahead: f64 = queue
+            .iter()
+            .filter(|waiter| waiter.place < place)
+            .map(|waiter| waiter.expected)
+            .sum();
+        // One of those running ends after its share of a turn.
+        micros((ahead + self.service.get()) / self.slots.get() as f64)
     }
 
     /// A slot now, a slot after a wait that leaves time enough, or a word at once that there is none.
@@ -86,39 +115,36 @@
         if self.running.get() < self.slots.get() {
             return Ok(self.take_slot());
         }
-        let (ahead, queued) = {
-            let queue = self.queue.borrow();
-            (
-                queue.iter().filter(|waiter| waiter.priority <= errand.priority).count(),
-                queue.len(),
-            )
-        };
-        let wait = self.wait_behind(ahead);
-        let service = Duration::from_micros(self.service.get() as u64);
-        if now + wait + service > errand.target || queued >= self.slots.get() as usize * QUEUE_FACTOR {
+        let expected = self.expected(errand.sort);
+        let order = self.next_order.get();
+        self.next_order.set(order + 1);
+        let place = (errand.priority, errand.target - micros(expected), order);
+        let wait = self.wait_at(place);
+        let is_short = expected < self.service.get() * SHORT_SHARE;
+        let limit = if is_short { errand.horizon } else { errand.target };
+        let full = self.queue.borrow().len() >= self.slots.get() as usize * QUEUE_FACTOR;
+        if full || now + wait + micros(expected) > limit {
             return Err(TurnedAway {
                 late: false,
                 free_in: wait,
             });
         }
         let (sender, receiver) = oneshot::channel();
-        let order = self.next_order.get();
-        self.next_order.set(order + 1);
         self.queue.borrow_mut().push(Waiter {
-            priority: errand.priority,
-            order,
+            place,
+            expected,
             horizon: errand.horizon,
             sender,
         });
         // The last moment at which starting is still of use.
-        let last_start = errand.horizon - service.min(errand.left(now) / 2);
+        let last_start = errand.horizon - micros(expected).min(errand.left(now) / 2);
         match monoio::time::timeout(now.until(last_start), receiver).await {
             Ok(Ok(slot)) => Ok(slot),
             _ => {
-                self.queue.borrow_mut().retain(|waiter| waiter.order != order);
+                self.queue.borrow_mut().retain(|waiter| waiter.place != place);
                 Err(TurnedAway {
                     late: true,
-                    free_in: self.wait_behind(0),
+                    free_in: micros(self.service.get()),
                 })
             }
         }
@@ -129,21 +155,21 @@
         Slot(self.clone())
     }
 
-    /// Gives free slots to those who wait: first by rank, then by turn.
+    /// Gives free slots to those who wait.
     fn let_in(admission: &Rc<Self>) {
         while admission.running.get() < admission.slots.get() {
             let next = {
                 let mut queue = admission.queue.borrow_mut();
-                let best = (0..queue.len()).min_by_key(|index| (queue[*index].priority, queue[*index].order));
+                let best = (0..queue.len()).min_by_key(|index| queue[*index].place);
                 match best {
-                    Some(index) => queue.remove(index),
+                    Some(index) => queue.swap_remove(index),
                     None => return,
                 }
             };
             if clock::now() >= next.horizon {
                 continue;
             }
-            // Whoever gave up meanwhile gives the slot back by dropping it.
+            // Whoever gave up meanwhile gives the slot back.
             let slot = admission.take_slot();
             if let Err(slot) = next.sender.send(slot) {
                 std::mem::forget(slot);
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -113,7 +113,9 @@
         }
         let outcome = exchange::at_endpoint(self, errand).await;
         match &outcome {
-            Outcome::Answered(answer) if answer.is_success() => self.admission.measured(clock::now().since(now)),
+            Outcome::Answered(answer) if answer.is_success() => {
+                self.admission.measured(errand.sort, clock::now().since(now))
+            }
             Outcome::NotSent => self.unreachable_until.set(clock::now() + Duration::from_millis(250)),
             _ => {}
         }
