--- a/crates/pointsman/src/platform/admission.rs
+++ b/crates/pointsman/src/platform/admission.rs
@@ -1,4 +1,4 @@
-//! Who goes to the endpoint when: its slots, and a short queue by rank and latest start.
+//! Who goes to the endpoint when: its slots, and a short queue by rank and length of work.
 
 use crate::dispatch::Errand;
 use futures_channel::oneshot;
@@ -11,10 +11,11 @@
 const FIRST_GUESS_MICROS: f64 = 50_000.0;
 /// A queue holds at most this many times the slots.
 const QUEUE_FACTOR: usize = 6;
-/// Work below this share of the mean is short: turning it away frees next to nothing.
-const SHORT_SHARE: f64 = 0.6;
+/// How many times its own length work stands back. Short work overtakes long: what waits for it
+/// elsewhere holds a slot there meanwhile, and it frees its own soon. The long is not overtaken for ever.
+const STANDS_BACK: f64 = 5.0;
 
-/// Who is let in first: rank, then the latest moment at which starting still serves in time.
+/// Who is let in first: rank, then arrival put back by the work's own length.
 type Place = (u8, Moment, u64);
 
 struct Waiter {
@@ -118,12 +119,10 @@
         let expected = self.expected(errand.sort);
         let order = self.next_order.get();
         self.next_order.set(order + 1);
-        let place = (errand.priority, errand.target - micros(expected), order);
+        let place = (errand.priority, now + micros(expected * STANDS_BACK), order);
         let wait = self.wait_at(place);
-        let is_short = expected < self.service.get() * SHORT_SHARE;
-        let limit = if is_short { errand.horizon } else { errand.target };
         let full = self.queue.borrow().len() >= self.slots.get() as usize * QUEUE_FACTOR;
-        if full || now + wait + micros(expected) > limit {
+        if full || now + wait + micros(expected) > errand.target {
             return Err(TurnedAway {
                 late: false,
                 free_in: wait,
