--- a/crates/interlocking/src/zab/election.rs
+++ b/crates/interlocking/src/zab/election.rs
@@ -15,7 +15,7 @@
 const POLL_PAUSE: Duration = Duration::from_millis(120);
 
 impl Zab {
-    fn own_poll(&self) -> Message {
+    pub(super) fn own_poll(&self) -> Message {
         let state = match &self.role {
             Role::Leading(leading) if leading.is_established() => PollState::Leading,
             Role::Following(following) if following.is_in_step(self.current) => {
@@ -41,18 +41,27 @@
             // The leader itself has given up, or started anew.
             self.look();
         }
-        if !matches!(self.role, Role::Looking { .. }) || asked_by_address {
-            // A member that looks for a leader is told of this one's.
-            if matches!(heard.state, PollState::Looking | PollState::Electing) {
-                let poll = self.own_poll();
-                self.send(from.clone(), poll);
-            }
-            if !matches!(self.role, Role::Looking { .. }) {
-                return;
+        // Only a member that knows a leader answers, or one asked by its address alone: an answer
+        // never calls for another, or there would be no end to them.
+        let poll = self.own_poll();
+        let knows = matches!(
+            poll,
+            Message::Poll {
+                state: PollState::Leading | PollState::Following(_),
+                ..
             }
+        );
+        let seeks = matches!(heard.state, PollState::Looking | PollState::Electing);
+        if seeks && (knows || asked_by_address) {
+            self.send(from.clone(), poll);
+        }
+        if !matches!(self.role, Role::Looking { .. }) {
+            return;
         }
         match &heard.state {
             PollState::Leading if heard.current >= self.current => self.follow(from),
+            // Whether it has a quorum is its own count to make: this member's list of voters may be old.
+            PollState::Electing if (heard.current, heard.last) >= self.standing() => self.follow(from),
             PollState::Following(leader) if heard.current >= self.current && leader.id != self.me.id => {
                 // Asked for itself: what it says of its state is what counts.
                 let (leader, poll) = (leader.clone(), self.own_poll());
--- a/crates/interlocking/src/zab/leading.rs
+++ b/crates/interlocking/src/zab/leading.rs
@@ -445,6 +445,16 @@
         }
         leading.next_beat = now + timing.beat;
         if stage == Stage::Discovery {
+            let poll = self.own_poll();
+            let others: Vec<Voter> = self
+                .voters()
+                .iter()
+                .filter(|voter| voter.id != self.me.id)
+                .cloned()
+                .collect();
+            for voter in others {
+                self.send(voter, poll.clone());
+            }
             self.try_new_epoch();
             return;
         }
