--- a/crates/interlocking/src/zab/tests.rs
+++ b/crates/interlocking/src/zab/tests.rs
@@ -562,3 +562,20 @@
     world.run(Duration::from_secs(3), 0.5);
     assert!(world.acknowledged > before + 100, "the two others are a quorum");
 }
+
+#[test]
+fn followers_that_restart_keep_to_the_lease_they_gave() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, 3);
+        world.run(Duration::from_secs(3), 0.2);
+        let primary = *world.primaries.last_key_value().unwrap().1;
+        for other in (0..3).filter(|host| *host != primary) {
+            world.cut.extend([(primary, other), (other, primary)]);
+            world.kill(other);
+            world.start(other);
+        }
+        // The checks at every step find two leases, or a stale one.
+        world.run(Duration::from_secs(3), 0.4);
+        assert_eq!(world.elections, 2, "the two go on without the one cut off");
+    }
+}
