--- a/crates/interlocking/src/storage/disk.rs
+++ b/crates/interlocking/src/storage/disk.rs
@@ -23,10 +23,7 @@
 impl FileDisk {
     pub fn open(directory: &Path) -> io::Result<Self> {
         std::fs::create_dir_all(directory)?;
-        Ok(Self {
-            directory: directory.to_owned(),
-            open: Vec::new(),
-        })
+        Ok(Self { directory: directory.to_owned(), open: Vec::new() })
     }
 
     fn file(&mut self, name: &str) -> io::Result<&File> {
@@ -34,12 +31,7 @@
             return Ok(&self.open[index].1);
         }
         let path = self.directory.join(name);
-        let file = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .create(true)
-            .truncate(false)
-            .open(path)?;
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
         file.sync_all()?;
         File::open(&self.directory)?.sync_all()?;
         self.open.push((name.to_owned(), file));
--- a/crates/interlocking/src/storage/layout.rs
+++ b/crates/interlocking/src/storage/layout.rs
@@ -68,12 +68,7 @@
             }
         }
         let Some(slot) = found else {
-            let storage = Self {
-                disk,
-                generation: 0,
-                length: 0,
-                synced: 0,
-            };
+            let storage = Self { disk, generation: 0, length: 0, synced: 0 };
             // Both slots torn can only be a first start that never came to its first sync.
             return Ok((storage, Recovered::Nothing));
         };
@@ -88,35 +83,15 @@
         };
         let later = disk.read(LOGS[((generation + 1) % 2) as usize])?;
         if record_at(&later, 0, generation + 1).is_some() {
-            let storage = Self {
-                disk,
-                generation: generation + 1,
-                length: 0,
-                synced: 0,
-            };
-            return Ok((
-                storage,
-                Recovered::Damaged {
-                    what: "the slot in use can't be read",
-                },
-            ));
+            let storage = Self { disk, generation: generation + 1, length: 0, synced: 0 };
+            return Ok((storage, Recovered::Damaged { what: "the slot in use can't be read" }));
         }
         let log = LOGS[(generation % 2) as usize];
         let bytes = disk.read(log)?;
         let (records, length, damaged) = read_log(&bytes, generation);
-        let mut storage = Self {
-            disk,
-            generation,
-            length,
-            synced: length,
-        };
+        let mut storage = Self { disk, generation, length, synced: length };
         if damaged {
-            return Ok((
-                storage,
-                Recovered::Damaged {
-                    what: "a record that had been synced can't be read",
-                },
-            ));
+            return Ok((storage, Recovered::Damaged { what: "a record that had been synced can't be read" }));
         }
         for record in records {
             image.replay(record);
--- a/crates/interlocking/src/storage/tests.rs
+++ b/crates/interlocking/src/storage/tests.rs
@@ -62,18 +62,14 @@
         if self.refuse {
             return Err(io::ErrorKind::StorageFull.into());
         }
-        self.durable
-            .insert(name.to_owned(), self.now.get(name).cloned().unwrap_or_default());
+        self.durable.insert(name.to_owned(), self.now.get(name).cloned().unwrap_or_default());
         self.writes.retain(|(written, _, _)| written != name);
         Ok(())
     }
 }
 
 fn entry(counter: u64) -> Record {
-    Record::Append(Entry {
-        zxid: Zxid::new(1, counter),
-        payload: Payload::Change(vec![counter as u8; 40]),
-    })
+    Record::Append(Entry { zxid: Zxid::new(1, counter), payload: Payload::Change(vec![counter as u8; 40]) })
 }
 
 fn encoded(record: &Record) -> Vec<u8> {
@@ -97,15 +93,11 @@
         for _ in 0..random.below(30) {
             if random.chance(0.15) {
                 let (_, found) = Storage::recover(storage.disk_copy()).unwrap();
-                let Recovered::Whole(image) = found else {
-                    panic!("whole")
-                };
+                let Recovered::Whole(image) = found else { panic!("whole") };
                 storage.write_image(&image).unwrap();
             } else {
                 written += 1;
-                storage
-                    .append(&[encoded(&entry(written)), encoded(&Record::Current(ZabEpoch(written)))])
-                    .unwrap();
+                storage.append(&[encoded(&entry(written)), encoded(&Record::Current(ZabEpoch(written)))]).unwrap();
                 told = written;
             }
         }
@@ -114,9 +106,7 @@
         let mut under_way = Storage::recover(disk.clone()).unwrap().0;
         let durable = disk.durable.clone();
         if random.chance(0.5) {
-            under_way
-                .append(&[encoded(&entry(written + 1)), encoded(&entry(written + 2))])
-                .unwrap();
+            under_way.append(&[encoded(&entry(written + 1)), encoded(&entry(written + 2))]).unwrap();
         } else {
             under_way.write_image(&Image::empty(MemberId(7), Vec::new())).unwrap();
         }
@@ -124,23 +114,13 @@
         for (name, bytes) in &after.now {
             let before = durable.get(name).cloned().unwrap_or_default();
             if *bytes != before && name.starts_with("log") {
-                disk.writes.push((
-                    name.clone(),
-                    before.len() as u64,
-                    bytes[before.len().min(bytes.len())..].to_vec(),
-                ));
+                disk.writes.push((name.clone(), before.len() as u64, bytes[before.len().min(bytes.len())..].to_vec()));
             }
         }
         disk.lose_power(&mut random);
         let (_, found) = Storage::recover(disk).unwrap();
-        let Recovered::Whole(image) = found else {
-            panic!("seed {seed}: {found:?}")
-        };
-        assert!(
-            image.entries.len() as u64 >= told,
-            "seed {seed}: {} of {told}",
-            image.entries.len()
-        );
+        let Recovered::Whole(image) = found else { panic!("seed {seed}: {found:?}") };
+        assert!(image.entries.len() as u64 >= told, "seed {seed}: {} of {told}", image.entries.len());
         assert!(image.entries.len() as u64 <= written + 2);
         assert!(image.entries.windows(2).all(|pair| pair[0].zxid < pair[1].zxid));
         assert!(image.current.0 >= told);
@@ -201,9 +181,7 @@
     let mut storage = begun();
     storage.append(&[encoded(&entry(1))]).unwrap();
     let (_, found) = Storage::recover(storage.disk_copy()).unwrap();
-    let Recovered::Whole(image) = found else {
-        panic!("whole")
-    };
+    let Recovered::Whole(image) = found else { panic!("whole") };
     storage.write_image(&image).unwrap();
     storage.append(&[encoded(&entry(2))]).unwrap();
     let mut disk = storage.into_disk();
--- a/crates/interlocking/src/zab/election.rs
+++ b/crates/interlocking/src/zab/election.rs
@@ -24,12 +24,7 @@
             Role::Leading(_) => PollState::Electing,
             _ => PollState::Looking,
         };
-        Message::Poll {
-            promised: self.promised,
-            current: self.current,
-            last: self.history.last(),
-            state,
-        }
+        Message::Poll { promised: self.promised, current: self.current, last: self.history.last(), state }
     }
 
     pub(super) fn on_poll(&mut self, heard: Heard, asked_by_address: bool) {
@@ -44,13 +39,7 @@
         // Only a member that knows a leader answers, or one asked by its address alone: an answer
         // never calls for another, or there would be no end to them.
         let poll = self.own_poll();
-        let knows = matches!(
-            poll,
-            Message::Poll {
-                state: PollState::Leading | PollState::Following(_),
-                ..
-            }
-        );
+        let knows = matches!(poll, Message::Poll { state: PollState::Leading | PollState::Following(_), .. });
         let seeks = matches!(heard.state, PollState::Looking | PollState::Electing);
         if seeks && (knows || asked_by_address) {
             self.send(from.clone(), poll);
@@ -85,9 +74,7 @@
         let void = if self.lease_given.0 == MemberId(0) {
             self.seen_idle.insert(heard.voter.id);
             let me = self.me.id;
-            self.voters()
-                .iter()
-                .all(|voter| voter.id == me || self.seen_idle.contains(&voter.id))
+            self.voters().iter().all(|voter| voter.id == me || self.seen_idle.contains(&voter.id))
         } else {
             self.lease_given.0 == heard.voter.id
         };
@@ -101,24 +88,13 @@
         if now >= self.next_poll {
             self.next_poll = now + POLL_EVERY;
             let poll = self.own_poll();
-            let voters: Vec<Voter> = self
-                .voters()
-                .iter()
-                .filter(|voter| voter.id != self.me.id)
-                .cloned()
-                .collect();
+            let voters: Vec<Voter> = self.voters().iter().filter(|voter| voter.id != self.me.id).cloned().collect();
             for voter in &voters {
                 self.send(voter.clone(), poll.clone());
             }
             for address in self.contacts.clone() {
                 if address != self.me.address && !voters.iter().any(|voter| voter.address == address) {
-                    self.send(
-                        Voter {
-                            id: MemberId(0),
-                            address,
-                        },
-                        poll.clone(),
-                    );
+                    self.send(Voter { id: MemberId(0), address }, poll.clone());
                 }
             }
         }
--- a/crates/interlocking/src/zab/following.rs
+++ b/crates/interlocking/src/zab/following.rs
@@ -23,13 +23,7 @@
 
 impl Following {
     pub fn new(leader: Voter, now: Moment) -> Self {
-        Self {
-            leader,
-            promised: None,
-            synced: None,
-            heard: now,
-            asked: now,
-        }
+        Self { leader, promised: None, synced: None, heard: now, asked: now }
     }
 
     pub fn is_in_step(&self, current: ZabEpoch) -> bool {
@@ -57,12 +51,7 @@
             self.look();
             self.tick_looking();
         } else if following.synced.is_none()
-            && now.since(following.asked)
-                >= if following.promised.is_some() {
-                    ASK_EVERY * 4
-                } else {
-                    ASK_EVERY
-                }
+            && now.since(following.asked) >= if following.promised.is_some() { ASK_EVERY * 4 } else { ASK_EVERY }
         {
             self.ask_to_follow();
         }
@@ -92,23 +81,11 @@
             self.promised = epoch;
             self.promised_to = from.id;
             let records = vec![Record::Promised(epoch, from.id)];
-            self.persist(
-                records,
-                Then::Tell {
-                    to: from,
-                    message: Message::AckEpoch { epoch, current, last },
-                },
-            );
+            self.persist(records, Then::Tell { to: from, message: Message::AckEpoch { epoch, current, last } });
         } else if epoch == promised && promised_to == from.id && following.synced.is_none() {
             following.promised = Some(epoch);
             // Behind the first write in the order of the disk, so never before it is durable.
-            self.persist(
-                Vec::new(),
-                Then::Tell {
-                    to: from,
-                    message: Message::AckEpoch { epoch, current, last },
-                },
-            );
+            self.persist(Vec::new(), Then::Tell { to: from, message: Message::AckEpoch { epoch, current, last } });
         }
     }
 
@@ -136,10 +113,7 @@
             records.push(Record::Restart(frame.clone()));
             self.delivered = frame.zxid;
             self.committed = frame.zxid;
-            self.actions.push(Action::DeliverFrame {
-                zxid: frame.zxid,
-                state: frame.state.clone(),
-            });
+            self.actions.push(Action::DeliverFrame { zxid: frame.zxid, state: frame.state.clone() });
             self.history = History::new(frame);
         }
         if !self.history.contains(previous) {
@@ -162,10 +136,7 @@
             entries.next();
         }
         if self.history.last() > agreed {
-            assert!(
-                agreed >= self.delivered,
-                "a delivered transaction is in every later leader's history"
-            );
+            assert!(agreed >= self.delivered, "a delivered transaction is in every later leader's history");
             self.history.truncate(agreed);
             records.push(Record::Truncate(agreed));
         }
@@ -179,13 +150,7 @@
         if let Some(following) = self.following(from.id) {
             following.synced = Some(epoch);
         }
-        self.persist(
-            records,
-            Then::Tell {
-                to: from,
-                message: Message::AckLeader { epoch, last },
-            },
-        );
+        self.persist(records, Then::Tell { to: from, message: Message::AckLeader { epoch, last } });
     }
 
     pub(super) fn on_propose(&mut self, from: Voter, epoch: ZabEpoch, previous: Zxid, entries: Vec<Entry>) {
@@ -213,13 +178,7 @@
             self.history.append(entry);
         }
         let last = self.history.last();
-        self.persist(
-            records,
-            Then::Tell {
-                to: from,
-                message: Message::Ack { epoch, last },
-            },
-        );
+        self.persist(records, Then::Tell { to: from, message: Message::Ack { epoch, last } });
     }
 
     pub(super) fn on_commit(&mut self, from: MemberId, epoch: ZabEpoch, upto: Zxid) {
--- a/crates/interlocking/src/zab/history.rs
+++ b/crates/interlocking/src/zab/history.rs
@@ -56,21 +56,11 @@
 impl History {
     pub fn new(frame: Frame) -> Self {
         let voters = frame.voters.clone();
-        Self {
-            base: frame.zxid,
-            frame,
-            entries: VecDeque::new(),
-            weight: 0,
-            voters,
-        }
+        Self { base: frame.zxid, frame, entries: VecDeque::new(), weight: 0, voters }
     }
 
     pub fn last(&self) -> Zxid {
-        self.entries
-            .back()
-            .map(|entry| entry.zxid)
-            .unwrap_or(self.base)
-            .max(self.base)
+        self.entries.back().map(|entry| entry.zxid).unwrap_or(self.base).max(self.base)
     }
 
     pub fn weight(&self) -> usize {
@@ -104,11 +94,7 @@
             return None;
         }
         let index = self.index_after(zxid);
-        Some(if index == 0 {
-            self.base
-        } else {
-            self.entries[index - 1].zxid
-        })
+        Some(if index == 0 { self.base } else { self.entries[index - 1].zxid })
     }
 
     pub fn after(&self, zxid: Zxid) -> impl Iterator<Item = &Entry> {
@@ -126,10 +112,7 @@
 
     /// Drops what comes after `zxid`.
     pub fn truncate(&mut self, zxid: Zxid) {
-        assert!(
-            zxid >= self.frame.zxid,
-            "what a frame holds is committed and never dropped"
-        );
+        assert!(zxid >= self.frame.zxid, "what a frame holds is committed and never dropped");
         while self.entries.back().is_some_and(|entry| entry.zxid > zxid) {
             let entry = self.entries.pop_back().expect("looked at just now");
             self.weight -= entry.payload.weight() + 32;
--- a/crates/interlocking/src/zab/leading.rs
+++ b/crates/interlocking/src/zab/leading.rs
@@ -106,13 +106,11 @@
         let Role::Leading(leading) = &self.role else { return 0 };
         self.voters()
             .iter()
-            .filter(|voter| {
-                if voter.id == self.me.id {
-                    own
-                } else {
-                    leading.followers.get(&voter.id).is_some_and(&holds)
-                }
-            })
+            .filter(
+                |voter| {
+                    if voter.id == self.me.id { own } else { leading.followers.get(&voter.id).is_some_and(&holds) }
+                },
+            )
             .count()
     }
 
@@ -254,15 +252,7 @@
         follower.sent = true;
         follower.synced = false;
         let voter = follower.voter.clone();
-        self.send(
-            voter,
-            Message::NewLeader {
-                epoch,
-                previous,
-                entries,
-                frame,
-            },
-        );
+        self.send(voter, Message::NewLeader { epoch, previous, entries, frame });
     }
 
     pub(super) fn on_behind(&mut self, from: MemberId, epoch: ZabEpoch, last: Zxid) {
@@ -320,11 +310,7 @@
                 if voter.id == self.me.id {
                     leading.own_synced.then_some(leading.own_acked)
                 } else {
-                    leading
-                        .followers
-                        .get(&voter.id)
-                        .filter(|follower| follower.synced)
-                        .map(|follower| follower.acked)
+                    leading.followers.get(&voter.id).filter(|follower| follower.synced).map(|follower| follower.acked)
                 }
             })
             .collect();
@@ -383,13 +369,7 @@
         let mut entries = Vec::with_capacity(payloads.len());
         for payload in payloads {
             leading.counter += 1;
-            entries.push(Entry {
-                zxid: Zxid {
-                    epoch,
-                    counter: leading.counter,
-                },
-                payload,
-            });
+            entries.push(Entry { zxid: Zxid { epoch, counter: leading.counter }, payload });
         }
         let receivers: Vec<Voter> = leading
             .followers
@@ -405,14 +385,7 @@
         let last = self.history.last();
         self.persist(records, Then::OwnAck(epoch, last));
         for voter in receivers {
-            self.send(
-                voter,
-                Message::Propose {
-                    epoch,
-                    previous,
-                    entries: entries.clone(),
-                },
-            );
+            self.send(voter, Message::Propose { epoch, previous, entries: entries.clone() });
         }
         Some(last)
     }
@@ -446,12 +419,7 @@
         leading.next_beat = now + timing.beat;
         if stage == Stage::Discovery {
             let poll = self.own_poll();
-            let others: Vec<Voter> = self
-                .voters()
-                .iter()
-                .filter(|voter| voter.id != self.me.id)
-                .cloned()
-                .collect();
+            let others: Vec<Voter> = self.voters().iter().filter(|voter| voter.id != self.me.id).cloned().collect();
             for voter in others {
                 self.send(voter, poll.clone());
             }
@@ -462,9 +430,7 @@
         let (upto, me) = (self.committed, self.me.id);
         let Some(leading) = self.leading() else { return };
         let epoch = leading.epoch;
-        leading
-            .followers
-            .retain(|_, follower| now.since(follower.heard) < Duration::from_secs(30));
+        leading.followers.retain(|_, follower| now.since(follower.heard) < Duration::from_secs(30));
         let receivers: Vec<Voter> = leading
             .followers
             .values()
@@ -472,14 +438,7 @@
             .map(|follower| follower.voter.clone())
             .collect();
         for voter in receivers {
-            self.send(
-                voter,
-                Message::Ping {
-                    epoch,
-                    stamp: now.micros(),
-                    upto,
-                },
-            );
+            self.send(voter, Message::Ping { epoch, stamp: now.micros(), upto });
         }
     }
 
@@ -527,10 +486,7 @@
             .iter()
             .filter(|voter| {
                 voter.id != self.me.id
-                    && leading
-                        .followers
-                        .get(&voter.id)
-                        .is_none_or(|follower| self.now.since(follower.heard) >= silence)
+                    && leading.followers.get(&voter.id).is_none_or(|follower| self.now.since(follower.heard) >= silence)
             })
             .cloned()
             .collect()
--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -43,11 +43,7 @@
 
 impl Image {
     pub fn empty(member: MemberId, voters: Vec<Voter>) -> Self {
-        let frame = Frame {
-            zxid: Zxid::ZERO,
-            voters,
-            state: Vec::new(),
-        };
+        let frame = Frame { zxid: Zxid::ZERO, voters, state: Vec::new() };
         Self {
             member,
             promised: ZabEpoch(0),
@@ -239,38 +235,18 @@
             return Vec::new();
         }
         match message {
-            Message::Poll {
-                promised,
-                current,
-                last,
-                state,
-            } => self.on_poll(
-                Heard {
-                    voter: from,
-                    promised,
-                    current,
-                    last,
-                    state,
-                    at: now,
-                },
-                to == MemberId(0),
-            ),
+            Message::Poll { promised, current, last, state } => {
+                self.on_poll(Heard { voter: from, promised, current, last, state, at: now }, to == MemberId(0))
+            }
             Message::CurrentEpoch { promised, promised_to } => self.on_current_epoch(from, promised, promised_to),
             Message::NewEpoch { epoch } => self.on_new_epoch(from, epoch),
             Message::AckEpoch { epoch, current, last } => self.on_ack_epoch(from.id, epoch, current, last),
-            Message::NewLeader {
-                epoch,
-                previous,
-                entries,
-                frame,
-            } => self.on_new_leader(from, epoch, previous, entries, frame),
+            Message::NewLeader { epoch, previous, entries, frame } => {
+                self.on_new_leader(from, epoch, previous, entries, frame)
+            }
             Message::Behind { epoch, last } => self.on_behind(from.id, epoch, last),
             Message::AckLeader { epoch, last } => self.on_ack(from.id, epoch, last, true),
-            Message::Propose {
-                epoch,
-                previous,
-                entries,
-            } => self.on_propose(from, epoch, previous, entries),
+            Message::Propose { epoch, previous, entries } => self.on_propose(from, epoch, previous, entries),
             Message::Ack { epoch, last } => self.on_ack(from.id, epoch, last, false),
             Message::Commit { epoch, upto } => self.on_commit(from.id, epoch, upto),
             Message::Ping { epoch, stamp, upto } => self.on_ping(from, epoch, stamp, upto),
@@ -330,9 +306,7 @@
 
     /// True while a change of the voters is not yet committed.
     pub fn voters_change_pending(&self) -> bool {
-        self.history
-            .after(self.committed)
-            .any(|entry| matches!(entry.payload, Payload::Voters(_)))
+        self.history.after(self.committed).any(|entry| matches!(entry.payload, Payload::Voters(_)))
     }
 
     pub(super) fn quorum(&self) -> usize {
@@ -372,10 +346,7 @@
             }
             self.delivered = entry.zxid;
             if let Payload::Change(payload) = &entry.payload {
-                delivered.push(Action::Deliver {
-                    zxid: entry.zxid,
-                    payload: payload.clone(),
-                });
+                delivered.push(Action::Deliver { zxid: entry.zxid, payload: payload.clone() });
             }
         }
         self.actions.extend(delivered);
--- a/crates/interlocking/src/zab/tests.rs
+++ b/crates/interlocking/src/zab/tests.rs
@@ -75,12 +75,8 @@
 
 impl World {
     fn new(seed: u64, hosts: Host, founders: Host) -> Self {
-        let voters: Vec<Voter> = (0..founders)
-            .map(|host| Voter {
-                id: MemberId(host as u64 + 1),
-                address: address(host),
-            })
-            .collect();
+        let voters: Vec<Voter> =
+            (0..founders).map(|host| Voter { id: MemberId(host as u64 + 1), address: address(host) }).collect();
         let members = (0..hosts)
             .map(|host| {
                 let founder = host < founders;
@@ -129,10 +125,7 @@
         }
         member.life += 1;
         member.state = decode(&member.image.frame.state);
-        let me = Voter {
-            id: member.image.member,
-            address: address(host),
-        };
+        let me = Voter { id: member.image.member, address: address(host) };
         let mut zab = Zab::start(member.image.clone(), me, Timing::default(), now);
         zab.set_contacts((0..3).map(address).collect());
         member.zab = Some(zab);
@@ -180,10 +173,7 @@
                 }
                 Action::Ready { epoch } => {
                     // One primary for an epoch, and it has delivered all that came before.
-                    assert!(
-                        self.primaries.insert(epoch, host).is_none(),
-                        "two primaries of epoch {epoch}"
-                    );
+                    assert!(self.primaries.insert(epoch, host).is_none(), "two primaries of epoch {epoch}");
                     assert!(
                         self.members[host as usize].state.len() >= self.acknowledged,
                         "a primary without what was acknowledged"
@@ -225,24 +215,13 @@
             return;
         }
         let from = self.members[host as usize].zab.as_ref().unwrap().me().clone();
-        let envelope = Envelope {
-            from,
-            to: to.id,
-            message,
-        };
+        let envelope = Envelope { from, to: to.id, message };
         // No order between messages is relied on, and some come twice.
         let copies = if self.random.chance(0.02) { 2 } else { 1 };
         for _ in 0..copies {
             let life = self.members[target as usize].life;
             let span = Duration::from_micros(200 + self.random.below(SPREAD));
-            self.at(
-                span,
-                Event::Arrive {
-                    host: target,
-                    life,
-                    envelope: envelope.clone(),
-                },
-            );
+            self.at(span, Event::Arrive { host: target, life, envelope: envelope.clone() });
         }
     }
 
@@ -253,25 +232,14 @@
             return;
         };
         let now = self.now;
-        let values: Vec<u64> = (0..1 + self.random.below(3))
-            .map(|offset| self.next_value + offset)
-            .collect();
+        let values: Vec<u64> = (0..1 + self.random.below(3)).map(|offset| self.next_value + offset).collect();
         self.next_value += values.len() as u64;
         let zab = self.members[host as usize].zab.as_mut().unwrap();
         let changes = values.iter().map(|value| encode(&[*value])).collect();
         if let Some((last, actions)) = zab.propose(changes, now) {
             let first = last.counter + 1 - values.len() as u64;
             for (offset, value) in values.iter().enumerate() {
-                self.proposed.insert(
-                    *value,
-                    (
-                        host,
-                        Zxid {
-                            epoch: last.epoch,
-                            counter: first + offset as u64,
-                        },
-                    ),
-                );
+                self.proposed.insert(*value, (host, Zxid { epoch: last.epoch, counter: first + offset as u64 }));
             }
             self.act(host, actions);
         }
@@ -302,19 +270,11 @@
 
     fn check_leases(&self) {
         let holders: Vec<usize> = (0..self.members.len())
-            .filter(|host| {
-                self.members[*host]
-                    .zab
-                    .as_ref()
-                    .is_some_and(|zab| zab.lease_holds(self.now))
-            })
+            .filter(|host| self.members[*host].zab.as_ref().is_some_and(|zab| zab.lease_holds(self.now)))
             .collect();
         assert!(holders.len() <= 1, "two leases at once");
         for host in holders {
-            assert!(
-                self.members[host].state.len() >= self.acknowledged,
-                "a read under the lease would be stale"
-            );
+            assert!(self.members[host].state.len() >= self.acknowledged, "a read under the lease would be stale");
         }
     }
 
@@ -345,11 +305,7 @@
                         continue;
                     };
                     records.into_iter().for_each(|record| member.image.replay(record));
-                    let actions = member
-                        .zab
-                        .as_mut()
-                        .map(|zab| zab.durable(ticket, now))
-                        .unwrap_or_default();
+                    let actions = member.zab.as_mut().map(|zab| zab.durable(ticket, now)).unwrap_or_default();
                     self.act(host, actions);
                 }
                 Event::Tick { host, life } => {
@@ -391,15 +347,9 @@
     }
 
     fn all_vote(&self) -> bool {
-        let voters = self
-            .members
-            .iter()
-            .filter_map(|member| member.zab.as_ref())
-            .find(|zab| zab.is_primary());
+        let voters = self.members.iter().filter_map(|member| member.zab.as_ref()).find(|zab| zab.is_primary());
         voters.is_some_and(|primary| {
-            self.members
-                .iter()
-                .all(|member| primary.voters().iter().any(|voter| voter.id == member.image.member))
+            self.members.iter().all(|member| primary.voters().iter().any(|voter| voter.id == member.image.member))
                 && primary.voters().len() == self.members.len()
                 && !primary.voters_change_pending()
         })
@@ -463,11 +413,7 @@
 }
 
 fn decode(bytes: &[u8]) -> Vec<u64> {
-    if bytes.is_empty() {
-        Vec::new()
-    } else {
-        borsh::from_slice(bytes).unwrap()
-    }
+    if bytes.is_empty() { Vec::new() } else { borsh::from_slice(bytes).unwrap() }
 }
 
 #[test]
@@ -528,11 +474,7 @@
     for seed in 0..20 {
         let mut world = World::new(seed, 3, 3);
         world.run(Duration::from_secs(3), 0.2);
-        let (epoch, primary) = world
-            .primaries
-            .last_key_value()
-            .map(|(epoch, host)| (*epoch, *host))
-            .unwrap();
+        let (epoch, primary) = world.primaries.last_key_value().map(|(epoch, host)| (*epoch, *host)).unwrap();
         world.kill(primary);
         world.run(Duration::from_millis(1600), 0.2);
         assert!(world.primaries.last_key_value().unwrap().0 > &epoch, "seed {seed}");
--- a/crates/lineside/src/call/answering.rs
+++ b/crates/lineside/src/call/answering.rs
@@ -40,10 +40,7 @@
 
 async fn serve_sibling<A: Answering>(stream: TcpStream, answering: Rc<A>) {
     let (read, write) = stream.into_split();
-    let outbox = Rc::new(Outbox {
-        write: RefCell::new(Some(write)),
-        ..Outbox::default()
-    });
+    let outbox = Rc::new(Outbox { write: RefCell::new(Some(write)), ..Outbox::default() });
     let mut reader = FrameReader::new(read);
     while let Ok(message) = reader.next::<SiblingMessage>().await {
         match message {
--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -24,26 +24,16 @@
 
 impl ControlReturn {
     pub fn new(status: u16, body: String) -> Self {
-        Self {
-            status,
-            body,
-            retry_after_millis: None,
-        }
+        Self { status, body, retry_after_millis: None }
     }
 
     pub fn fault(status: u16, message: &str) -> Self {
-        Self::new(
-            status,
-            format!("{{\"error_message\":\"{}\"}}", trackbed::logs::escape(message)),
-        )
+        Self::new(status, format!("{{\"error_message\":\"{}\"}}", trackbed::logs::escape(message)))
     }
 
     /// Nothing was done and nothing will be.
     pub fn not_now(message: &str) -> Self {
-        Self {
-            retry_after_millis: Some(200),
-            ..Self::fault(503, message)
-        }
+        Self { retry_after_millis: Some(200), ..Self::fault(503, message) }
     }
 
     /// Whether it was done can't be told.
--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -87,10 +87,7 @@
 impl Roster {
     pub fn new(me: Sibling, seeds: Vec<SocketAddr>, timing: RosterTiming, random: Random, now: Moment) -> Self {
         Self {
-            me: Card {
-                sibling: me,
-                standing: Standing::Alive,
-            },
+            me: Card { sibling: me, standing: Standing::Alive },
             fleet: Zxid::ZERO,
             occupancy: None,
             timing,
@@ -173,22 +170,10 @@
     }
 
     fn digest(&self) -> u64 {
-        let cards = self
-            .known
-            .values()
-            .map(|known| &known.card)
-            .chain(std::iter::once(&self.me));
+        let cards = self.known.values().map(|known| &known.card).chain(std::iter::once(&self.me));
         cards.fold(0, |digest, card| {
-            let facts = card
-                .sibling
-                .incarnation
-                .0
-                .wrapping_mul(8)
-                .wrapping_add(card.standing as u64);
-            digest
-                ^ stable_hash(card.sibling.name.as_str())
-                    .wrapping_mul(facts | 1)
-                    .rotate_left(facts as u32 % 63)
+            let facts = card.sibling.incarnation.0.wrapping_mul(8).wrapping_add(card.standing as u64);
+            digest ^ stable_hash(card.sibling.name.as_str()).wrapping_mul(facts | 1).rotate_left(facts as u32 % 63)
         })
     }
 
@@ -225,8 +210,7 @@
     }
 
     fn spread(&mut self, card: Card) {
-        self.rumours
-            .retain(|(rumour, _)| rumour.sibling.name != card.sibling.name);
+        self.rumours.retain(|(rumour, _)| rumour.sibling.name != card.sibling.name);
         let times = 3 + (usize::BITS - self.known.len().leading_zeros());
         self.rumours.push_front((card, times));
     }
@@ -261,14 +245,7 @@
             if card.standing == Standing::Dead {
                 return false;
             }
-            self.known.insert(
-                name.clone(),
-                Known {
-                    card: card.clone(),
-                    since: now,
-                    occupancy: None,
-                },
-            );
+            self.known.insert(name.clone(), Known { card: card.clone(), since: now, occupancy: None });
             let place = self.random.below(self.turn.len() as u64 + 1) as usize;
             self.turn.insert(place, name);
         }
@@ -277,14 +254,7 @@
     }
 
     pub fn receive(&mut self, from: SocketAddr, datagram: Datagram, now: Moment) -> Vec<GossipAction> {
-        let Datagram {
-            from: card,
-            fleet,
-            roster,
-            occupancy,
-            kind,
-            news,
-        } = datagram;
+        let Datagram { from: card, fleet, roster, occupancy, kind, news } = datagram;
         if card.sibling.name == self.me.sibling.name {
             return Vec::new();
         }
@@ -305,21 +275,15 @@
             self.learn(card, now);
         }
         if fleet > self.fleet {
-            self.actions.push(GossipAction::Ahead {
-                sibling: card.sibling.clone(),
-            });
+            self.actions.push(GossipAction::Ahead { sibling: card.sibling.clone() });
         }
         let differs = roster != self.digest();
-        let due = self
-            .introduced
-            .get(&name)
-            .is_none_or(|at| now.since(*at) >= self.timing.probe * 2);
+        let due = self.introduced.get(&name).is_none_or(|at| now.since(*at) >= self.timing.probe * 2);
         match kind {
             Kind::Ping { number } => self.send(from, Kind::Ack { number }),
             Kind::Ack { number } => {
                 let name = &name;
-                self.probes
-                    .retain(|probe| probe.number != number && probe.name != *name);
+                self.probes.retain(|probe| probe.number != number && probe.name != *name);
                 if let Some(at) = self.errands.iter().position(|(own, _, _)| *own == number)
                     && let Some((_, to, theirs)) = self.errands.remove(at)
                 {
@@ -369,12 +333,7 @@
         self.judge_suspects(now);
         if now >= self.next_seed {
             let lonely = self.alive(Role::Core).next().is_none();
-            self.next_seed = now
-                + if lonely {
-                    self.timing.probe
-                } else {
-                    self.timing.probe * 8
-                };
+            self.next_seed = now + if lonely { self.timing.probe } else { self.timing.probe * 8 };
             let known: Vec<SocketAddr> = self
                 .known
                 .values()
@@ -406,12 +365,7 @@
             }
             let number = self.ping(address);
             if !dead {
-                self.probes.push(Probe {
-                    number,
-                    name,
-                    at: now,
-                    asked_others: false,
-                });
+                self.probes.push(Probe { number, name, at: now, asked_others: false });
             }
             return;
         }
@@ -434,13 +388,7 @@
                     .collect();
                 self.random.shuffle(&mut others);
                 for other in others.into_iter().take(2) {
-                    self.send(
-                        other,
-                        Kind::SecondOpinion {
-                            number: probe.number,
-                            about: card.sibling.address,
-                        },
-                    );
+                    self.send(other, Kind::SecondOpinion { number: probe.number, about: card.sibling.address });
                 }
                 self.send(card.sibling.address, Kind::Ping { number: probe.number });
             }
@@ -448,13 +396,7 @@
                 return true;
             }
             if card.standing == Standing::Alive {
-                self.learn(
-                    Card {
-                        standing: Standing::Suspect,
-                        ..card
-                    },
-                    now,
-                );
+                self.learn(Card { standing: Standing::Suspect, ..card }, now);
             }
             false
         });
@@ -474,13 +416,7 @@
             }
         }
         for card in due {
-            self.learn(
-                Card {
-                    standing: Standing::Dead,
-                    ..card
-                },
-                now,
-            );
+            self.learn(Card { standing: Standing::Dead, ..card }, now);
         }
         for name in forgotten {
             self.known.remove(&name);
--- a/crates/pointsman/src/dispatch/balance.rs
+++ b/crates/pointsman/src/dispatch/balance.rs
@@ -58,11 +58,7 @@
     pub fn told(&mut self, occupancy: &Occupancy, at: Moment) {
         let watched = self.entry(&occupancy.instance);
         if watched.view.as_ref().is_none_or(|view| view.at <= at) {
-            watched.view = Some(View {
-                occupancy: occupancy.clone(),
-                at,
-                own_then: watched.own,
-            });
+            watched.view = Some(View { occupancy: occupancy.clone(), at, own_then: watched.own });
         }
     }
 
@@ -90,14 +86,11 @@
     }
 
     pub fn forget_all_but(&mut self, known: impl Fn(&InstanceId) -> bool) {
-        self.watched
-            .retain(|instance, watched| watched.own > 0 || known(instance));
+        self.watched.retain(|instance, watched| watched.own > 0 || known(instance));
     }
 
     pub fn is_shunned(&self, instance: &InstanceId, now: Moment) -> bool {
-        self.watched
-            .get(instance)
-            .is_some_and(|watched| now < watched.shunned_until)
+        self.watched.get(instance).is_some_and(|watched| now < watched.shunned_until)
     }
 
     /// How long a request sent there now is likely to take, in microseconds; nothing when it is closed.
@@ -113,10 +106,7 @@
             Some(view) => {
                 let told = (view.occupancy.running + view.occupancy.queued) as f64;
                 let since = own as f64 - view.own_then as f64;
-                (
-                    (told + since).max(own as f64).max(0.0),
-                    view.occupancy.service_micros as f64,
-                )
+                ((told + since).max(own as f64).max(0.0), view.occupancy.service_micros as f64)
             }
             None => {
                 let service = view.map(|view| view.occupancy.service_micros as f64).unwrap_or(0.0);
@@ -176,14 +166,7 @@
     }
 
     fn occupancy(name: &str, running: u32, service_micros: u32) -> Occupancy {
-        Occupancy {
-            instance: InstanceId::new(name),
-            running,
-            queued: 0,
-            slots: 4,
-            service_micros,
-            closed: false,
-        }
+        Occupancy { instance: InstanceId::new(name), running, queued: 0, slots: 4, service_micros, closed: false }
     }
 
     #[test]
@@ -201,13 +184,7 @@
         balance.went_well(&b.instance);
         balance.told(&occupancy("b", 0, 90_000), now);
         assert_eq!(balance.choose(both.iter(), now, 0.0, &mut random), Some(&a));
-        balance.told(
-            &Occupancy {
-                closed: true,
-                ..occupancy("a", 0, 10)
-            },
-            now,
-        );
+        balance.told(&Occupancy { closed: true, ..occupancy("a", 0, 10) }, now);
         assert_eq!(balance.choose(both.iter(), now, 0.0, &mut random), Some(&b));
     }
 
--- a/crates/pointsman/src/dispatch/budget.rs
+++ b/crates/pointsman/src/dispatch/budget.rs
@@ -61,10 +61,7 @@
 
 impl Budgets {
     pub fn new(started: Moment) -> Self {
-        Self {
-            accounts: BTreeMap::new(),
-            started,
-        }
+        Self { accounts: BTreeMap::new(), started }
     }
 
     fn step(now: Moment, window: Duration) -> u64 {
@@ -86,11 +83,7 @@
         let account = self.accounts.entry(service.clone()).or_default();
         account.first.prune(step);
         account.further.prune(step);
-        let slack = if settled {
-            bounds.slack / bounds.nodes.max(1) as f64
-        } else {
-            0.0
-        };
+        let slack = if settled { bounds.slack / bounds.nodes.max(1) as f64 } else { 0.0 };
         let allowed = USED_SHARE * (bounds.ratio * account.first.sum as f64 + slack);
         if (account.further.sum + 1) as f64 > allowed {
             return false;
@@ -112,12 +105,7 @@
         for seed in 0..20 {
             let mut random = Random::seeded(seed);
             let nodes = 9;
-            let bounds = BudgetBounds {
-                ratio: 0.2,
-                slack: 56.0,
-                window,
-                nodes,
-            };
+            let bounds = BudgetBounds { ratio: 0.2, slack: 56.0, window, nodes };
             let mut budgets: Vec<Budgets> = (0..nodes).map(|_| Budgets::new(Moment::from_micros(0))).collect();
             let mut firsts: Vec<u64> = Vec::new();
             let mut furthers: Vec<u64> = Vec::new();
@@ -140,10 +128,7 @@
                 let within =
                     |times: &[u64]| times.iter().filter(|at| **at > end - 10_000 && **at <= end).count() as f64;
                 let before = |times: &[u64]| {
-                    times
-                        .iter()
-                        .filter(|at| **at + 20_000 > end && **at + 10_000 <= end)
-                        .count() as f64
+                    times.iter().filter(|at| **at + 20_000 > end && **at + 10_000 <= end).count() as f64
                 };
                 let requests = within(&firsts).max(before(&firsts));
                 assert!(within(&furthers) <= 0.2 * requests + 56.0, "seed {seed} at {end}");
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -57,12 +57,8 @@
 
 fn budget(node: &Pointsman) -> BudgetBounds {
     let config = node.live.get();
-    let beside = node
-        .roster
-        .borrow()
-        .cards()
-        .filter(|card| card.sibling.role == lineside::gossip::Role::Beside)
-        .count();
+    let beside =
+        node.roster.borrow().cards().filter(|card| card.sibling.role == lineside::gossip::Role::Beside).count();
     BudgetBounds {
         ratio: config.bounds.retry_budget_ratio(),
         slack: config.bounds.retry_slack(),
@@ -104,9 +100,7 @@
         inquiry,
         attempt: plan.attempt.clone(),
         instance: InstanceId::new(""),
-        caller: own_service
-            .map(|service| service.as_str().to_owned())
-            .unwrap_or_default(),
+        caller: own_service.map(|service| service.as_str().to_owned()).unwrap_or_default(),
         priority: plan.route.priority,
         sort: stable_hash(&plan.route.name),
         horizon: plan.horizon,
@@ -129,10 +123,7 @@
         }
         let chosen = {
             let mut random = node.random.borrow_mut();
-            node.balance
-                .borrow()
-                .choose(left.iter(), now, far_cost, &mut random)
-                .cloned()
+            node.balance.borrow().choose(left.iter(), now, far_cost, &mut random).cloned()
         };
         let Some(candidate) = chosen else { break };
         let further = offered > 0;
@@ -189,10 +180,6 @@
     }
     match may_have_run {
         Some(reason) => Return::text(502, reason),
-        None => come_back(
-            node,
-            free_in,
-            "no endpoint could take this request in time: it has not run",
-        ),
+        None => come_back(node, free_in, "no endpoint could take this request in time: it has not run"),
     }
 }
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -25,27 +25,13 @@
 
 /// Reads what a sibling node passes on.
 pub fn read_errand(inquiry: Inquiry, sort: u64, now: Moment) -> Option<Errand> {
-    let millis = |name: &str| {
-        inquiry
-            .header(name)
-            .and_then(|text| text.parse::<u64>().ok())
-            .map(Duration::from_millis)
-    };
+    let millis = |name: &str| inquiry.header(name).and_then(|text| text.parse::<u64>().ok()).map(Duration::from_millis);
     let attempt = inquiry.header(ATTEMPT)?.to_owned();
     let instance = InstanceId::new(inquiry.header(EXPECTED)?);
     let caller = inquiry.header(CALLER)?.to_owned();
     let priority = inquiry.header(PRIORITY)?.parse().ok()?;
     let (horizon, target) = (now + millis(DEADLINE)?, now + millis(TARGET)?);
-    Some(Errand {
-        inquiry,
-        attempt,
-        instance,
-        caller,
-        priority,
-        sort,
-        horizon,
-        target,
-    })
+    Some(Errand { inquiry, attempt, instance, caller, priority, sort, horizon, target })
 }
 
 fn word_of(outcome: &Outcome) -> &'static str {
@@ -93,10 +79,7 @@
         return None;
     }
     let occupancy = header(OCCUPANCY).and_then(read_occupancy);
-    let free_in = header(FREE_IN)
-        .and_then(|text| text.parse().ok())
-        .map(Duration::from_millis)
-        .unwrap_or_default();
+    let free_in = header(FREE_IN).and_then(|text| text.parse().ok()).map(Duration::from_millis).unwrap_or_default();
     let not_taken = |why| Outcome::NotTaken { why, free_in };
     let outcome = match header(OUTCOME)? {
         "answered" => None,
@@ -112,10 +95,7 @@
         answer.headers.remove(name);
     }
     answer.closes = false;
-    Some(GoResult {
-        outcome: outcome.unwrap_or(Outcome::Answered(answer)),
-        occupancy,
-    })
+    Some(GoResult { outcome: outcome.unwrap_or(Outcome::Answered(answer)), occupancy })
 }
 
 fn write_occupancy(occupancy: &Occupancy) -> String {
@@ -135,12 +115,5 @@
     let mut number = || parts.next()?.parse::<u32>().ok();
     let (running, queued, slots, service_micros, closed) = (number()?, number()?, number()?, number()?, number()?);
     let instance = InstanceId::new(parts.next()?);
-    Some(Occupancy {
-        instance,
-        running,
-        queued,
-        slots,
-        service_micros,
-        closed: closed != 0,
-    })
+    Some(Occupancy { instance, running, queued, slots, service_micros, closed: closed != 0 })
 }
--- a/crates/pointsman/src/dispatch/plan.rs
+++ b/crates/pointsman/src/dispatch/plan.rs
@@ -30,9 +30,7 @@
 
 impl Plan {
     pub fn make(inquiry: &Inquiry, routes: Option<&Rc<Routes>>, now: Moment) -> Result<Self, Unplanned> {
-        let attempt = inquiry
-            .header(ATTEMPT)
-            .filter(|attempt| !attempt.is_empty() && attempt.len() <= 256);
+        let attempt = inquiry.header(ATTEMPT).filter(|attempt| !attempt.is_empty() && attempt.len() <= 256);
         let attempt = attempt.ok_or(Unplanned::Malformed("Ferryhinge-Attempt-Id is missing or not single"))?;
         let deadline = match inquiry.headers.get_all(DEADLINE).iter().count() {
             0 => None,
@@ -44,13 +42,8 @@
             }
         };
         let host = inquiry.header("host").ok_or(Unplanned::Malformed("Host is missing"))?;
-        let route = routes
-            .ok_or(Unplanned::NothingKnown)?
-            .find(host, inquiry.path())
-            .ok_or(Unplanned::NoRoute)?;
-        let span = deadline
-            .map(|deadline| deadline.min(route.timeout))
-            .unwrap_or(route.timeout);
+        let route = routes.ok_or(Unplanned::NothingKnown)?.find(host, inquiry.path()).ok_or(Unplanned::NoRoute)?;
+        let span = deadline.map(|deadline| deadline.min(route.timeout)).unwrap_or(route.timeout);
         Ok(Self {
             attempt: attempt.to_owned(),
             service: route.service_for(stable_hash(attempt)).clone(),
--- a/crates/pointsman/src/dispatch/pool.rs
+++ b/crates/pointsman/src/dispatch/pool.rs
@@ -40,11 +40,7 @@
         let mut kept = self.kept.borrow_mut();
         let lines = kept.entry(to).or_default();
         if lines.len() < 64 {
-            lines.push(Kept {
-                line,
-                since: now,
-                until: now + span,
-            });
+            lines.push(Kept { line, since: now, until: now + span });
         }
     }
 
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -19,10 +19,7 @@
 const IDLE: Duration = Duration::from_secs(20);
 
 fn only(outcome: Outcome) -> GoResult {
-    GoResult {
-        outcome,
-        occupancy: None,
-    }
+    GoResult { outcome, occupancy: None }
 }
 
 pub async fn deliver(pool: &Pool, beside: SocketAddr, errand: &Errand) -> GoResult {
--- a/crates/pointsman/src/main.rs
+++ b/crates/pointsman/src/main.rs
@@ -11,21 +11,9 @@
 
 fn check(config: &LocalConfig) -> Result<(), ConfigError> {
     let listen = &config.listen;
-    LocalConfig::require(
-        "listen_addresses.outbound",
-        listen.outbound,
-        "an address to take requests at",
-    )?;
-    LocalConfig::require(
-        "listen_addresses.inbound",
-        listen.inbound,
-        "an address for sibling nodes",
-    )?;
-    LocalConfig::require(
-        "listen_addresses.readiness",
-        listen.readiness,
-        "an address for the platform's probes",
-    )?;
+    LocalConfig::require("listen_addresses.outbound", listen.outbound, "an address to take requests at")?;
+    LocalConfig::require("listen_addresses.inbound", listen.inbound, "an address for sibling nodes")?;
+    LocalConfig::require("listen_addresses.readiness", listen.readiness, "an address for the platform's probes")?;
     LocalConfig::require(
         "listen_addresses.control_plane",
         listen.control_plane,
--- a/crates/pointsman/src/node/core_calls.rs
+++ b/crates/pointsman/src/node/core_calls.rs
@@ -14,10 +14,8 @@
 fn cores(node: &Pointsman) -> Vec<SocketAddr> {
     let config = node.live.get();
     let roster = node.roster.borrow();
-    let mut alive: Vec<(bool, SocketAddr)> = roster
-        .alive(Role::Core)
-        .map(|sibling| (sibling.zone != config.zone, sibling.address))
-        .collect();
+    let mut alive: Vec<(bool, SocketAddr)> =
+        roster.alive(Role::Core).map(|sibling| (sibling.zone != config.zone, sibling.address)).collect();
     alive.sort();
     let mut cores: Vec<SocketAddr> = alive.into_iter().map(|(_, address)| address).collect();
     for seed in &config.seeds {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -50,19 +50,13 @@
 
 impl Handler for InboundDoor {
     fn limits(&self) -> DoorLimits {
-        DoorLimits {
-            header_bytes: 128 << 10,
-            idle_time: Duration::from_secs(30),
-            ..DoorLimits::default()
-        }
+        DoorLimits { header_bytes: 128 << 10, idle_time: Duration::from_secs(30), ..DoorLimits::default() }
     }
 
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
         let routes = self.0.fleet.borrow().routes().cloned();
-        let route = inquiry
-            .header("host")
-            .zip(routes)
-            .and_then(|(host, routes)| routes.find(host, inquiry.path()).cloned());
+        let route =
+            inquiry.header("host").zip(routes).and_then(|(host, routes)| routes.find(host, inquiry.path()).cloned());
         let sort = route.map(|route| stable_hash(&route.name)).unwrap_or_default();
         let Some(errand) = read_errand(inquiry, sort, clock::now()) else {
             return Some(Return::text(400, "only sibling nodes pass requests on here").closing());
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -19,10 +19,7 @@
         match ask {
             Ask::News { since, assured: false } => {
                 let fleet = self.fleet.borrow();
-                Reply::News {
-                    news: fleet.news_since(since),
-                    zxid: fleet.zxid(),
-                }
+                Reply::News { news: fleet.news_since(since), zxid: fleet.zxid() }
             }
             Ask::Occupancy => Reply::Occupancy(self.platform.occupancy(clock::now())),
             _ => Reply::NotNow("this node holds no order: ask a core node".into()),
@@ -55,9 +52,7 @@
     }
     adopt_life(node);
     let fleet = node.fleet.borrow();
-    node.balance
-        .borrow_mut()
-        .forget_all_but(|instance| fleet.instance(instance).is_some());
+    node.balance.borrow_mut().forget_all_but(|instance| fleet.instance(instance).is_some());
     let actions = node.roster.borrow_mut().fleet_moved(fleet.zxid());
     drop(fleet);
     gossip(node, actions);
@@ -74,9 +69,8 @@
         }
         return;
     }
-    let own = fleet
-        .instances()
-        .find(|instance| instance.node == name && Some(instance.address) == node.platform.address);
+    let own =
+        fleet.instances().find(|instance| instance.node == name && Some(instance.address) == node.platform.address);
     if let Some(instance) = own {
         let now = clock::now();
         node.platform.admission.set_slots(instance.slots);
@@ -143,11 +137,7 @@
             if turns.is_multiple_of(10) {
                 let config = node.live.get();
                 roster.set_seeds(
-                    config
-                        .seeds
-                        .iter()
-                        .map(|seed| SocketAddr::new(seed.ip(), config.core_port()))
-                        .collect(),
+                    config.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), config.core_port())).collect(),
                 );
                 node.siblings.tidy(now);
                 node.platform.lines.tidy(now);
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -37,11 +37,7 @@
         zone: config.zone.clone(),
         region: config.region.clone(),
     };
-    let seeds = config
-        .seeds
-        .iter()
-        .map(|seed| SocketAddr::new(seed.ip(), config.core_port()))
-        .collect();
+    let seeds = config.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), config.core_port())).collect();
     let roster = Roster::new(sibling, seeds, RosterTiming::default(), Random::from_system(), now);
     let mut outcome = Ok(());
     kernel::run(async {
@@ -89,16 +85,8 @@
     let find = |field: &str, address| LocalConfig::require(field, address, wanted);
     // 200 descriptors are kept back, and as many for lines to siblings and the endpoint.
     let most = (config.limits.file_descriptors as usize).saturating_sub(500).max(64);
-    open(
-        find("listen_addresses.readiness", config.listen.readiness)?,
-        32,
-        ReadinessDoor(node.clone()),
-    )?;
-    open(
-        find("listen_addresses.control_plane", config.listen.control_plane)?,
-        64,
-        BeatsDoor(node.clone()),
-    )?;
+    open(find("listen_addresses.readiness", config.listen.readiness)?, 32, ReadinessDoor(node.clone()))?;
+    open(find("listen_addresses.control_plane", config.listen.control_plane)?, 64, BeatsDoor(node.clone()))?;
     let inbound = find("listen_addresses.inbound", config.listen.inbound)?;
     let outbound = find("listen_addresses.outbound", config.listen.outbound)?;
     Ok(Doors {
--- a/crates/pointsman/src/platform/admission.rs
+++ b/crates/pointsman/src/platform/admission.rs
@@ -15,6 +15,9 @@
 /// elsewhere holds a slot there meanwhile, and it frees its own soon. The long is not overtaken for ever.
 const STANDS_BACK: f64 = 5.0;
 
+/// Work varies: half of it takes less than this share of the mean.
+const LIKELY_SHARE: f64 = 0.6;
+
 /// Who is let in first: rank, then arrival put back by the work's own length.
 type Place = (u8, Moment, u64);
 
@@ -95,18 +98,22 @@
         *known = *known * 0.93 + micros * 0.07;
     }
 
+    /// What is not known yet counts as short: it is measured by being let in.
     fn expected(&self, sort: u64) -> f64 {
-        self.by_sort.borrow().get(&sort).copied().unwrap_or(self.service.get())
+        self.by_sort.borrow().get(&sort).copied().unwrap_or(0.0)
+    }
+
+    /// Turning away measures nothing, so what it was decided by fades.
+    fn relax(&self, sort: u64) {
+        if let Some(known) = self.by_sort.borrow_mut().get_mut(&sort) {
+            *known *= 0.99;
+        }
     }
 
     /// How long someone at this place is likely to wait.
     fn wait_at(&self, place: Place) -> Duration {
         let queue = self.queue.borrow();
-        let ahead: f64 = queue
-            .iter()
-            .filter(|waiter| waiter.place < place)
-            .map(|waiter| waiter.expected)
-            .sum();
+        let ahead: f64 = queue.iter().filter(|waiter| waiter.place < place).map(|waiter| waiter.expected).sum();
         // One of those running ends after its share of a turn.
         micros((ahead + self.service.get()) / self.slots.get() as f64)
     }
@@ -122,29 +129,19 @@
         let place = (errand.priority, now + micros(expected * STANDS_BACK), order);
         let wait = self.wait_at(place);
         let full = self.queue.borrow().len() >= self.slots.get() as usize * QUEUE_FACTOR;
-        if full || now + wait + micros(expected) > errand.target {
-            return Err(TurnedAway {
-                late: false,
-                free_in: wait,
-            });
+        if full || now + wait + micros(expected * LIKELY_SHARE) > errand.target {
+            self.relax(errand.sort);
+            return Err(TurnedAway { late: false, free_in: wait });
         }
         let (sender, receiver) = oneshot::channel();
-        self.queue.borrow_mut().push(Waiter {
-            place,
-            expected,
-            horizon: errand.horizon,
-            sender,
-        });
+        self.queue.borrow_mut().push(Waiter { place, expected, horizon: errand.horizon, sender });
         // The last moment at which starting is still of use.
         let last_start = errand.horizon - micros(expected).min(errand.left(now) / 2);
         match monoio::time::timeout(now.until(last_start), receiver).await {
             Ok(Ok(slot)) => Ok(slot),
             _ => {
                 self.queue.borrow_mut().retain(|waiter| waiter.place != place);
-                Err(TurnedAway {
-                    late: true,
-                    free_in: micros(self.service.get()),
-                })
+                Err(TurnedAway { late: true, free_in: micros(self.service.get()) })
             }
         }
     }
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -26,18 +26,11 @@
 
 impl Handler for BeatsDoor {
     fn limits(&self) -> DoorLimits {
-        DoorLimits {
-            body_bytes: 64 << 10,
-            ..DoorLimits::default()
-        }
+        DoorLimits { body_bytes: 64 << 10, ..DoorLimits::default() }
     }
 
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
-        let Some(id) = inquiry
-            .path()
-            .strip_prefix(PREFIX)
-            .filter(|id| !id.is_empty() && id.len() < 200)
-        else {
+        let Some(id) = inquiry.path().strip_prefix(PREFIX).filter(|id| !id.is_empty() && id.len() < 200) else {
             return Some(Return::fault(404, "no such resource: beats go to /v1/instances/ID"));
         };
         let id = InstanceId::new(id);
@@ -66,9 +59,8 @@
         let value: Value = sonic_rs::from_slice(body).map_err(|_| "the body is not JSON")?;
         let text = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_str());
         let number = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_f64());
-        let address: SocketAddr = text("address")
-            .and_then(|text| text.parse().ok())
-            .ok_or("address is missing or can't be read")?;
+        let address: SocketAddr =
+            text("address").and_then(|text| text.parse().ok()).ok_or("address is missing or can't be read")?;
         let slots = number("capacity_slots").filter(|slots| *slots >= 1.0).unwrap_or(1.0) as u32;
         let config = self.0.live.get();
         let draining = match text("lifecycle_state") {
@@ -86,15 +78,9 @@
             slots: slots.min(10_000),
             draining,
         };
-        let cold = number("cold_remaining_s")
-            .filter(|cold| (0.0..1e6).contains(cold))
-            .unwrap_or(0.0);
+        let cold = number("cold_remaining_s").filter(|cold| (0.0..1e6).contains(cold)).unwrap_or(0.0);
         let sequence = number("sequence").filter(|sequence| *sequence >= 0.0).unwrap_or(0.0) as u64;
-        Ok(Beat {
-            instance,
-            sequence,
-            cold: Duration::from_secs_f64(cold),
-        })
+        Ok(Beat { instance, sequence, cold: Duration::from_secs_f64(cold) })
     }
 
     async fn beat(&self, id: InstanceId, inquiry: &Inquiry) -> Return {
@@ -137,12 +123,7 @@
                 life.instance = beat.instance.clone();
             }
             _ => {
-                let ordered = self
-                    .0
-                    .fleet
-                    .borrow()
-                    .instance(&beat.instance.id)
-                    .is_some_and(|known| known.draining);
+                let ordered = self.0.fleet.borrow().instance(&beat.instance.id).is_some_and(|known| known.draining);
                 beat.instance.draining |= ordered;
                 if let Some(last) = life.as_ref() {
                     platform.ended.borrow_mut().push(last.instance.id.clone());
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -39,11 +39,8 @@
         return Outcome::NotSent;
     }
     let deadline = left.as_millis().max(1).to_string();
-    let replaced = [
-        (EXPECTED, errand.instance.as_str()),
-        (DEADLINE, deadline.as_str()),
-        (CALLER, errand.caller.as_str()),
-    ];
+    let replaced =
+        [(EXPECTED, errand.instance.as_str()), (DEADLINE, deadline.as_str()), (CALLER, errand.caller.as_str())];
     let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
     let bodyless = errand.inquiry.method == Method::HEAD;
     let whole = async {
@@ -88,10 +85,7 @@
 fn judge(answer: Return) -> Outcome {
     let not_run = answer.headers.contains_key(NOT_EXECUTED);
     match answer.status {
-        421 => Outcome::NotTaken {
-            why: crate::dispatch::Passed::Gone,
-            free_in: Duration::from_millis(50),
-        },
+        421 => Outcome::NotTaken { why: crate::dispatch::Passed::Gone, free_in: Duration::from_millis(50) },
         429 | 503 | 408 | 400 if not_run => Outcome::NotExecuted,
         // These promise that it has not run, and the endpoint does not say so.
         429 | 503 | 408 => Outcome::Failed("the endpoint turned the request away without saying that it has not run"),
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -72,10 +72,7 @@
     }
 
     fn result(&self, outcome: Outcome) -> GoResult {
-        GoResult {
-            outcome,
-            occupancy: self.occupancy(clock::now()),
-        }
+        GoResult { outcome, occupancy: self.occupancy(clock::now()) }
     }
 
     fn passed(&self, why: Passed, free_in: Duration) -> GoResult {
@@ -85,8 +82,7 @@
     /// Whether the life that an errand names is here and takes errands.
     fn takes(&self, errand: &Errand, now: Moment) -> bool {
         let life = self.life.borrow();
-        life.as_ref()
-            .is_some_and(|life| life.instance.id == errand.instance && !life.leaving)
+        life.as_ref().is_some_and(|life| life.instance.id == errand.instance && !life.leaving)
             && !self.closed.get()
             && now >= self.unreachable_until.get()
     }
--- a/crates/signalbox/src/ledger/cells.rs
+++ b/crates/signalbox/src/ledger/cells.rs
@@ -58,10 +58,7 @@
         {
             return Some(*revision);
         }
-        self.events
-            .iter()
-            .find(|event| event.name == name && event.value == value)
-            .map(|event| event.revision)
+        self.events.iter().find(|event| event.name == name && event.value == value).map(|event| event.revision)
     }
 
     /// Events above a revision; `None` when some of them are forgotten.
--- a/crates/signalbox/src/ledger/state.rs
+++ b/crates/signalbox/src/ledger/state.rs
@@ -41,10 +41,7 @@
 impl Ledger {
     pub fn new(history: Duration) -> Self {
         // Twice the promise and more: what a watcher was told last is never forgotten too soon.
-        Self {
-            history: history * 5 / 2,
-            ..Self::default()
-        }
+        Self { history: history * 5 / 2, ..Self::default() }
     }
 
     pub fn encode(&self) -> Vec<u8> {
@@ -76,12 +73,7 @@
     pub fn apply(&mut self, zxid: Zxid, change: Change, now: Moment) {
         match change {
             Change::Fleet(change) => self.fleet.apply(zxid, change),
-            Change::LockTaken {
-                lock,
-                holder,
-                fence,
-                hold_millis,
-            } => {
+            Change::LockTaken { lock, holder, fence, hold_millis } => {
                 let known = self.locks.get(&lock);
                 assert!(
                     fence > self.last_fence
@@ -89,14 +81,7 @@
                     "a fence is new, or its holder's own"
                 );
                 self.last_fence = self.last_fence.max(fence);
-                self.locks.insert(
-                    lock,
-                    LockRecord {
-                        holder,
-                        fence,
-                        hold_millis,
-                    },
-                );
+                self.locks.insert(lock, LockRecord { holder, fence, hold_millis });
             }
             Change::LockFreed { lock, fence } => {
                 if self.locks.get(&lock).is_some_and(|known| known.fence == fence) {
@@ -110,10 +95,7 @@
             }
             Change::CellPut { name, value, revision } => {
                 let group = group_of(&name).to_owned();
-                self.groups
-                    .entry(group)
-                    .or_default()
-                    .put(name, value, revision, now, self.history);
+                self.groups.entry(group).or_default().put(name, value, revision, now, self.history);
             }
         }
     }
--- a/crates/signalbox/src/main.rs
+++ b/crates/signalbox/src/main.rs
@@ -10,11 +10,7 @@
 const ABOUT: &str = "signalbox is the control plane of ferryhinge. It runs on the machines with disks.\n";
 
 fn check(config: &LocalConfig) -> Result<(), ConfigError> {
-    LocalConfig::require(
-        "data_directory",
-        config.data_directory.as_ref(),
-        "a folder for the state",
-    )?;
+    LocalConfig::require("data_directory", config.data_directory.as_ref(), "a folder for the state")?;
     let wanted = "an address to serve operators and applications at";
     LocalConfig::require("listen_addresses.control_plane", config.listen.control_plane, wanted)?;
     Ok(())
--- a/crates/signalbox/src/node/disk.rs
+++ b/crates/signalbox/src/node/disk.rs
@@ -37,17 +37,11 @@
         };
         match first {
             Write::Image { encoded } => insist(|| storage.write_encoded_image(&encoded)),
-            Write::Append {
-                mut ticket,
-                mut records,
-            } => {
+            Write::Append { mut ticket, mut records } => {
                 // All that waits goes out under one sync.
                 while let Ok(next) = writes.try_recv() {
                     match next {
-                        Write::Append {
-                            ticket: later,
-                            records: more,
-                        } => {
+                        Write::Append { ticket: later, records: more } => {
                             ticket = later;
                             records.extend(more);
                         }
--- a/crates/signalbox/src/node/doors.rs
+++ b/crates/signalbox/src/node/doors.rs
@@ -12,16 +12,8 @@
 
 pub fn open(address: SocketAddr, node: &Rc<Signalbox>) -> std::io::Result<Rc<Serving>> {
     let serving = Rc::new(Serving::default());
-    serving.most_open.set(
-        (node.live.get().limits.file_descriptors as usize)
-            .saturating_sub(400)
-            .max(64),
-    );
-    monoio::spawn(serve_listener(
-        bind_tcp(address)?,
-        serving.clone(),
-        Rc::new(ControlDoor(node.clone())),
-    ));
+    serving.most_open.set((node.live.get().limits.file_descriptors as usize).saturating_sub(400).max(64));
+    monoio::spawn(serve_listener(bind_tcp(address)?, serving.clone(), Rc::new(ControlDoor(node.clone()))));
     Ok(serving)
 }
 
--- a/crates/signalbox/src/node/members.rs
+++ b/crates/signalbox/src/node/members.rs
@@ -48,17 +48,9 @@
     long_silent: &[Voter],
     needed: usize,
 ) -> Option<Vec<Voter>> {
-    let without = |gone: &Voter| {
-        voters
-            .iter()
-            .filter(|voter| *voter != gone)
-            .cloned()
-            .collect::<Vec<_>>()
-    };
+    let without = |gone: &Voter| voters.iter().filter(|voter| *voter != gone).cloned().collect::<Vec<_>>();
     // A learner at a voter's address proves that the voter's disk is gone for good.
-    let replaced = voters
-        .iter()
-        .find(|voter| learners.iter().any(|learner| learner.address == voter.address));
+    let replaced = voters.iter().find(|voter| learners.iter().any(|learner| learner.address == voter.address));
     if let Some(gone) = replaced.filter(|_| voters.len() > 1) {
         return Some(without(gone));
     }
@@ -69,10 +61,7 @@
             None => Some(voters.iter().cloned().chain(std::iter::once(learner.clone())).collect()),
         };
     }
-    long_silent
-        .first()
-        .filter(|_| voters.len() > needed.max(3))
-        .map(without)
+    long_silent.first().filter(|_| voters.len() > needed.max(3)).map(without)
 }
 
 #[cfg(test)]
@@ -81,10 +70,7 @@
     use trackbed::ids::MemberId;
 
     fn voter(id: u64, host: u8) -> Voter {
-        Voter {
-            id: MemberId(id),
-            address: ([10, 0, 0, host], 1).into(),
-        }
+        Voter { id: MemberId(id), address: ([10, 0, 0, host], 1).into() }
     }
 
     #[test]
@@ -93,15 +79,9 @@
         let newcomer = [voter(9, 9)];
         assert_eq!(wanted_voters(&three, &[], &three[..1], &three[..1], 3), None);
         assert_eq!(wanted_voters(&three, &newcomer, &[], &[], 3).unwrap().len(), 4);
-        assert_eq!(
-            wanted_voters(&three, &newcomer, &three[..1], &[], 3).unwrap(),
-            three[1..].to_vec()
-        );
+        assert_eq!(wanted_voters(&three, &newcomer, &three[..1], &[], 3).unwrap(), three[1..].to_vec());
         // A lost disk at the same address makes way at once.
-        assert_eq!(
-            wanted_voters(&three, &[voter(8, 2)], &[], &[], 3).unwrap(),
-            vec![voter(1, 1), voter(3, 3)]
-        );
+        assert_eq!(wanted_voters(&three, &[voter(8, 2)], &[], &[], 3).unwrap(), vec![voter(1, 1), voter(3, 3)]);
         let four = [voter(1, 1), voter(2, 2), voter(3, 3), voter(4, 4)];
         assert_eq!(wanted_voters(&four, &[], &four[..1], &four[..1], 3).unwrap().len(), 3);
         assert_eq!(wanted_voters(&four, &[], &four[..1], &[], 3), None);
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -26,11 +26,7 @@
                 return run(node, &call).await;
             }
             let limit = limit_of(&call);
-            match node
-                .caller
-                .call(primary.address, Ask::Control(call.clone()), limit)
-                .await
-            {
+            match node.caller.call(primary.address, Ask::Control(call.clone()), limit).await {
                 Ok(Reply::Control(answer)) => return answer,
                 Ok(Reply::NotNow(_)) | Err(CallError::NotSent) => {}
                 Ok(_) | Err(CallError::NoReply) => return ControlReturn::unknown(),
@@ -49,11 +45,7 @@
         let wait = wait.and_then(|wait| wait.parse().ok()).unwrap_or(0u64).min(60_000);
         return CALL_LIMIT + Duration::from_millis(wait);
     }
-    if call.path.starts_with("/v1/configuration") {
-        CONFIGURATION_LIMIT
-    } else {
-        CALL_LIMIT
-    }
+    if call.path.starts_with("/v1/configuration") { CONFIGURATION_LIMIT } else { CALL_LIMIT }
 }
 
 pub async fn run_if_primary(node: &Signalbox, call: &ControlCall) -> Reply {
@@ -73,12 +65,7 @@
             return ControlReturn::not_now("the primary has changed");
         };
         let mut holds = node.holds.borrow_mut();
-        let desk = Desk {
-            ahead,
-            settled: &settled,
-            holds: &mut holds,
-            now: clock::now(),
-        };
+        let desk = Desk { ahead, settled: &settled, holds: &mut holds, now: clock::now() };
         resource.decide(name, call, desk)
     };
     match decision {
@@ -100,11 +87,7 @@
                 false => ControlReturn::unknown(),
             },
         },
-        Decision::Watch {
-            group,
-            after,
-            wait_millis,
-        } => watch(node, &group, after, wait_millis).await,
+        Decision::Watch { group, after, wait_millis } => watch(node, &group, after, wait_millis).await,
     }
 }
 
@@ -164,21 +147,14 @@
         return Reply::NotNow("no primary just now".into());
     };
     if primary.id != node.zab.borrow().me().id {
-        return match node
-            .caller
-            .call(primary.address, Ask::News { since, assured: true }, CALL_LIMIT)
-            .await
-        {
+        return match node.caller.call(primary.address, Ask::News { since, assured: true }, CALL_LIMIT).await {
             Ok(reply) => reply,
             Err(error) => Reply::NotNow(error.to_string()),
         };
     }
     let settled = node.settled.borrow();
     match lease_holds(node) {
-        true => Reply::News {
-            news: settled.fleet.news_since(since),
-            zxid: settled.fleet.zxid(),
-        },
+        true => Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() },
         false => Reply::NotNow("this node may no longer be the primary".into()),
     }
 }
@@ -195,10 +171,7 @@
 
 pub async fn sign_off(node: &Signalbox, id: InstanceId) -> Reply {
     let ask = Ask::SignOff(id.clone());
-    order_fleet(node, ask, |fleet| {
-        (!fleet.has_ended(&id)).then(|| FleetChange::End(id.clone()))
-    })
-    .await
+    order_fleet(node, ask, |fleet| (!fleet.has_ended(&id)).then(|| FleetChange::End(id.clone()))).await
 }
 
 async fn order_fleet(
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/siblings.rs
@@ -23,10 +23,7 @@
         match ask {
             Ask::News { since, assured: false } => {
                 let settled = self.settled.borrow();
-                Reply::News {
-                    news: settled.fleet.news_since(since),
-                    zxid: settled.fleet.zxid(),
-                }
+                Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() }
             }
             Ask::News { since, assured: true } => primary::assured_news(&self, since).await,
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -25,10 +25,7 @@
 /// Founders are the first seeds; every founder works out the same ids for all of them.
 fn founder(config: &LocalConfig, control_plane: SocketAddr) -> Voter {
     let id = MemberId(stable_hash(&format!("founder {control_plane}")) | 1);
-    Voter {
-        id,
-        address: core_address(config, control_plane),
-    }
+    Voter { id, address: core_address(config, control_plane) }
 }
 
 /// What a start makes of an empty disk. Only the first start of the whole system founds anything:
@@ -48,16 +45,9 @@
 pub fn run(command: Command) -> Result<(), NodeError> {
     let signals = Signals::register()?;
     let config = command.config.clone();
-    let data = LocalConfig::require(
-        "data_directory",
-        config.data_directory.clone(),
-        "a folder for the state",
-    )?;
-    let control_plane = LocalConfig::require(
-        "listen_addresses.control_plane",
-        config.listen.control_plane,
-        "an address to serve at",
-    )?;
+    let data = LocalConfig::require("data_directory", config.data_directory.clone(), "a folder for the state")?;
+    let control_plane =
+        LocalConfig::require("listen_addresses.control_plane", config.listen.control_plane, "an address to serve at")?;
     let mut random = Random::from_system();
     let (mut storage, recovered) = Storage::recover(FileDisk::open(&data)?)?;
     let image = match recovered {
@@ -74,19 +64,11 @@
             image
         }
     };
-    log::info!(
-        "member {} starts at epoch {}, {} records",
-        image.member,
-        image.current,
-        image.entries.len()
-    );
+    log::info!("member {} starts at epoch {}, {} records", image.member, image.current, image.entries.len());
     let now = clock::now();
     let address = SocketAddr::new(config.ip_address, config.core_port());
     let settled = Ledger::decode(&image.frame.state, config.bounds.history(), now)?;
-    let me = Voter {
-        id: image.member,
-        address,
-    };
+    let me = Voter { id: image.member, address };
     let zab = Zab::start(image, me, Timing::default(), now);
     let sibling = Sibling {
         name: config.node_name.clone(),
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -75,23 +75,14 @@
         match action {
             Action::Send { to, message } => {
                 let from = node.zab.borrow().me().clone();
-                let envelope = Envelope {
-                    from,
-                    to: to.id,
-                    message,
-                };
+                let envelope = Envelope { from, to: to.id, message };
                 let bytes = borsh::to_vec(&envelope).expect("writing to memory can't fail");
                 node.caller.tell(to.address, &SiblingMessage::Zab(bytes));
             }
             Action::Persist { ticket, records } => {
-                let records = records
-                    .iter()
-                    .map(|record| borsh::to_vec(record).expect("writing to memory can't fail"));
+                let records = records.iter().map(|record| borsh::to_vec(record).expect("writing to memory can't fail"));
                 // The writer ends only with the process.
-                let _ = node.disk.send(Write::Append {
-                    ticket,
-                    records: records.collect(),
-                });
+                let _ = node.disk.send(Write::Append { ticket, records: records.collect() });
             }
             Action::Deliver { zxid, payload } => match Change::try_from_slice(&payload) {
                 Ok(change) => deliver(node, zxid, change, now),
@@ -185,14 +176,7 @@
     serving.leaving.set(true);
     let actions = node.roster.borrow_mut().leave();
     siblings::gossip(node, actions);
-    let limit = clock::now()
-        + node
-            .live
-            .get()
-            .bounds
-            .grace_period()
-            .mul_f64(0.3)
-            .min(Duration::from_millis(800));
+    let limit = clock::now() + node.live.get().bounds.grace_period().mul_f64(0.3).min(Duration::from_millis(800));
     while clock::now() < limit && serving.under_way.get() > 0 {
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/crates/signalbox/src/resources/cells.rs
+++ b/crates/signalbox/src/resources/cells.rs
@@ -30,16 +30,10 @@
 }
 
 fn read(name: &str, desk: &Desk<'_>) -> ControlReturn {
-    match desk
-        .settled
-        .groups
-        .get(group_of(name))
-        .and_then(|group| group.cells.get(name))
-    {
-        Some((value, revision)) => ControlReturn::new(
-            200,
-            format!("{{\"value\":\"{}\",\"revision\":{revision}}}", escape(value)),
-        ),
+    match desk.settled.groups.get(group_of(name)).and_then(|group| group.cells.get(name)) {
+        Some((value, revision)) => {
+            ControlReturn::new(200, format!("{{\"value\":\"{}\",\"revision\":{revision}}}", escape(value)))
+        }
         None => ControlReturn::fault(404, "no such key"),
     }
 }
@@ -52,20 +46,13 @@
     if let Some(first) = group.and_then(|group| group.revision_of(name, value)) {
         return Decision::Settled(revision(200, first));
     }
-    let current = group
-        .and_then(|group| group.cells.get(name))
-        .map(|(_, revision)| *revision)
-        .unwrap_or(0);
+    let current = group.and_then(|group| group.cells.get(name)).map(|(_, revision)| *revision).unwrap_or(0);
     if let Some(wanted) = body.number("enabled")
         && wanted != current
     {
         return Decision::Settled(revision(412, current));
     }
     let next = group.map(|group| group.revision).unwrap_or(0) + 1;
-    let change = Change::CellPut {
-        name: name.to_owned(),
-        value: value.to_owned(),
-        revision: next,
-    };
+    let change = Change::CellPut { name: name.to_owned(), value: value.to_owned(), revision: next };
     Decision::Propose(Box::new(change), revision(200, next))
 }
--- a/crates/signalbox/src/resources/configuration.rs
+++ b/crates/signalbox/src/resources/configuration.rs
@@ -79,8 +79,5 @@
             return invalid(&fault);
         }
     }
-    Decision::Propose(
-        Box::new(Change::Fleet(FleetChange::Configure { change, digest })),
-        done(),
-    )
+    Decision::Propose(Box::new(Change::Fleet(FleetChange::Configure { change, digest })), done())
 }
--- a/crates/signalbox/src/resources/locks.rs
+++ b/crates/signalbox/src/resources/locks.rs
@@ -67,14 +67,8 @@
     }
     let fence = desk.ahead.last_fence + 1;
     // A new holder's time starts here; the last one's has run out.
-    desk.holds
-        .insert(name.to_owned(), desk.now + Duration::from_millis(hold_millis));
-    let change = Change::LockTaken {
-        lock: name.to_owned(),
-        holder: holder.to_owned(),
-        fence,
-        hold_millis,
-    };
+    desk.holds.insert(name.to_owned(), desk.now + Duration::from_millis(hold_millis));
+    let change = Change::LockTaken { lock: name.to_owned(), holder: holder.to_owned(), fence, hold_millis };
     Decision::Propose(Box::new(change), granted(fence))
 }
 
@@ -83,12 +77,7 @@
     if hold_millis <= known {
         return Decision::Settled(granted(fence));
     }
-    let change = Change::LockTaken {
-        lock: name.to_owned(),
-        holder: holder.to_owned(),
-        fence,
-        hold_millis,
-    };
+    let change = Change::LockTaken { lock: name.to_owned(), holder: holder.to_owned(), fence, hold_millis };
     Decision::Propose(Box::new(change), granted(fence))
 }
 
@@ -106,13 +95,9 @@
 fn release(name: &str, holder: &str, fence: u64, desk: Desk<'_>) -> Decision {
     let done = ControlReturn::new(200, "{}".into());
     match desk.ahead.locks.get(name) {
-        Some(record) if record.holder == holder && record.fence == fence => Decision::Propose(
-            Box::new(Change::LockFreed {
-                lock: name.to_owned(),
-                fence,
-            }),
-            done,
-        ),
+        Some(record) if record.holder == holder && record.fence == fence => {
+            Decision::Propose(Box::new(Change::LockFreed { lock: name.to_owned(), fence }), done)
+        }
         _ => Decision::Settled(done),
     }
 }
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -61,10 +61,7 @@
 }
 
 pub fn not_allowed() -> Decision {
-    Decision::Read(ControlReturn::fault(
-        405,
-        "this resource has no such method: see the documented calls",
-    ))
+    Decision::Read(ControlReturn::fault(405, "this resource has no such method: see the documented calls"))
 }
 
 /// The part of a body that a call needs, read by pointers.
--- a/crates/signalbox/src/resources/numbers.rs
+++ b/crates/signalbox/src/resources/numbers.rs
@@ -18,12 +18,6 @@
         }
         let value = desk.ahead.numbers.get(name).copied().unwrap_or(0) + 1;
         let answer = ControlReturn::new(200, format!("{{\"value\":{value}}}"));
-        Decision::Propose(
-            Box::new(Change::Number {
-                name: name.to_owned(),
-                value,
-            }),
-            answer,
-        )
+        Decision::Propose(Box::new(Change::Number { name: name.to_owned(), value }), answer)
     }
 }
--- a/crates/signalbox/src/resources/watch.rs
+++ b/crates/signalbox/src/resources/watch.rs
@@ -20,9 +20,7 @@
             return not_allowed();
         }
         let number = |wanted: &str| {
-            call.query
-                .split('&')
-                .find_map(|pair| pair.split_once('=').filter(|(name, _)| *name == wanted))
+            call.query.split('&').find_map(|pair| pair.split_once('=').filter(|(name, _)| *name == wanted))
         };
         let read = |wanted: &str| match number(wanted) {
             None => Some(0),
@@ -33,16 +31,9 @@
         };
         if after == 0 {
             let revision = desk.settled.groups.get(name).map(|group| group.revision).unwrap_or(0);
-            return Decision::Read(ControlReturn::new(
-                200,
-                format!("{{\"events\":[],\"revision\":{revision}}}"),
-            ));
-        }
-        Decision::Watch {
-            group: name.to_owned(),
-            after,
-            wait_millis: wait_millis.min(LONGEST_WAIT_MILLIS),
+            return Decision::Read(ControlReturn::new(200, format!("{{\"events\":[],\"revision\":{revision}}}")));
         }
+        Decision::Watch { group: name.to_owned(), after, wait_millis: wait_millis.min(LONGEST_WAIT_MILLIS) }
     }
 }
 
@@ -53,26 +44,17 @@
         return last_look.then(none);
     };
     let Some(events) = group.after(after) else {
-        return Some(ControlReturn::fault(
-            410,
-            "that revision is older than the history kept: read the keys anew",
-        ));
+        return Some(ControlReturn::fault(410, "that revision is older than the history kept: read the keys anew"));
     };
     let events: Vec<String> = events
         .map(|event| {
             let (name, value) = (escape(&event.name), escape(&event.value));
-            format!(
-                "{{\"name\":\"{name}\",\"value\":\"{value}\",\"revision\":{}}}",
-                event.revision
-            )
+            format!("{{\"name\":\"{name}\",\"value\":\"{value}\",\"revision\":{}}}", event.revision)
         })
         .collect();
     if events.is_empty() {
         return last_look.then(none);
     }
     let revision = group.revision;
-    Some(ControlReturn::new(
-        200,
-        format!("{{\"events\":[{}],\"revision\":{revision}}}", events.join(",")),
-    ))
+    Some(ControlReturn::new(200, format!("{{\"events\":[{}],\"revision\":{revision}}}", events.join(","))))
 }
--- a/crates/timetable/src/configuration/document.rs
+++ b/crates/timetable/src/configuration/document.rs
@@ -37,9 +37,7 @@
         reason: error.to_string().lines().next().unwrap_or_default().to_owned(),
     })?;
     if !value.is_object() {
-        return Err(Fault::Unreadable {
-            reason: "it is not a table".into(),
-        });
+        return Err(Fault::Unreadable { reason: "it is not a table".into() });
     }
     Ok(value)
 }
@@ -50,10 +48,7 @@
         .and_then(|version| version.as_str())
         .filter(|version| version.starts_with('r'))
         .and_then(ConfigEpoch::parse)
-        .ok_or(Fault::Wrong {
-            place: "/version".into(),
-            wanted: "a version like \"r12\"",
-        })
+        .ok_or(Fault::Wrong { place: "/version".into(), wanted: "a version like \"r12\"" })
 }
 
 fn text_of(value: &Value) -> String {
@@ -64,10 +59,7 @@
     let Some(value) = value.filter(|value| !value.is_null()) else {
         return Ok(Items::new());
     };
-    let wrong = || Fault::Wrong {
-        place: place.to_owned(),
-        wanted: "a table by name",
-    };
+    let wrong = || Fault::Wrong { place: place.to_owned(), wanted: "a table by name" };
     let mut items = Items::new();
     for (name, item) in value.as_object().ok_or_else(wrong)?.iter() {
         if name.is_empty() || items.insert(name.to_owned(), text_of(item)).is_some() {
@@ -121,10 +113,7 @@
             "routes" => Ok(&mut self.routes),
             "services" => Ok(&mut self.services),
             "limits" => Ok(&mut self.others),
-            _ => Err(Fault::Wrong {
-                place: format!("/upserts/{table}"),
-                wanted: "routes or services",
-            }),
+            _ => Err(Fault::Wrong { place: format!("/upserts/{table}"), wanted: "routes or services" }),
         }
     }
 
@@ -140,10 +129,7 @@
             for (service, _) in &route.split {
                 if !services.contains_key(service.as_str()) {
                     let service = service.as_str().to_owned();
-                    return Err(Fault::UnknownService {
-                        route: name.clone(),
-                        service,
-                    });
+                    return Err(Fault::UnknownService { route: name.clone(), service });
                 }
             }
             routes.push(Rc::new(route));
@@ -173,9 +159,7 @@
 }
 
 fn item(text: &str) -> Result<Value, Fault> {
-    sonic_rs::from_str(text).map_err(|error| Fault::Unreadable {
-        reason: error.to_string(),
-    })
+    sonic_rs::from_str(text).map_err(|error| Fault::Unreadable { reason: error.to_string() })
 }
 
 fn push_items(text: &mut String, items: &Items) {
@@ -190,10 +174,7 @@
 impl Patch {
     pub fn parse(body: &[u8]) -> Result<Self, Fault> {
         let value = read(body)?;
-        let mut patch = Self {
-            epoch: epoch_of(&value)?,
-            ..Self::default()
-        };
+        let mut patch = Self { epoch: epoch_of(&value)?, ..Self::default() };
         if let Some(tables) = value.pointer(["upserts"].iter()).and_then(|tables| tables.as_object()) {
             for (table, upserts) in tables.iter() {
                 if table == "limits" {
@@ -207,10 +188,7 @@
         }
         if let Some(tables) = value.pointer(["removals"].iter()).and_then(|tables| tables.as_object()) {
             for (table, names) in tables.iter() {
-                let wrong = || Fault::Wrong {
-                    place: format!("/removals/{table}"),
-                    wanted: "a list of names",
-                };
+                let wrong = || Fault::Wrong { place: format!("/removals/{table}"), wanted: "a list of names" };
                 let names = names.as_array().ok_or_else(wrong)?;
                 let names: Option<Vec<String>> = names.iter().map(|name| name.as_str().map(str::to_owned)).collect();
                 patch.removals.insert(table.to_owned(), names.ok_or_else(wrong)?);
@@ -228,10 +206,7 @@
     let mut items = Items::new();
     for item in list.iter() {
         let name = item.pointer(["name"].iter()).and_then(|name| name.as_str());
-        let name = name.ok_or(Fault::Wrong {
-            place: place.to_owned(),
-            wanted: "items with a name",
-        })?;
+        let name = name.ok_or(Fault::Wrong { place: place.to_owned(), wanted: "items with a name" })?;
         items.insert(name.to_owned(), text_of(item));
     }
     Ok(items)
@@ -266,14 +241,8 @@
         assert_matches!(changed("0.2", "60.5"), Fault::TargetOverTimeout { .. });
         assert_matches!(changed("90", "0"), Fault::NoWeight { .. });
         let text = whole(GOOD);
-        assert_matches!(
-            Configuration::parse(&text.as_bytes()[..text.len() - 3]),
-            Err(Fault::Unreadable { .. })
-        );
-        assert_matches!(
-            Configuration::parse(text.replace("r7", "7").as_bytes()),
-            Err(Fault::Wrong { .. })
-        );
+        assert_matches!(Configuration::parse(&text.as_bytes()[..text.len() - 3]), Err(Fault::Unreadable { .. }));
+        assert_matches!(Configuration::parse(text.replace("r7", "7").as_bytes()), Err(Fault::Wrong { .. }));
     }
 
     #[test]
--- a/crates/timetable/src/configuration/route.rs
+++ b/crates/timetable/src/configuration/route.rs
@@ -47,10 +47,7 @@
 }
 
 fn wrong(route: &str, field: &str, wanted: &'static str) -> Fault {
-    Fault::Wrong {
-        place: format!("/routes/{route}/{field}"),
-        wanted,
-    }
+    Fault::Wrong { place: format!("/routes/{route}/{field}"), wanted }
 }
 
 fn seconds(value: &Value, route: &str, field: &str) -> Result<Option<Duration>, Fault> {
@@ -67,10 +64,7 @@
 impl Route {
     pub fn parse(name: &str, value: &Value) -> Result<Self, Fault> {
         if !value.is_object() {
-            return Err(Fault::Wrong {
-                place: format!("/routes/{name}"),
-                wanted: "a table",
-            });
+            return Err(Fault::Wrong { place: format!("/routes/{name}"), wanted: "a table" });
         }
         let text = |field: &'static str| value.pointer([field].iter()).and_then(|value| value.as_str());
         let hostname = text("hostname").unwrap_or("").trim().to_ascii_lowercase();
@@ -81,9 +75,8 @@
         if !prefix.starts_with('/') {
             return Err(Fault::BarePrefix { route: name.to_owned() });
         }
-        let kind = text("route_type")
-            .and_then(RouteKind::parse)
-            .ok_or_else(|| Fault::OddKind { route: name.to_owned() })?;
+        let kind =
+            text("route_type").and_then(RouteKind::parse).ok_or_else(|| Fault::OddKind { route: name.to_owned() })?;
         let timeout = seconds(value, name, "timeout_s")?;
         if timeout == Some(Duration::ZERO) {
             return Err(wrong(name, "timeout_s", "a time above zero"));
@@ -120,17 +113,11 @@
         };
         let priority = match value.pointer(["priority"].iter()) {
             None => 1,
-            Some(value) => value
-                .as_u64()
-                .ok_or_else(|| wrong(name, "priority", "a whole number"))?
-                .min(255) as u8,
+            Some(value) => value.as_u64().ok_or_else(|| wrong(name, "priority", "a whole number"))?.min(255) as u8,
         };
         let max_goes = match value.pointer(["max_attempts"].iter()) {
             None => 1,
-            Some(value) => value
-                .as_u64()
-                .ok_or_else(|| wrong(name, "max_attempts", "a whole number"))?
-                .clamp(1, 1000),
+            Some(value) => value.as_u64().ok_or_else(|| wrong(name, "max_attempts", "a whole number"))?.clamp(1, 1000),
         };
         Ok(Self {
             name: name.to_owned(),
@@ -168,24 +155,15 @@
 impl Service {
     pub fn parse(name: &str, value: &Value) -> Result<Self, Fault> {
         if !value.is_object() {
-            return Err(Fault::Wrong {
-                place: format!("/services/{name}"),
-                wanted: "a table",
-            });
+            return Err(Fault::Wrong { place: format!("/services/{name}"), wanted: "a table" });
         }
         let health_path = value
             .pointer(["health_check_path"].iter())
             .and_then(|path| path.as_str())
             .filter(|path| path.starts_with('/'))
             .map(str::to_owned);
-        let max_connections = value
-            .pointer(["max_connections"].iter())
-            .and_then(|count| count.as_u64())
-            .unwrap_or(100);
-        Ok(Self {
-            health_path,
-            max_connections: max_connections.clamp(1, 1_000_000) as u32,
-        })
+        let max_connections = value.pointer(["max_connections"].iter()).and_then(|count| count.as_u64()).unwrap_or(100);
+        Ok(Self { health_path, max_connections: max_connections.clamp(1, 1_000_000) as u32 })
     }
 }
 
@@ -216,10 +194,7 @@
             Some(number) => number
                 .as_f64()
                 .filter(|number| number.is_finite() && *number > 0.0 && *number < 1e15)
-                .ok_or(Fault::Wrong {
-                    place: format!("/limits/{field}"),
-                    wanted: "a number above zero",
-                }),
+                .ok_or(Fault::Wrong { place: format!("/limits/{field}"), wanted: "a number above zero" }),
         };
         Ok(Self {
             header_bytes: number("max_header_bytes", standard.header_bytes as f64)? as u64,
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -40,40 +40,25 @@
                 other
             };
             if let Some(other) = other {
-                return Err(Fault::SamePlace {
-                    route: route.name.clone(),
-                    other: other.name.clone(),
-                });
+                return Err(Fault::SamePlace { route: route.name.clone(), other: other.name.clone() });
             }
         }
         for host in hosts.values_mut() {
             host.open.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Ok(Self {
-            epoch,
-            limits,
-            services,
-            hosts,
-        })
+        Ok(Self { epoch, limits, services, hosts })
     }
 
     /// The route with the longest prefix that begins the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
-        let name = host
-            .rsplit_once(':')
-            .filter(|(_, port)| port.bytes().all(|byte| byte.is_ascii_digit()));
+        let name = host.rsplit_once(':').filter(|(_, port)| port.bytes().all(|byte| byte.is_ascii_digit()));
         let name = name.map(|(name, _)| name).unwrap_or(host);
         let host = match self.hosts.get(name) {
             Some(host) => host,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
         };
         let open = host.open.iter().find(|route| path.starts_with(&route.prefix));
-        let slashes = path
-            .bytes()
-            .enumerate()
-            .rev()
-            .filter(|(_, byte)| *byte == b'/')
-            .map(|(index, _)| index + 1);
+        let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/').map(|(index, _)| index + 1);
         let whole = slashes.take(64).find_map(|end| host.whole.get(&path[..end]));
         match (open, whole) {
             (Some(open), Some(whole)) if open.prefix.len() > whole.prefix.len() => Some(open),
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -44,17 +44,8 @@
 impl FleetState {
     pub fn from_frame(frame: FleetFrame) -> Self {
         let tail_base = frame.zxid;
-        let routes = frame
-            .configuration
-            .as_ref()
-            .and_then(|configuration| configuration.typed().ok())
-            .map(Rc::new);
-        let mut state = Self {
-            frame,
-            routes,
-            tail_base,
-            ..Self::default()
-        };
+        let routes = frame.configuration.as_ref().and_then(|configuration| configuration.typed().ok()).map(Rc::new);
+        let mut state = Self { frame, routes, tail_base, ..Self::default() };
         state.index_instances();
         state
     }
@@ -72,11 +63,7 @@
         self.frame.configuration.as_ref()
     }
     pub fn epoch(&self) -> ConfigEpoch {
-        self.frame
-            .configuration
-            .as_ref()
-            .map(|configuration| configuration.epoch)
-            .unwrap_or_default()
+        self.frame.configuration.as_ref().map(|configuration| configuration.epoch).unwrap_or_default()
     }
     pub fn instance(&self, id: &InstanceId) -> Option<&Instance> {
         self.frame.instances.get(id)
@@ -99,10 +86,7 @@
     fn index_instances(&mut self) {
         self.by_service.clear();
         for instance in self.frame.instances.values() {
-            self.by_service
-                .entry(instance.service.clone())
-                .or_default()
-                .push(Rc::new(instance.clone()));
+            self.by_service.entry(instance.service.clone()).or_default().push(Rc::new(instance.clone()));
         }
     }
 
@@ -111,10 +95,7 @@
         assert!(zxid > self.frame.zxid, "the fleet's state only moves on");
         self.frame.zxid = zxid;
         let weight = match &change {
-            FleetChange::Configure {
-                change: ConfigChange::Whole(configuration),
-                ..
-            } => configuration.to_json().len(),
+            FleetChange::Configure { change: ConfigChange::Whole(configuration), .. } => configuration.to_json().len(),
             FleetChange::Configure { .. } => 4096,
             _ => 256,
         };
@@ -190,9 +171,7 @@
             return Some(FleetNews::Whole(self.frame.clone()));
         }
         let changes = self.tail.iter().filter(|(at, _, _)| *at > zxid);
-        Some(FleetNews::Changes(
-            changes.map(|(at, change, _)| (*at, change.clone())).collect(),
-        ))
+        Some(FleetNews::Changes(changes.map(|(at, change, _)| (*at, change.clone())).collect()))
     }
 
     /// Takes news asked for at `since`; true when this state moved on.
@@ -261,11 +240,7 @@
                 if random.chance(0.02) {
                     let since = state.zxid();
                     let before = since;
-                    let source = if random.chance(0.5) {
-                        ahead.clone()
-                    } else {
-                        state.clone()
-                    };
+                    let source = if random.chance(0.5) { ahead.clone() } else { state.clone() };
                     if let Some(news) = source.news_since(since) {
                         state.take(since, news);
                     }
--- a/crates/trackbed/src/config/command.rs
+++ b/crates/trackbed/src/config/command.rs
@@ -28,36 +28,22 @@
         options.optflag("h", "help", "print this text");
         options.optflag("V", "version", "print the version");
         options.optflag("c", "check", "read the settings, report, and end");
-        options.optopt(
-            "l",
-            "log-level",
-            "error, warn, info, debug or trace (default: warn)",
-            "LEVEL",
-        );
+        options.optopt("l", "log-level", "error, warn, info, debug or trace (default: warn)", "LEVEL");
         let arguments: Vec<String> = std::env::args().skip(1).collect();
         let matches = match options.parse(&arguments) {
             Ok(matches) => matches,
             Err(error) => {
-                return CommandOutcome::Done {
-                    text: format!("{program}: {error}; see {program} --help"),
-                    status: 2,
-                };
+                return CommandOutcome::Done { text: format!("{program}: {error}; see {program} --help"), status: 2 };
             }
         };
         if matches.opt_present("help") {
             let brief = format!(
                 "Usage: {program} [options] [SETTINGS]\n\n{about}\nSETTINGS: path of the settings file; else FERRYHINGE_CONFIG, else {DEFAULT_PATH}"
             );
-            return CommandOutcome::Done {
-                text: options.usage(&brief),
-                status: 0,
-            };
+            return CommandOutcome::Done { text: options.usage(&brief), status: 0 };
         }
         if matches.opt_present("version") {
-            return CommandOutcome::Done {
-                text: format!("{program} {}", env!("CARGO_PKG_VERSION")),
-                status: 0,
-            };
+            return CommandOutcome::Done { text: format!("{program} {}", env!("CARGO_PKG_VERSION")), status: 0 };
         }
         let level = match matches.opt_str("log-level").unwrap_or_else(|| "warn".into()).parse() {
             Ok(level) => level,
@@ -77,18 +63,11 @@
         let config = match LocalConfig::read(&path).and_then(|config| check(&config).map(|()| config)) {
             Ok(config) => config,
             Err(error) => {
-                return CommandOutcome::Done {
-                    text: format!("{program}: {error}"),
-                    status: 1,
-                };
+                return CommandOutcome::Done { text: format!("{program}: {error}"), status: 1 };
             }
         };
         if matches.opt_present("check") {
-            let text = format!(
-                "{program}: settings of {} in {} are complete",
-                config.node_name,
-                path.display()
-            );
+            let text = format!("{program}: settings of {} in {} are complete", config.node_name, path.display());
             return CommandOutcome::Done { text, status: 0 };
         }
         CommandOutcome::Run(Box::new(Command { path, level, config }))
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -68,19 +68,13 @@
         self.0.pointer(path.iter()).filter(|value| !value.is_null())
     }
     fn wanted(&self, path: &[&str], wanted: &'static str) -> Result<&Value, ConfigError> {
-        self.find(path).ok_or(ConfigError::Missing {
-            field: Self::name(path),
-            wanted,
-        })
+        self.find(path).ok_or(ConfigError::Missing { field: Self::name(path), wanted })
     }
     fn text(&self, path: &[&str], wanted: &'static str) -> Result<&str, ConfigError> {
         self.wanted(path, wanted)?
             .as_str()
             .filter(|text| !text.is_empty())
-            .ok_or(ConfigError::Wrong {
-                field: Self::name(path),
-                wanted,
-            })
+            .ok_or(ConfigError::Wrong { field: Self::name(path), wanted })
     }
     fn address(&self, path: &[&str]) -> Result<Option<SocketAddr>, ConfigError> {
         const WANTED: &str = "an address like \"10.0.0.1:8080\"";
@@ -90,10 +84,7 @@
                 .as_str()
                 .and_then(|text| text.parse().ok())
                 .map(Some)
-                .ok_or(ConfigError::Wrong {
-                    field: Self::name(path),
-                    wanted: WANTED,
-                }),
+                .ok_or(ConfigError::Wrong { field: Self::name(path), wanted: WANTED }),
         }
     }
     fn number(&self, path: &[&str], otherwise: f64) -> Result<f64, ConfigError> {
@@ -102,10 +93,7 @@
             Some(value) => value
                 .as_f64()
                 .filter(|number| number.is_finite() && *number >= 0.0)
-                .ok_or(ConfigError::Wrong {
-                    field: Self::name(path),
-                    wanted: "a number, zero or above",
-                }),
+                .ok_or(ConfigError::Wrong { field: Self::name(path), wanted: "a number, zero or above" }),
         }
     }
 }
@@ -113,10 +101,8 @@
 impl LocalConfig {
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let shown = path.display().to_string();
-        let text = std::fs::read(path).map_err(|error| ConfigError::Unreadable {
-            path: shown.clone(),
-            reason: error.to_string(),
-        })?;
+        let text = std::fs::read(path)
+            .map_err(|error| ConfigError::Unreadable { path: shown.clone(), reason: error.to_string() })?;
         Self::parse(&text, &shown)
     }
 
@@ -132,10 +118,7 @@
         if let Some(table) = fields.find(&["zones"]).and_then(|value| value.as_object()) {
             for (name, value) in table.iter() {
                 let wanted = "a table from zone to region";
-                let region = value.as_str().ok_or(ConfigError::Wrong {
-                    field: "zones".into(),
-                    wanted,
-                })?;
+                let region = value.as_str().ok_or(ConfigError::Wrong { field: "zones".into(), wanted })?;
                 zones.insert(ZoneName::new(name), RegionName::new(region));
             }
         }
@@ -149,19 +132,13 @@
         let internal_ports = match ports.as_slice() {
             [first, last] if first < last && *last <= u16::MAX as u64 => (*first as u16, *last as u16),
             _ => {
-                return Err(ConfigError::Wrong {
-                    field: "internal_port_range".into(),
-                    wanted,
-                });
+                return Err(ConfigError::Wrong { field: "internal_port_range".into(), wanted });
             }
         };
         let mut seeds = Vec::new();
         if let Some(list) = fields.find(&["seed_nodes"]) {
             let wanted = "a list of addresses like \"10.0.0.1:8080\"";
-            let wrong = || ConfigError::Wrong {
-                field: "seed_nodes".into(),
-                wanted,
-            };
+            let wrong = || ConfigError::Wrong { field: "seed_nodes".into(), wanted };
             for seed in list.as_array().ok_or_else(wrong)?.iter() {
                 seeds.push(seed.as_str().and_then(|text| text.parse().ok()).ok_or_else(wrong)?);
             }
@@ -169,11 +146,7 @@
         let bounds = match fields.find(&["bounds"]) {
             Some(value) if value.is_str() => Bounds::from_texts(value.as_str().into_iter()),
             Some(value) => Bounds::from_texts(
-                value
-                    .as_array()
-                    .into_iter()
-                    .flat_map(|list| list.iter())
-                    .filter_map(|text| text.as_str()),
+                value.as_array().into_iter().flat_map(|list| list.iter()).filter_map(|text| text.as_str()),
             ),
             None => Bounds::default(),
         };
@@ -186,10 +159,7 @@
             ip_address: fields
                 .text(&["ip_address"], wanted)?
                 .parse()
-                .map_err(|_| ConfigError::Wrong {
-                    field: "ip_address".into(),
-                    wanted,
-                })?,
+                .map_err(|_| ConfigError::Wrong { field: "ip_address".into(), wanted })?,
             listen: ListenAddresses {
                 inbound: fields.address(&["listen_addresses", "inbound"])?,
                 outbound: fields.address(&["listen_addresses", "outbound"])?,
@@ -198,14 +168,8 @@
             },
             internal_ports,
             seeds,
-            initial_start: fields
-                .find(&["initial_start"])
-                .and_then(|value| value.as_bool())
-                .unwrap_or(false),
-            data_directory: fields
-                .find(&["data_directory"])
-                .and_then(|value| value.as_str())
-                .map(PathBuf::from),
+            initial_start: fields.find(&["initial_start"]).and_then(|value| value.as_bool()).unwrap_or(false),
+            data_directory: fields.find(&["data_directory"]).and_then(|value| value.as_str()).map(PathBuf::from),
             heartbeat: Duration::from_secs_f64(fields.number(&["heartbeat_s"], 1.5)?.clamp(0.01, 3600.0)),
             limits: Limits {
                 memory_mb: fields.number(&["limits", "memory_mb"], 256.0)? as u64,
@@ -214,19 +178,13 @@
             machine_losses: fields.number(&["fault_tolerance", "machine_losses"], 1.0)? as u64,
             bounds,
             app_address: fields.address(&["app_address"])?,
-            service_name: fields
-                .find(&["service_name"])
-                .and_then(|value| value.as_str())
-                .map(ServiceName::new),
+            service_name: fields.find(&["service_name"]).and_then(|value| value.as_str()).map(ServiceName::new),
         })
     }
 
     /// A field that this program can't do without.
     pub fn require<T>(field: &str, value: Option<T>, wanted: &'static str) -> Result<T, ConfigError> {
-        value.ok_or(ConfigError::Missing {
-            field: field.to_owned(),
-            wanted,
-        })
+        value.ok_or(ConfigError::Missing { field: field.to_owned(), wanted })
     }
 
     /// Where a core node listens for its siblings, on any machine.
--- a/crates/trackbed/src/http/door.rs
+++ b/crates/trackbed/src/http/door.rs
@@ -64,9 +64,7 @@
         let head =
             take_inquiry_head(&mut self.held, length).map_err(|HeadError::Malformed(reason)| declined(400, reason))?;
         if head.expects_continue {
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec())
-                .await
-                .map_err(|_| DoorError::Broken)?;
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()).await.map_err(|_| DoorError::Broken)?;
         }
         let mut inquiry = head.inquiry;
         let body = self.read_body(head.framing, limits.body_bytes);
--- a/crates/trackbed/src/http/head.rs
+++ b/crates/trackbed/src/http/head.rs
@@ -35,11 +35,7 @@
 pub fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     let mut values = headers.get_all(name).iter();
     let first = values.next()?.to_str().ok()?;
-    if values.next().is_some() {
-        None
-    } else {
-        Some(first.trim())
-    }
+    if values.next().is_some() { None } else { Some(first.trim()) }
 }
 
 /// Headers that concern one connection only.
@@ -70,10 +66,7 @@
         .filter_map(|word| word.trim().parse().ok())
         .collect();
     // The end-to-end headers that the system itself rests on can't be named away.
-    for name in named
-        .iter()
-        .filter(|name| !name.as_str().starts_with("ferryhinge-") && *name != header::HOST)
-    {
+    for name in named.iter().filter(|name| !name.as_str().starts_with("ferryhinge-") && *name != header::HOST) {
         headers.remove(name);
     }
     let hops: Vec<HeaderName> = headers.keys().filter(|name| is_hop_header(name)).cloned().collect();
@@ -95,10 +88,7 @@
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
-        .any(|text| {
-            text.split(',')
-                .any(|word| word.trim().eq_ignore_ascii_case("keep-alive"))
-        })
+        .any(|text| text.split(',').any(|word| word.trim().eq_ignore_ascii_case("keep-alive")))
 }
 
 pub(super) enum HeadError {
@@ -114,16 +104,11 @@
 /// How long the head at the front of the buffer is, with its empty line.
 pub(super) fn head_length(buffer: &[u8], from: usize) -> Option<usize> {
     let start = from.saturating_sub(3);
-    buffer[start.min(buffer.len())..]
-        .windows(4)
-        .position(|window| window == b"\r\n\r\n")
-        .map(|at| start + at + 4)
+    buffer[start.min(buffer.len())..].windows(4).position(|window| window == b"\r\n\r\n").map(|at| start + at + 4)
 }
 
 fn has_bare_line_feed(head: &[u8]) -> bool {
-    head.iter()
-        .enumerate()
-        .any(|(index, byte)| *byte == b'\n' && (index == 0 || head[index - 1] != b'\r'))
+    head.iter().enumerate().any(|(index, byte)| *byte == b'\n' && (index == 0 || head[index - 1] != b'\r'))
 }
 
 /// Reads a request's head of `length` bytes off the buffer.
@@ -132,17 +117,11 @@
         return Err(HeadError::Malformed("a bare line feed stands in the head"));
     }
     let mut head = buffer.split_to(length);
-    let decoded = RequestHeadDecoder
-        .decode(&mut head)
-        .map_err(|_| HeadError::Malformed("the head can't be read"))?;
+    let decoded = RequestHeadDecoder.decode(&mut head).map_err(|_| HeadError::Malformed("the head can't be read"))?;
     let Decoded::Some(parts) = decoded else {
         return Err(HeadError::Malformed("the head can't be read"));
     };
-    let target = parts
-        .uri
-        .path_and_query()
-        .map(|target| target.as_str().to_owned())
-        .unwrap_or_default();
+    let target = parts.uri.path_and_query().map(|target| target.as_str().to_owned()).unwrap_or_default();
     if parts.uri.authority().is_some() || !target.starts_with('/') {
         return Err(HeadError::Malformed("the target is not a path"));
     }
@@ -155,28 +134,14 @@
     if !current && framing == Framing::Chunked {
         return Err(HeadError::Malformed("chunks in HTTP/1.0"));
     }
-    let keeps = if current {
-        !connection_closes(&headers)
-    } else {
-        connection_keeps(&headers)
-    };
+    let keeps = if current { !connection_closes(&headers) } else { connection_keeps(&headers) };
     let expects_continue = headers
         .get(header::EXPECT)
         .and_then(|value| value.to_str().ok())
         .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
     strip_hop_headers(&mut headers);
-    let inquiry = Inquiry {
-        method: parts.method,
-        target,
-        headers,
-        body: Bytes::new(),
-        keeps,
-    };
-    Ok(InquiryHead {
-        inquiry,
-        framing,
-        expects_continue,
-    })
+    let inquiry = Inquiry { method: parts.method, target, headers, body: Bytes::new(), keeps };
+    Ok(InquiryHead { inquiry, framing, expects_continue })
 }
 
 pub(super) struct ReturnHead {
@@ -193,9 +158,7 @@
         return Err(HeadError::Malformed("a bare line feed stands in the head"));
     }
     let mut head = buffer.split_to(length);
-    let decoded = ResponseHeadDecoder
-        .decode(&mut head)
-        .map_err(|_| HeadError::Malformed("the head can't be read"))?;
+    let decoded = ResponseHeadDecoder.decode(&mut head).map_err(|_| HeadError::Malformed("the head can't be read"))?;
     let Decoded::Some(parts) = decoded else {
         return Err(HeadError::Malformed("the head can't be read"));
     };
@@ -208,16 +171,7 @@
     let keep_alive = headers
         .get("keep-alive")
         .and_then(|value| value.to_str().ok())
-        .and_then(|text| {
-            text.split(',')
-                .find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok())
-        });
+        .and_then(|text| text.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok()));
     strip_hop_headers(&mut headers);
-    Ok(ReturnHead {
-        status,
-        headers,
-        framing,
-        closes,
-        keep_alive,
-    })
+    Ok(ReturnHead { status, headers, framing, closes, keep_alive })
 }
--- a/crates/trackbed/src/http/json.rs
+++ b/crates/trackbed/src/http/json.rs
@@ -13,17 +13,12 @@
 impl JsonReturn for Return {
     fn json(status: u16, body: String) -> Return {
         let mut answer = Return::new(status);
-        answer
-            .headers
-            .insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        answer.headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         answer.body = Bytes::from(body);
         answer
     }
 
     fn fault(status: u16, message: &str) -> Return {
-        Self::json(
-            status,
-            format!("{{\"error_message\":\"{}\"}}", crate::logs::escape(message)),
-        )
+        Self::json(status, format!("{{\"error_message\":\"{}\"}}", crate::logs::escape(message)))
     }
 }
--- a/crates/trackbed/src/http/line.rs
+++ b/crates/trackbed/src/http/line.rs
@@ -24,10 +24,7 @@
 
 impl Line {
     pub fn new(stream: TcpStream) -> Self {
-        Self {
-            stream,
-            held: BytesMut::new(),
-        }
+        Self { stream, held: BytesMut::new() }
     }
 
     /// True when nothing has arrived unasked and the other side is still there.
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -35,20 +35,12 @@
 
 impl Return {
     pub fn new(status: u16) -> Self {
-        Self {
-            status,
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            closes: false,
-            keep_alive: None,
-        }
+        Self { status, headers: HeaderMap::new(), body: Bytes::new(), closes: false, keep_alive: None }
     }
 
     pub fn text(status: u16, text: &str) -> Self {
         let mut answer = Self::new(status);
-        answer
-            .headers
-            .insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        answer.headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         answer.body = Bytes::copy_from_slice(text.as_bytes());
         answer
     }
@@ -72,9 +64,7 @@
     /// The bytes of the answer; `bodyless` for HEAD.
     pub fn encode(&self, bodyless: bool) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(256 + self.body.len());
-        let reason = StatusCode::from_u16(self.status)
-            .ok()
-            .and_then(|status| status.canonical_reason());
+        let reason = StatusCode::from_u16(self.status).ok().and_then(|status| status.canonical_reason());
         let _ = write!(bytes, "HTTP/1.1 {} {}\r\n", self.status, reason.unwrap_or("Status"));
         push_headers(&mut bytes, &self.headers);
         if self.status != 204 && self.status != 304 {
--- a/crates/trackbed/src/ids.rs
+++ b/crates/trackbed/src/ids.rs
@@ -87,16 +87,10 @@
 }
 
 impl Zxid {
-    pub const ZERO: Zxid = Zxid {
-        epoch: ZabEpoch(0),
-        counter: 0,
-    };
+    pub const ZERO: Zxid = Zxid { epoch: ZabEpoch(0), counter: 0 };
 
     pub fn new(epoch: u64, counter: u64) -> Self {
-        Self {
-            epoch: ZabEpoch(epoch),
-            counter,
-        }
+        Self { epoch: ZabEpoch(epoch), counter }
     }
 }
 
--- a/crates/trackbed/src/kernel/mod.rs
+++ b/crates/trackbed/src/kernel/mod.rs
@@ -10,9 +10,7 @@
 
 /// Runs the one loop of a program on its one thread, on the epoll driver.
 pub fn run(main: impl Future<Output = ()>) -> std::io::Result<()> {
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()?;
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build()?;
     runtime.block_on(main);
     Ok(())
 }
@@ -25,10 +23,7 @@
 
 impl Signals {
     pub fn register() -> std::io::Result<Self> {
-        let signals = Self {
-            terminate: Arc::default(),
-            reload: Arc::default(),
-        };
+        let signals = Self { terminate: Arc::default(), reload: Arc::default() };
         signal_hook::flag::register(signal_hook::consts::SIGTERM, signals.terminate.clone())?;
         signal_hook::flag::register(signal_hook::consts::SIGINT, signals.terminate.clone())?;
         signal_hook::flag::register(signal_hook::consts::SIGHUP, signals.reload.clone())?;
@@ -55,11 +50,7 @@
 impl LiveConfig {
     pub fn new(path: PathBuf, config: LocalConfig) -> Self {
         let seen = RefCell::new(Self::stamp(&path));
-        Self {
-            path,
-            current: RefCell::new(Rc::new(config)),
-            seen,
-        }
+        Self { path, current: RefCell::new(Rc::new(config)), seen }
     }
 
     pub fn get(&self) -> Rc<LocalConfig> {
--- a/crates/trackbed/src/net/datagrams.rs
+++ b/crates/trackbed/src/net/datagrams.rs
@@ -38,10 +38,7 @@
             match self.with_socket(|socket| socket.recv_from(&mut space)) {
                 Ok((count, from)) => {
                     // SAFETY: the operating system wrote `count` bytes.
-                    let bytes: Vec<u8> = space[..count]
-                        .iter()
-                        .map(|byte| unsafe { byte.assume_init() })
-                        .collect();
+                    let bytes: Vec<u8> = space[..count].iter().map(|byte| unsafe { byte.assume_init() }).collect();
                     if let Some(from) = from.as_socket() {
                         return (bytes, from);
                     }
--- a/crates/trackbed/src/net/frames.rs
+++ b/crates/trackbed/src/net/frames.rs
@@ -38,11 +38,7 @@
 
 impl<S: AsyncReadRent> FrameReader<S> {
     pub fn new(stream: S) -> Self {
-        Self {
-            stream,
-            held: Vec::new(),
-            taken: 0,
-        }
+        Self { stream, held: Vec::new(), taken: 0 }
     }
 
     pub async fn next<T: BorshDeserialize>(&mut self) -> Result<T, FrameError> {
--- a/crates/trackbed/src/net/sockets.rs
+++ b/crates/trackbed/src/net/sockets.rs
@@ -74,10 +74,7 @@
 }
 
 pub fn bind_tcp(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind_with_config(
-        address,
-        &ListenerOpts::new().reuse_port(false).reuse_addr(true).backlog(1024),
-    )
+    TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false).reuse_addr(true).backlog(1024))
 }
 
 /// Connects within a time.
