--- a/crates/pointsman/src/platform/admission.rs
+++ b/crates/pointsman/src/platform/admission.rs
@@ -15,9 +15,6 @@
 /// elsewhere holds a slot there meanwhile, and it frees its own soon. The long is not overtaken for ever.
 const STANDS_BACK: f64 = 5.0;
 
-/// Work varies: half of it takes less than this share of the mean.
-const LIKELY_SHARE: f64 = 0.6;
-
 /// Who is let in first: rank, then arrival put back by the work's own length.
 type Place = (u8, Moment, u64);
 
@@ -103,13 +100,6 @@
         self.by_sort.borrow().get(&sort).copied().unwrap_or(0.0)
     }
 
-    /// Turning away measures nothing, so what it was decided by fades.
-    fn relax(&self, sort: u64) {
-        if let Some(known) = self.by_sort.borrow_mut().get_mut(&sort) {
-            *known *= 0.99;
-        }
-    }
-
     /// How long someone at this place is likely to wait.
     fn wait_at(&self, place: Place) -> Duration {
         let queue = self.queue.borrow();
@@ -129,8 +119,7 @@
         let place = (errand.priority, now + micros(expected * STANDS_BACK), order);
         let wait = self.wait_at(place);
         let full = self.queue.borrow().len() >= self.slots.get() as usize * QUEUE_FACTOR;
-        if full || now + wait + micros(expected * LIKELY_SHARE) > errand.target {
-            self.relax(errand.sort);
+        if full || now + wait + micros(expected) > errand.target {
             return Err(TurnedAway { late: false, free_in: wait });
         }
         let (sender, receiver) = oneshot::channel();
