--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -3,6 +3,8 @@
 mod admission;
 mod beats;
 mod exchange;
+#[cfg(test)]
+mod tests;
 
 pub use admission::{Admission, TurnedAway};
 pub use beats::BeatsDoor;
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -5,6 +5,8 @@
 mod instances;
 mod locks;
 mod numbers;
+#[cfg(test)]
+mod tests;
 mod watch;
 
 pub use watch::look as watch_look;
--- /dev/null
+++ b/crates/signalbox/src/resources/tests.rs
@@ -0,0 +1,316 @@
+//! Histories of coordination, with primaries that change and proposals that are lost, checked
+//! against what callers may rely on.
+
+use super::*;
+use crate::ledger::Change;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use trackbed::ids::Zxid;
+use trackbed::random::Random;
+
+/// A primary's desk without the network: what it proposed is committed later, or lost with it.
+struct Core {
+    settled: Ledger,
+    ahead: Ledger,
+    holds: BTreeMap<String, Moment>,
+    /// Proposed and not yet committed, with what is to be answered then.
+    open: Vec<(Zxid, Change, usize, ControlReturn)>,
+    epoch: u64,
+    counter: u64,
+    now: Moment,
+}
+
+impl Core {
+    fn new() -> Self {
+        let ledger = Ledger::new(Duration::from_secs(20));
+        Self {
+            settled: ledger.clone(),
+            ahead: ledger,
+            holds: BTreeMap::new(),
+            open: Vec::new(),
+            epoch: 1,
+            counter: 0,
+            now: Moment::from_micros(1_000_000),
+        }
+    }
+
+    /// Decides a call. Answers that are due come back by `commit`.
+    fn call(&mut self, number: usize, call: &ControlCall) -> Option<ControlReturn> {
+        let (resource, name) = find(&call.path).expect("a known resource");
+        let desk = Desk { ahead: &self.ahead, settled: &self.settled, holds: &mut self.holds, now: self.now };
+        match resource.decide(name, call, desk) {
+            Decision::Read(answer) => Some(answer),
+            Decision::Settled(answer) if self.open.is_empty() => Some(answer),
+            // It rests on what is open: answered after that, like a proposal that changes nothing.
+            Decision::Settled(answer) => {
+                let (zxid, change, _, _) = self.open.last().expect("looked at just now").clone();
+                self.open.push((zxid, change, number, answer));
+                None
+            }
+            Decision::Propose(change, answer) => {
+                self.counter += 1;
+                let zxid = Zxid::new(self.epoch, self.counter);
+                self.ahead.apply(zxid, (*change).clone(), self.now);
+                self.open.push((zxid, *change, number, answer));
+                None
+            }
+            Decision::Watch { .. } => unreachable!("not called here"),
+        }
+    }
+
+    fn commit(&mut self, count: usize) -> Vec<(usize, ControlReturn)> {
+        let due: Vec<_> = self.open.drain(..count).collect();
+        let mut answers = Vec::new();
+        for (zxid, change, number, answer) in due {
+            if self.settled_before(zxid) {
+                apply(&mut self.settled, zxid, change, self.now);
+            }
+            answers.push((number, answer));
+        }
+        answers
+    }
+
+    fn settled_before(&self, zxid: Zxid) -> bool {
+        APPLIED.with(|applied| applied.get() < zxid)
+    }
+
+    /// Another primary takes over; a part of what was open survives, and nobody was told.
+    fn change_primary(&mut self, random: &mut Random) {
+        let kept = random.below(self.open.len() as u64 + 1) as usize;
+        self.commit(kept);
+        self.open.clear();
+        self.epoch += 1;
+        self.counter = 0;
+        self.ahead = self.settled.clone();
+        self.holds = self
+            .settled
+            .locks
+            .iter()
+            .map(|(lock, record)| (lock.clone(), self.now + Duration::from_millis(record.hold_millis)))
+            .collect();
+    }
+}
+
+thread_local! {
+    static APPLIED: std::cell::Cell<Zxid> = const { std::cell::Cell::new(Zxid::ZERO) };
+}
+
+fn apply(ledger: &mut Ledger, zxid: Zxid, change: Change, now: Moment) {
+    APPLIED.with(|applied| applied.set(zxid));
+    ledger.apply(zxid, change, now);
+}
+
+fn call(method: &str, path: &str, body: String) -> ControlCall {
+    let (path, query) = path.split_once('?').unwrap_or((path, ""));
+    ControlCall {
+        method: method.into(),
+        path: path.into(),
+        query: query.into(),
+        if_match: None,
+        body: body.into_bytes(),
+    }
+}
+
+fn number_in(body: &str, field: &str) -> u64 {
+    Body::read(body.as_bytes()).and_then(|body| body.number(field)).expect("a number")
+}
+
+#[derive(Clone, Debug)]
+enum Asked {
+    Take { lock: u64, holder: u64, hold: Duration },
+    Renew { lock: u64, holder: u64, hold: Duration },
+    Release,
+    Number { floor: u64 },
+    Put { key: u64, value: u64, enabled: Option<u64>, floor: u64 },
+    Read { floor: u64 },
+}
+
+#[derive(Default)]
+struct Observer {
+    /// By lock: holder, fence, until when the holder counts itself holder.
+    held: HashMap<u64, (u64, u64, Moment)>,
+    highest_fence: HashMap<u64, (u64, u64)>,
+    highest_number: u64,
+    highest_revision: u64,
+    revision_of_value: HashMap<u64, u64>,
+    value_of_revision: HashMap<u64, u64>,
+    acknowledged: HashMap<u64, u64>,
+}
+
+impl Observer {
+    fn see(&mut self, asked: &Asked, sent: Moment, answer: &ControlReturn, now: Moment) {
+        match asked {
+            Asked::Take { lock, holder, hold } if answer.status == 200 => {
+                let fence = number_in(&answer.body, "fence_token");
+                if let Some((other, _, until)) = self.held.get(lock) {
+                    assert!(other == holder || *until < now, "two holders of one lock");
+                }
+                if let Some((other, highest)) = self.highest_fence.get(lock) {
+                    assert!(fence > *highest || (other == holder && fence == *highest), "fences must rise");
+                }
+                self.highest_fence.insert(*lock, (*holder, fence));
+                self.held.insert(*lock, (*holder, fence, sent + *hold));
+            }
+            Asked::Renew { lock, holder, hold } => {
+                if answer.status == 200
+                    && let Some((other, _, until)) = self.held.get_mut(lock)
+                    && other == holder
+                    && *until >= now
+                {
+                    *until = (*until).max(sent + *hold);
+                }
+            }
+            Asked::Number { floor } => {
+                let value = number_in(&answer.body, "value");
+                assert!(value > *floor, "a number not above one given before it was asked for");
+                self.highest_number = self.highest_number.max(value);
+            }
+            Asked::Put { key, value, enabled, floor } => {
+                let revision = number_in(&answer.body, "revision");
+                if answer.status == 412 {
+                    assert!(enabled.is_some_and(|enabled| enabled != revision));
+                    return;
+                }
+                assert!(revision > 0);
+                if let Some(first) = self.revision_of_value.insert(*value, revision) {
+                    assert_eq!(first, revision, "a repeated put gets its first revision");
+                }
+                if let Some(other) = self.value_of_revision.insert(revision, *value) {
+                    assert_eq!(other, *value, "a revision given twice");
+                }
+                let known = self.acknowledged.entry(*key).or_insert(0);
+                *known = (*known).max(revision);
+                self.highest_revision = self.highest_revision.max(revision);
+            }
+            Asked::Read { floor } => {
+                let revision = if answer.status == 404 { 0 } else { number_in(&answer.body, "revision") };
+                assert!(revision >= *floor, "a stale read");
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn callers_see_what_they_may_rely_on() {
+    let mut takes = 0;
+    for seed in 0..150 {
+        APPLIED.with(|applied| applied.set(Zxid::ZERO));
+        let mut random = Random::seeded(seed);
+        let mut core = Core::new();
+        let mut observer = Observer::default();
+        let mut asked: Vec<(Asked, Moment)> = Vec::new();
+        let mut next_value = 1;
+        let mut repeats: Vec<(u64, u64, Option<u64>)> = Vec::new();
+        for _ in 0..800 {
+            core.now = core.now + Duration::from_millis(random.below(60));
+            let (lock, holder, key) = (random.below(2), random.below(3), random.below(4));
+            let hold = Duration::from_millis(200 + random.below(400));
+            let seconds = hold.as_secs_f64();
+            let fence = observer.held.get(&lock).filter(|held| held.0 == holder).map(|held| held.1);
+            let path = format!("/v1/locks/l{lock}");
+            let (what, made) = match (random.below(9), fence) {
+                (0..3, _) => {
+                    let body = format!("{{\"holder\":\"h{holder}\",\"hold_s\":{seconds}}}");
+                    (Asked::Take { lock, holder, hold }, call("POST", &path, body))
+                }
+                (3, Some(fence)) => {
+                    let body = format!("{{\"holder\":\"h{holder}\",\"fence_token\":{fence},\"hold_s\":{seconds}}}");
+                    (Asked::Renew { lock, holder, hold }, call("PUT", &path, body))
+                }
+                (4, Some(fence)) if random.chance(0.3) => {
+                    observer.held.remove(&lock);
+                    let body = format!("{{\"holder\":\"h{holder}\",\"fence_token\":{fence}}}");
+                    (Asked::Release, call("DELETE", &path, body))
+                }
+                (5, _) => {
+                    let floor = observer.highest_number;
+                    (Asked::Number { floor }, call("POST", "/v1/numbers/n", "{}".into()))
+                }
+                (6, _) if !repeats.is_empty() && random.chance(0.4) => {
+                    // No clear answer came: the same put goes out again.
+                    let (key, value, enabled) = repeats[random.below(repeats.len() as u64) as usize];
+                    put(key, value, enabled, observer.highest_revision)
+                }
+                (6 | 7, _) => {
+                    let enabled = random.chance(0.5).then(|| observer.acknowledged.get(&key).copied().unwrap_or(0));
+                    let value = next_value;
+                    next_value += 1;
+                    repeats.push((key, value, enabled));
+                    if repeats.len() > 6 {
+                        repeats.remove(0);
+                    }
+                    put(key, value, enabled, observer.highest_revision)
+                }
+                _ => {
+                    let floor = observer.acknowledged.get(&key).copied().unwrap_or(0);
+                    (Asked::Read { floor }, call("GET", &format!("/v1/cells/g.{key}"), String::new()))
+                }
+            };
+            let sent = core.now;
+            asked.push((what, sent));
+            let number = asked.len() - 1;
+            if let Some(answer) = core.call(number, &made) {
+                observer.see(&asked[number].0, sent, &answer, core.now);
+            }
+            if random.chance(0.5) {
+                core.now = core.now + Duration::from_millis(random.below(10));
+                let count = random.below(core.open.len() as u64 + 1) as usize;
+                for (number, answer) in core.commit(count) {
+                    let (what, sent) = asked[number].clone();
+                    takes += matches!(what, Asked::Take { .. }) as usize * (answer.status == 200) as usize;
+                    observer.see(&what, sent, &answer, core.now);
+                }
+            }
+            if random.chance(0.01) {
+                core.change_primary(&mut random);
+            }
+        }
+    }
+    assert!(takes > 1000, "{takes}");
+}
+
+fn put(key: u64, value: u64, enabled: Option<u64>, floor: u64) -> (Asked, ControlCall) {
+    let rest = enabled.map(|enabled| format!(",\"enabled\":{enabled}")).unwrap_or_default();
+    let made = call("PUT", &format!("/v1/cells/g.{key}"), format!("{{\"value\":\"v{value}\"{rest}}}"));
+    (Asked::Put { key, value, enabled, floor }, made)
+}
+
+#[test]
+fn watches_tell_every_put_and_say_when_they_can_not() {
+    let mut ledger = Ledger::new(Duration::from_secs(2));
+    let mut now = Moment::from_micros(0);
+    for revision in 1..=50 {
+        now = now + Duration::from_millis(200);
+        let change = Change::CellPut { name: format!("g.{}", revision % 3), value: format!("v{revision}"), revision };
+        ledger.apply(Zxid::new(1, revision), change, now);
+    }
+    let told = watch::look(&ledger, "g.", 40, false).expect("there is something to tell");
+    assert_eq!((told.status, told.body.matches("\"name\"").count()), (200, 10));
+    assert!(told.body.ends_with("\"revision\":50}"));
+    // 2 s are promised; 5 s are kept, which is 25 puts.
+    assert_eq!(watch::look(&ledger, "g.", 26, false).map(|told| told.status), Some(200));
+    assert_eq!(watch::look(&ledger, "g.", 3, false).map(|told| told.status), Some(410));
+    assert!(watch::look(&ledger, "g.", 50, false).is_none(), "nothing to tell: it waits");
+}
+
+#[test]
+fn one_of_two_changes_on_the_same_version_wins_and_repeats_are_known() {
+    let mut core = Core::new();
+    APPLIED.with(|applied| applied.set(Zxid::ZERO));
+    let whole = |epoch: u64, path: &str| {
+        let route = format!(
+            "{{\"hostname\":\"h\",\"path_prefix\":\"{path}\",\"route_type\":\"upload\",\"service_name\":\"s\"}}"
+        );
+        let body = format!("{{\"version\":\"r{epoch}\",\"routes\":{{\"a\":{route}}},\"services\":{{\"s\":{{}}}}}}");
+        ControlCall { if_match: Some("0".into()), ..call("PUT", "/v1/configuration", body) }
+    };
+    assert!(core.call(0, &whole(3, "/a/")).is_none());
+    // The loser is told only once the winner is committed.
+    assert!(core.call(1, &whole(4, "/b/")).is_none());
+    let answers = core.commit(2);
+    assert_eq!(answers.iter().map(|(_, answer)| answer.status).collect::<Vec<_>>(), [200, 412]);
+    assert_eq!(core.call(2, &whole(3, "/a/")).map(|answer| answer.status), Some(200), "the same call again");
+    assert_eq!(core.call(3, &whole(2, "a/")).map(|answer| answer.status), Some(400));
+    assert_eq!(core.settled.fleet.epoch().0, 3);
+}
--- a/crates/trackbed/src/http/mod.rs
+++ b/crates/trackbed/src/http/mod.rs
@@ -8,6 +8,8 @@
 mod line;
 mod returns;
 mod serve;
+#[cfg(test)]
+mod tests;
 
 pub use body::Framing;
 pub use door::{DoorError, DoorLimits};
