--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -121,17 +121,18 @@
     Renew { lock: u64, holder: u64, hold: Duration },
     Release,
     Number { floor: u64 },
-    Put { key: u64, value: u64, enabled: Option<u64>, floor: u64 },
+    Put { key: u64, value: u64, enabled: Option<u64> },
     Read { floor: u64 },
 }
 
 #[derive(Default)]
 struct Observer {
+    /// When a holder gave a lock back last: what it asked before that counts for nothing.
+    released: HashMap<(u64, u64), Moment>,
     /// By lock: holder, fence, until when the holder counts itself holder.
     held: HashMap<u64, (u64, u64, Moment)>,
     highest_fence: HashMap<u64, (u64, u64)>,
     highest_number: u64,
-    highest_revision: u64,
     revision_of_value: HashMap<u64, u64>,
     value_of_revision: HashMap<u64, u64>,
     acknowledged: HashMap<u64, u64>,
@@ -140,7 +141,9 @@
 impl Observer {
     fn see(&mut self, asked: &Asked, sent: Moment, answer: &ControlReturn, now: Moment) {
         match asked {
-            Asked::Take { lock, holder, hold } if answer.status == 200 => {
+            Asked::Take { lock, holder, hold }
+                if answer.status == 200 && self.released.get(&(*lock, *holder)).is_none_or(|at| *at < sent) =>
+            {
                 let fence = number_in(&answer.body, "fence_token");
                 if let Some((other, _, until)) = self.held.get(lock) {
                     assert!(other == holder || *until < now, "two holders of one lock");
@@ -165,7 +168,7 @@
                 assert!(value > *floor, "a number not above one given before it was asked for");
                 self.highest_number = self.highest_number.max(value);
             }
-            Asked::Put { key, value, enabled, floor } => {
+            Asked::Put { key, value, enabled } => {
                 let revision = number_in(&answer.body, "revision");
                 if answer.status == 412 {
                     assert!(enabled.is_some_and(|enabled| enabled != revision));
@@ -180,7 +183,6 @@
                 }
                 let known = self.acknowledged.entry(*key).or_insert(0);
                 *known = (*known).max(revision);
-                self.highest_revision = self.highest_revision.max(revision);
             }
             Asked::Read { floor } => {
                 let revision = if answer.status == 404 { 0 } else { number_in(&answer.body, "revision") };
@@ -220,6 +222,7 @@
                 }
                 (4, Some(fence)) if random.chance(0.3) => {
                     observer.held.remove(&lock);
+                    observer.released.insert((lock, holder), core.now);
                     let body = format!("{{\"holder\":\"h{holder}\",\"fence_token\":{fence}}}");
                     (Asked::Release, call("DELETE", &path, body))
                 }
@@ -230,7 +233,7 @@
                 (6, _) if !repeats.is_empty() && random.chance(0.4) => {
                     // No clear answer came: the same put goes out again.
                     let (key, value, enabled) = repeats[random.below(repeats.len() as u64) as usize];
-                    put(key, value, enabled, observer.highest_revision)
+                    put(key, value, enabled)
                 }
                 (6 | 7, _) => {
                     let enabled = random.chance(0.5).then(|| observer.acknowledged.get(&key).copied().unwrap_or(0));
@@ -240,7 +243,7 @@
                     if repeats.len() > 6 {
                         repeats.remove(0);
                     }
-                    put(key, value, enabled, observer.highest_revision)
+                    put(key, value, enabled)
                 }
                 _ => {
                     let floor = observer.acknowledged.get(&key).copied().unwrap_or(0);
@@ -270,10 +273,10 @@
     assert!(takes > 1000, "{takes}");
 }
 
-fn put(key: u64, value: u64, enabled: Option<u64>, floor: u64) -> (Asked, ControlCall) {
+fn put(key: u64, value: u64, enabled: Option<u64>) -> (Asked, ControlCall) {
     let rest = enabled.map(|enabled| format!(",\"enabled\":{enabled}")).unwrap_or_default();
     let made = call("PUT", &format!("/v1/cells/g.{key}"), format!("{{\"value\":\"v{value}\"{rest}}}"));
-    (Asked::Put { key, value, enabled, floor }, made)
+    (Asked::Put { key, value, enabled }, made)
 }
 
 #[test]
