--- /dev/null
+++ b/crates/gauge/src/ask.rs
@@ -0,0 +1,86 @@
+//! What the running system says of itself.
+
+use derive_more::{Display, Error};
+use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+use timetable::configuration::Configuration;
+use trackbed::http::{Inquiry, Line, Return, write_inquiry};
+use trackbed::ids::ConfigEpoch;
+use trackbed::net::connect;
+
+const LIMIT: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Display, Error)]
+pub enum AskError {
+    #[display("the fleet at {address} gives no answer to {path}: name another core node's control_plane address")]
+    NoAnswer { address: SocketAddr, path: &'static str },
+    #[display("the fleet's answer can't be read: use a gauge of the same version as signalbox")]
+    Unreadable,
+}
+
+pub struct Endpoint {
+    pub service: String,
+    pub slots: u64,
+    pub draining: bool,
+    pub service_time: Option<Duration>,
+}
+
+pub struct FleetNow {
+    pub epoch: ConfigEpoch,
+    pub configuration: Option<Configuration>,
+    pub endpoints: Vec<Endpoint>,
+}
+
+impl FleetNow {
+    pub fn read(fleet: &[u8], configuration: Option<Configuration>) -> Option<Self> {
+        let value: Value = sonic_rs::from_slice(fleet).ok()?;
+        let epoch = ConfigEpoch::parse(value.pointer(["configuration"].iter())?.as_str()?)?;
+        let mut endpoints = Vec::new();
+        for item in value.pointer(["endpoints"].iter())?.as_array()?.iter() {
+            let field = |name: &str| item.pointer([name].iter());
+            endpoints.push(Endpoint {
+                service: field("service_name")?.as_str()?.to_owned(),
+                slots: field("capacity_slots")?.as_u64()?,
+                draining: field("draining")?.as_bool()?,
+                service_time: field("service_s").and_then(|span| span.as_f64()).map(Duration::from_secs_f64),
+            });
+        }
+        Some(Self { epoch, configuration, endpoints })
+    }
+}
+
+async fn get(address: SocketAddr, path: &'static str) -> Result<Return, AskError> {
+    let no_answer = || AskError::NoAnswer { address, path };
+    let mut line = Line::new(connect(address, LIMIT).await.map_err(|_| no_answer())?);
+    let inquiry = Inquiry {
+        method: http::Method::GET,
+        target: path.to_owned(),
+        headers: http::HeaderMap::new(),
+        body: Default::default(),
+        keeps: false,
+    };
+    let host = address.to_string();
+    line.write(write_inquiry(&inquiry, &[("Host", &host), ("Connection", "close")], &[]))
+        .await
+        .map_err(|_| no_answer())?;
+    line.read_return(false, 64 << 20).await.map_err(|_| no_answer())
+}
+
+pub fn fleet_now(address: SocketAddr) -> Result<FleetNow, AskError> {
+    let mut outcome = Err(AskError::Unreadable);
+    let run = trackbed::kernel::run(async {
+        outcome = async {
+            let fleet = get(address, "/v1/fleet").await?;
+            let configuration = get(address, "/v1/configuration").await?;
+            let configuration = match configuration.status {
+                404 => None,
+                _ => Some(Configuration::parse(&configuration.body).map_err(|_| AskError::Unreadable)?),
+            };
+            FleetNow::read(&fleet.body, configuration).ok_or(AskError::Unreadable)
+        }
+        .await;
+    });
+    run.map_err(|_| AskError::NoAnswer { address, path: "/v1/fleet" })?;
+    outcome
+}
--- /dev/null
+++ b/crates/gauge/src/main.rs
@@ -0,0 +1,163 @@
+//! Checks an operator's configuration, alone or against the fleet as it is. Changes nothing.
+
+mod against;
+mod ask;
+mod finding;
+
+use finding::{Finding, Level};
+use getopts::Options;
+use std::net::SocketAddr;
+use timetable::configuration::{Configuration, Fault, Patch};
+
+const USAGE: &str = "Usage: gauge check FILE [--fleet ADDRESS] [--json] [--strict]
+
+Reads a configuration, or a change to one (with upserts or removals), and checks it as signalbox does.
+With --fleet it also asks a core node's control_plane address what is in place, and compares.
+Status: 0 good; 1 faults, or warnings with --strict; 2 wrong usage, unreadable file, no answer.";
+
+fn main() {
+    std::process::exit(run(std::env::args().skip(1).collect()));
+}
+
+fn run(arguments: Vec<String>) -> i32 {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    options.optopt("f", "fleet", "control_plane address of a core node", "ADDRESS");
+    options.optflag("j", "json", "findings as JSON");
+    options.optflag("s", "strict", "warnings count as faults");
+    let matches = match options.parse(&arguments) {
+        Ok(matches) => matches,
+        Err(error) => return usage(&error.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return 0;
+    }
+    if matches.opt_present("version") {
+        println!("gauge {}", env!("CARGO_PKG_VERSION"));
+        return 0;
+    }
+    let [command, file] = matches.free.as_slice() else { return usage("give a command and a file") };
+    if command != "check" {
+        return usage("the only command is check");
+    }
+    let fleet = match matches.opt_str("fleet").map(|text| text.parse::<SocketAddr>()) {
+        None => None,
+        Some(Ok(address)) => Some(address),
+        Some(Err(_)) => return usage("--fleet wants an address like 10.0.0.1:8080"),
+    };
+    let body = match std::fs::read(file) {
+        Ok(body) => body,
+        Err(error) => {
+            eprintln!("gauge: {file} can't be read: {error}");
+            return 2;
+        }
+    };
+    let now = match fleet.map(ask::fleet_now).transpose() {
+        Ok(now) => now,
+        Err(error) => {
+            eprintln!("gauge: {error}");
+            return 2;
+        }
+    };
+    let findings = check(&body, now.as_ref());
+    print(&findings, matches.opt_present("json"));
+    let counts = |finding: &Finding| finding.level == Level::Fault || matches.opt_present("strict");
+    findings.iter().any(counts) as i32
+}
+
+fn usage(reason: &str) -> i32 {
+    eprintln!("gauge: {reason}\n{USAGE}");
+    2
+}
+
+/// All that is to be said of a configuration or a change.
+fn check(body: &[u8], now: Option<&ask::FleetNow>) -> Vec<Finding> {
+    let current = now.and_then(|now| now.configuration.as_ref());
+    let whole = if is_patch(body) {
+        let base = current.cloned().unwrap_or_default();
+        Patch::parse(body).and_then(|patch| base.patched(&patch))
+    } else {
+        Configuration::parse(body)
+    };
+    let read = whole.and_then(|whole| whole.typed().map(|routes| (whole, routes)));
+    let (whole, routes) = match read {
+        Ok(read) => read,
+        Err(fault @ Fault::UnknownService { .. }) if is_patch(body) && now.is_none() => {
+            let remedy = "ask with --fleet, so that the change is checked on top of what is in place";
+            return vec![Finding::warning("", &fault.to_string(), remedy)];
+        }
+        Err(fault) => return vec![Finding::fault("", &fault.to_string(), "mend it as said")],
+    };
+    let mut findings = against::alone(&routes);
+    if let Some(now) = now {
+        findings.extend(against::fleet(&whole, &routes, now));
+    }
+    findings
+}
+
+fn is_patch(body: &[u8]) -> bool {
+    use sonic_rs::JsonValueTrait;
+    sonic_rs::from_slice::<sonic_rs::Value>(body)
+        .is_ok_and(|value| value.pointer(["upserts"].iter()).is_some() || value.pointer(["removals"].iter()).is_some())
+}
+
+fn print(findings: &[Finding], json: bool) {
+    if json {
+        let items: Vec<String> = findings.iter().map(Finding::to_json).collect();
+        println!("[{}]", items.join(","));
+        return;
+    }
+    for finding in findings {
+        println!("{finding}");
+    }
+    if findings.is_empty() {
+        println!("nothing found");
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"version":"r7","routes":{
+        "a":{"hostname":"h","path_prefix":"/a/","route_type":"idempotent","timeout_s":0.5,"service_name":"s"},
+        "b":{"hostname":"h","path_prefix":"/a/b/","route_type":"upload","timeout_s":1,
+             "traffic_split":[{"service_name":"s","weight":1},{"service_name":"t","weight":9}]}},
+        "services":{"s":{"max_connections":3},"t":{}}}"#;
+
+    const FLEET: &str = r#"{"configuration":"r7","endpoints":[
+        {"instance_id":"i1","service_name":"s","capacity_slots":6,"draining":false,"service_s":0.7},
+        {"instance_id":"i2","service_name":"t","capacity_slots":6,"draining":true}]}"#;
+
+    #[test]
+    fn alone_it_says_what_signalbox_would_say_and_what_shadows() {
+        let findings = check(GOOD.as_bytes(), None);
+        assert_eq!(findings.iter().map(|finding| finding.place.as_str()).collect::<Vec<_>>(), ["/routes/b"]);
+        let findings = check(GOOD.replace("\"/a/\"", "\"a/\"").as_bytes(), None);
+        assert_eq!(findings[0].level, Level::Fault);
+        assert!(findings[0].message.contains("path_prefix"));
+    }
+
+    #[test]
+    fn against_the_fleet_each_difference_is_found_once() {
+        let now = ask::FleetNow::read(FLEET.as_bytes(), None).unwrap();
+        let findings = check(GOOD.as_bytes(), Some(&now));
+        let found = |place: &str, word: &str| {
+            findings.iter().filter(|finding| finding.place == place && finding.message.contains(word)).count()
+        };
+        assert_eq!(found("/version", "above"), 1);
+        assert_eq!(found("/routes/a/timeout_s", "usual"), 1);
+        assert_eq!(found("/routes/b/traffic_split", "drain"), 1);
+        assert_eq!(found("/services/s/max_connections", "slots"), 1);
+        assert_eq!(findings.iter().filter(|finding| finding.level == Level::Fault).count(), 1);
+    }
+
+    #[test]
+    fn wrong_usage_is_told_by_its_own_status() {
+        assert_eq!(run(vec!["check".into()]), 2);
+        assert_eq!(run(vec!["check".into(), "/no/such/file".into()]), 2);
+        assert_eq!(run(vec!["check".into(), "x".into(), "--fleet".into(), "nowhere".into()]), 2);
+    }
+}
--- a/crates/lineside/src/gossip/cards.rs
+++ b/crates/lineside/src/gossip/cards.rs
@@ -2,7 +2,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
-use trackbed::ids::{Incarnation, InstanceId, NodeName, RegionName, ZoneName, Zxid};
+use trackbed::ids::{ConfigEpoch, Incarnation, InstanceId, NodeName, RegionName, ZoneName, Zxid};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Role {
@@ -69,6 +69,8 @@
     pub from: Card,
     /// How far the sender's fleet state is.
     pub fleet: Zxid,
+    /// The configuration in force there.
+    pub configuration: ConfigEpoch,
     /// What the sender's roster comes to, to find gaps by.
     pub roster: u64,
     pub occupancy: Option<Occupancy>,
--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::clock::Moment;
-use trackbed::ids::{Incarnation, NodeName, Zxid};
+use trackbed::ids::{ConfigEpoch, Incarnation, NodeName, Zxid};
 use trackbed::random::{Random, stable_hash};
 
 const CARDS_IN_A_DATAGRAM: usize = 8;
@@ -50,6 +50,8 @@
     card: Card,
     since: Moment,
     occupancy: Option<(Occupancy, Moment)>,
+    /// How far its fleet state was when it last spoke.
+    told: (Zxid, ConfigEpoch),
 }
 
 #[derive(Clone, Debug)]
@@ -63,6 +65,7 @@
 pub struct Roster {
     me: Card,
     fleet: Zxid,
+    configuration: ConfigEpoch,
     occupancy: Option<Occupancy>,
     timing: RosterTiming,
     /// Invariant: never holds this node itself.
@@ -89,6 +92,7 @@
         Self {
             me: Card { sibling: me, standing: Standing::Alive },
             fleet: Zxid::ZERO,
+            configuration: ConfigEpoch::default(),
             occupancy: None,
             timing,
             known: BTreeMap::new(),
@@ -112,6 +116,13 @@
     pub fn set_occupancy(&mut self, occupancy: Option<Occupancy>) {
         self.occupancy = occupancy;
     }
+    pub fn set_configuration(&mut self, configuration: ConfigEpoch) {
+        self.configuration = configuration;
+    }
+    /// How far a node's fleet state was when it last spoke, and the configuration in force there.
+    pub fn told_by(&self, name: &NodeName) -> Option<(Zxid, ConfigEpoch)> {
+        self.known.get(name).map(|known| known.told)
+    }
     pub fn me(&self) -> &Sibling {
         &self.me.sibling
     }
@@ -190,6 +201,7 @@
         Datagram {
             from: self.me.clone(),
             fleet: self.fleet,
+            configuration: self.configuration,
             roster: self.digest(),
             occupancy: self.occupancy.clone(),
             kind,
@@ -245,7 +257,10 @@
             if card.standing == Standing::Dead {
                 return false;
             }
-            self.known.insert(name.clone(), Known { card: card.clone(), since: now, occupancy: None });
+            self.known.insert(
+                name.clone(),
+                Known { card: card.clone(), since: now, occupancy: None, told: Default::default() },
+            );
             let place = self.random.below(self.turn.len() as u64 + 1) as usize;
             self.turn.insert(place, name);
         }
@@ -254,7 +269,7 @@
     }
 
     pub fn receive(&mut self, from: SocketAddr, datagram: Datagram, now: Moment) -> Vec<GossipAction> {
-        let Datagram { from: card, fleet, roster, occupancy, kind, news } = datagram;
+        let Datagram { from: card, fleet, configuration, roster, occupancy, kind, news } = datagram;
         if card.sibling.name == self.me.sibling.name {
             return Vec::new();
         }
@@ -264,6 +279,7 @@
         if let Some(known) = self.known.get_mut(&name) {
             if known.card.sibling.incarnation == card.sibling.incarnation {
                 known.occupancy = occupancy.map(|occupancy| (occupancy, now));
+                known.told = (fleet, configuration);
             }
             if (known.card.sibling.incarnation, known.card.standing) > (card.sibling.incarnation, card.standing) {
                 // It doesn't know what is said of it.
@@ -319,6 +335,7 @@
             let datagram = Datagram {
                 from: self.me.clone(),
                 fleet: self.fleet,
+                configuration: self.configuration,
                 roster: self.digest(),
                 occupancy: self.occupancy.clone(),
                 kind: Kind::Ack { number: 0 },
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -14,23 +14,36 @@
 pub struct InboundDoor(pub Rc<Pointsman>);
 pub struct ReadinessDoor(pub Rc<Pointsman>);
 
+impl Pointsman {
+    /// What bodies may take at one door, of the memory there is.
+    fn body_room(&self) -> u64 {
+        ((self.live.get().limits.memory_mb << 20) / 6).max(1 << 20)
+    }
+}
+
 impl Handler for OutboundDoor {
     fn limits(&self) -> DoorLimits {
         let fleet = self.0.fleet.borrow();
         let Some(routes) = fleet.routes() else {
             return DoorLimits::default();
         };
-        // What may be held at once is bounded by the memory there is.
-        let most = (self.0.live.get().limits.memory_mb << 20) / 8;
         DoorLimits {
             header_bytes: routes.limits.header_bytes as usize,
-            body_bytes: routes.limits.body_bytes.min(most.max(1 << 20)),
+            body_bytes: routes.limits.body_bytes,
+            room: self.0.body_room(),
             header_time: routes.limits.header_time,
             idle_time: routes.limits.idle_time,
             ..DoorLimits::default()
         }
     }
 
+    fn turned_away(&self, status: u16, reason: &'static str) -> Return {
+        match status {
+            503 => dispatch::come_back(&self.0, Duration::from_millis(200), reason),
+            status => Return::text(status, reason),
+        }
+    }
+
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
         let node = &self.0;
         let now = clock::now();
@@ -50,7 +63,12 @@
 
 impl Handler for InboundDoor {
     fn limits(&self) -> DoorLimits {
-        DoorLimits { header_bytes: 128 << 10, idle_time: Duration::from_secs(30), ..DoorLimits::default() }
+        DoorLimits {
+            header_bytes: 128 << 10,
+            room: self.0.body_room(),
+            idle_time: Duration::from_secs(30),
+            ..DoorLimits::default()
+        }
     }
 
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -53,7 +53,11 @@
     adopt_life(node);
     let fleet = node.fleet.borrow();
     node.balance.borrow_mut().forget_all_but(|instance| fleet.instance(instance).is_some());
-    let actions = node.roster.borrow_mut().fleet_moved(fleet.zxid());
+    let actions = {
+        let mut roster = node.roster.borrow_mut();
+        roster.set_configuration(fleet.epoch());
+        roster.fleet_moved(fleet.zxid())
+    };
     drop(fleet);
     gossip(node, actions);
 }
--- a/crates/signalbox/src/node/doors.rs
+++ b/crates/signalbox/src/node/doors.rs
@@ -1,6 +1,6 @@
 //! The door for operators and applications.
 
-use super::{Signalbox, primary};
+use super::{Signalbox, fleet_view, primary};
 use lineside::call::ControlCall;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,6 +28,12 @@
     }
 
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+        if inquiry.path() == fleet_view::PATH {
+            return Some(match inquiry.method {
+                http::Method::GET => Return::json(200, fleet_view::write(&self.0)),
+                _ => Return::fault(405, "the fleet can only be read here"),
+            });
+        }
         let call = ControlCall {
             method: inquiry.method.as_str().to_owned(),
             path: inquiry.path().to_owned(),
--- /dev/null
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -0,0 +1,77 @@
+//! The fleet as this node sees it, for operators and for `gauge`. Read only, answered here and now.
+
+use super::Signalbox;
+use lineside::gossip::{Role, Standing};
+use std::fmt::Write;
+use trackbed::logs::escape;
+
+pub const PATH: &str = "/v1/fleet";
+
+fn role(role: Role) -> &'static str {
+    match role {
+        Role::Core => "core",
+        Role::Beside => "beside",
+    }
+}
+
+fn standing(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Alive => "alive",
+        Standing::Suspect => "suspect",
+        Standing::Leaving => "leaving",
+        Standing::Dead => "dead",
+    }
+}
+
+fn list(items: impl Iterator<Item = String>) -> String {
+    format!("[{}]", items.collect::<Vec<_>>().join(","))
+}
+
+pub fn write(node: &Signalbox) -> String {
+    let (zab, roster, settled) = (node.zab.borrow(), node.roster.borrow(), node.settled.borrow());
+    let fleet = &settled.fleet;
+    let primary = zab.primary().map(|primary| format!("\"{}\"", primary.address)).unwrap_or_else(|| "null".into());
+    let members = list(zab.voters().iter().map(|voter| {
+        let own = voter.id == zab.me().id;
+        format!("{{\"member\":\"{}\",\"address\":\"{}\",\"asked\":{own}}}", voter.id, voter.address)
+    }));
+    let nodes = list(roster.cards().map(|card| {
+        let sibling = &card.sibling;
+        let (zxid, epoch) = roster.told_by(&sibling.name).unwrap_or_default();
+        format!(
+            "{{\"node_name\":\"{}\",\"incarnation\":{},\"role\":\"{}\",\"standing\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"region\":\"{}\",\"fleet\":\"{zxid}\",\"configuration\":\"{epoch}\"}}",
+            escape(sibling.name.as_str()),
+            sibling.incarnation,
+            role(sibling.role),
+            standing(card.standing),
+            sibling.address,
+            escape(sibling.zone.as_str()),
+            escape(sibling.region.as_str()),
+        )
+    }));
+    let endpoints = list(fleet.instances().map(|instance| {
+        let told = roster.occupancy_of(&instance.node).filter(|(told, _)| told.instance == instance.id);
+        let mut text = format!(
+            "{{\"instance_id\":\"{}\",\"service_name\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"node_name\":\"{}\",\"capacity_slots\":{},\"draining\":{}",
+            escape(instance.id.as_str()),
+            escape(instance.service.as_str()),
+            instance.address,
+            escape(instance.zone.as_str()),
+            escape(instance.node.as_str()),
+            instance.slots,
+            instance.draining,
+        );
+        if let Some((told, _)) = told {
+            let seconds = told.service_micros as f64 / 1e6;
+            let _ = write!(text, ",\"running\":{},\"queued\":{},\"service_s\":{seconds}", told.running, told.queued);
+        }
+        text.push('}');
+        text
+    }));
+    format!(
+        "{{\"primary\":{primary},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints}}}",
+        zab.epoch(),
+        fleet.zxid(),
+        fleet.epoch(),
+    )
+}
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod disk;
 mod doors;
 mod error;
+mod fleet_view;
 mod members;
 mod primary;
 mod siblings;
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -151,8 +151,15 @@
 }
 
 fn tell_fleet(node: &Signalbox) {
-    let zxid = node.settled.borrow().fleet.zxid();
-    let actions = node.roster.borrow_mut().fleet_moved(zxid);
+    let (zxid, epoch) = {
+        let settled = node.settled.borrow();
+        (settled.fleet.zxid(), settled.fleet.epoch())
+    };
+    let actions = {
+        let mut roster = node.roster.borrow_mut();
+        roster.set_configuration(epoch);
+        roster.fleet_moved(zxid)
+    };
     siblings::gossip(node, actions);
 }
 
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -71,7 +71,15 @@
         self.services.get(name.as_str())
     }
 
-    pub fn service_names(&self) -> impl Iterator<Item = &String> {
-        self.services.keys()
+    pub fn services(&self) -> impl Iterator<Item = (&String, &Service)> {
+        self.services.iter()
+    }
+
+    /// Every route, by name.
+    pub fn all(&self) -> Vec<Rc<Route>> {
+        let hosts = self.hosts.values();
+        let mut all: Vec<_> = hosts.flat_map(|host| host.whole.values().chain(&host.open)).cloned().collect();
+        all.sort_by(|one, other| one.name.cmp(&other.name));
+        all
     }
 }
--- a/crates/trackbed/src/http/door.rs
+++ b/crates/trackbed/src/http/door.rs
@@ -1,5 +1,6 @@
 //! Requests as they come in at a door.
 
+use super::body::Framing;
 use super::head::{HeadError, Inquiry, head_length, take_inquiry_head};
 use super::line::{BodyError, Line};
 use derive_more::Display;
@@ -9,6 +10,8 @@
 pub struct DoorLimits {
     pub header_bytes: usize,
     pub body_bytes: u64,
+    /// What bodies may take now: a longer one is turned away for the moment.
+    pub room: u64,
     pub header_time: Duration,
     pub idle_time: Duration,
     pub body_time: Duration,
@@ -19,6 +22,7 @@
         Self {
             header_bytes: 16 << 10,
             body_bytes: 64 << 20,
+            room: 64 << 20,
             header_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
             body_time: Duration::from_secs(30),
@@ -67,6 +71,9 @@
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()).await.map_err(|_| DoorError::Broken)?;
         }
         let mut inquiry = head.inquiry;
+        if matches!(head.framing, Framing::Length(length) if length > limits.room && length <= limits.body_bytes) {
+            return Err(declined(503, "too many large bodies are under way: it has not run"));
+        }
         let body = self.read_body(head.framing, limits.body_bytes);
         inquiry.body = match monoio::time::timeout(limits.body_time, body).await {
             Ok(Ok(body)) => body,
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -29,24 +29,26 @@
     pub open: Cell<usize>,
     /// Requests read and not yet answered.
     pub under_way: Cell<usize>,
+    /// Bytes of bodies read and not yet answered.
+    pub held_bytes: Cell<usize>,
     /// Most connections taken at once.
     pub most_open: Cell<usize>,
     /// Every answer from now on ends its connection.
     pub leaving: Cell<bool>,
 }
 
-struct Count<'a>(&'a Cell<usize>);
+struct Count<'a>(&'a Cell<usize>, usize);
 
 impl<'a> Count<'a> {
-    fn up(cell: &'a Cell<usize>) -> Self {
-        cell.set(cell.get() + 1);
-        Self(cell)
+    fn up(cell: &'a Cell<usize>, amount: usize) -> Self {
+        cell.set(cell.get() + amount);
+        Self(cell, amount)
     }
 }
 
 impl Drop for Count<'_> {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.set(self.0.get() - self.1);
     }
 }
 
@@ -72,10 +74,12 @@
 }
 
 async fn serve_line<H: Handler>(stream: TcpStream, serving: &Serving, handler: Rc<H>) {
-    let _open = Count::up(&serving.open);
+    let _open = Count::up(&serving.open, 1);
     let mut line = Line::new(stream);
     loop {
-        let inquiry = match line.read_inquiry(&handler.limits()).await {
+        let mut limits = handler.limits();
+        limits.room = limits.room.saturating_sub(serving.held_bytes.get() as u64);
+        let inquiry = match line.read_inquiry(&limits).await {
             Ok(inquiry) => inquiry,
             Err(DoorError::Declined { status, reason }) => {
                 let answer = handler.turned_away(status, reason).closing();
@@ -95,7 +99,8 @@
             }
             Err(DoorError::Ended | DoorError::Broken) => return,
         };
-        let _under_way = Count::up(&serving.under_way);
+        let _under_way = Count::up(&serving.under_way, 1);
+        let _held = Count::up(&serving.held_bytes, inquiry.body.len());
         let (keeps, bodyless) = (inquiry.keeps, inquiry.method == Method::HEAD);
         let Some(mut answer) = handler.clone().handle(inquiry).await else {
             line.break_off();
