--- a/crates/interlocking/src/zab/tests.rs
+++ b/crates/interlocking/src/zab/tests.rs
@@ -521,3 +521,23 @@
         assert_eq!(world.elections, 2, "the two go on without the one cut off");
     }
 }
+
+#[test]
+fn what_was_acknowledged_outlives_the_primary_and_all_unsynced_writes() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, 3);
+        world.run(Duration::from_secs(3), 0.2);
+        let primary = *world.primaries.last_key_value().unwrap().1;
+        for other in (0..3).filter(|host| *host != primary) {
+            world.members[other as usize].slow_disk = true;
+        }
+        world.run(Duration::from_millis(700), 0.8);
+        world.kill(primary);
+        for other in (0..3).filter(|host| *host != primary) {
+            world.kill(other);
+            world.start(other);
+        }
+        world.run(Duration::from_secs(4), 0.2);
+        assert!(world.elections >= 2);
+    }
+}
--- a/crates/pointsman/src/dispatch/balance.rs
+++ b/crates/pointsman/src/dispatch/balance.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::clock::Moment;
-use trackbed::ids::{InstanceId, NodeName};
+use trackbed::ids::{InstanceId, NodeName, ZoneName};
 use trackbed::random::Random;
 
 /// One endpoint that a request may go to.
@@ -14,6 +14,7 @@
     pub instance: InstanceId,
     pub node: NodeName,
     pub beside: SocketAddr,
+    pub zone: ZoneName,
     pub slots: u32,
     pub is_local: bool,
     pub same_zone: bool,
@@ -159,6 +160,7 @@
             instance: InstanceId::new(name),
             node: NodeName::new(name),
             beside: ([10, 0, 0, 1], 1).into(),
+            zone: ZoneName::new("z"),
             slots: 4,
             is_local: false,
             same_zone: true,
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -1,11 +1,12 @@
 //! Carrying a plan out: goes at one endpoint after the other, as far as rule and budget allow.
 
 use super::balance::Candidate;
+use super::binding::Binding;
 use super::errand::{Errand, GoResult, Outcome, Passed};
 use super::headers::CALLER;
 use super::plan::Plan;
 use super::{BudgetBounds, remote};
-use crate::node::Pointsman;
+use crate::node::{Pointsman, tenancy};
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock;
@@ -31,7 +32,7 @@
     Return::text(503, reason).with_header("retry-after", &format!("{:.3}", wait.as_secs_f64()))
 }
 
-fn candidates(node: &Pointsman, plan: &Plan) -> Vec<Candidate> {
+fn candidates(node: &Pointsman, plan: &Plan, binding: &Binding) -> Vec<Candidate> {
     let config = node.live.get();
     let fleet = node.fleet.borrow();
     let roster = node.roster.borrow();
@@ -39,6 +40,7 @@
         .serving(&plan.service)
         .iter()
         .filter(|instance| !instance.draining)
+        .filter(|instance| binding.permits(config.zones.get(&instance.zone)))
         .filter(|instance| {
             use lineside::gossip::Standing;
             instance.node == config.node_name
@@ -48,6 +50,7 @@
             instance: instance.id.clone(),
             node: instance.node.clone(),
             beside: instance.beside,
+            zone: instance.zone.clone(),
             slots: instance.slots,
             is_local: instance.node == config.node_name,
             same_zone: instance.zone == config.zone,
@@ -74,6 +77,11 @@
     } else {
         remote::deliver(&node.siblings, candidate.beside, errand).await
     };
+    if matches!(result.outcome, Outcome::Answered(_))
+        && !errand.binding.permits(node.live.get().zones.get(&candidate.zone))
+    {
+        tenancy::violated(node, &errand.binding);
+    }
     let now = clock::now();
     let mut balance = node.balance.borrow_mut();
     balance.end(&candidate.instance);
@@ -83,7 +91,9 @@
     match &result.outcome {
         Outcome::Answered(_) | Outcome::OverHorizon => balance.went_well(&candidate.instance),
         Outcome::NotSent => balance.shun(&candidate.instance, now, SHUN_UNREACHABLE),
-        Outcome::NotTaken { why: Passed::Gone, .. } => balance.shun(&candidate.instance, now, SHUN_GONE),
+        Outcome::NotTaken { why: Passed::Gone | Passed::Outside, .. } => {
+            balance.shun(&candidate.instance, now, SHUN_GONE)
+        }
         Outcome::Failed(_) | Outcome::NotExecuted => balance.shun(&candidate.instance, now, SHUN_FAILING),
         Outcome::NotTaken { .. } => {}
     }
@@ -91,7 +101,7 @@
 }
 
 /// Sees a request through to its answer.
-pub async fn carry_out(node: &Rc<Pointsman>, plan: Plan, inquiry: Inquiry) -> Return {
+pub async fn carry_out(node: &Rc<Pointsman>, plan: Plan, inquiry: Inquiry, binding: Binding) -> Return {
     let now = clock::now();
     let repeats = plan.route.kind.repeats();
     let bounds = budget(node);
@@ -104,10 +114,11 @@
         priority: plan.route.priority,
         sort: stable_hash(&plan.route.name),
         horizon: plan.horizon,
+        binding,
         target: plan.target,
     };
     errand.inquiry.headers.remove(CALLER);
-    let mut left = candidates(node, &plan);
+    let mut left = candidates(node, &plan, &errand.binding);
     let mut asked_in_vain = 0;
     let mut offered = 0;
     let mut may_have_run = None;
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -1,5 +1,6 @@
 //! One request on its way, and what may come of one go.
 
+use super::binding::Binding;
 use lineside::gossip::Occupancy;
 use std::time::Duration;
 use trackbed::clock::Moment;
@@ -21,6 +22,8 @@
     pub sort: u64,
     /// Nobody waits for an answer after this.
     pub horizon: Moment,
+    /// Where it may be handled.
+    pub binding: Binding,
     /// An answer by then earns its full worth.
     pub target: Moment,
 }
@@ -38,6 +41,8 @@
     Gone,
     /// It could not be run in time.
     Busy,
+    /// This node may not handle it.
+    Outside,
     /// Its horizon passed in the queue.
     Late,
 }
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -1,5 +1,6 @@
 //! Headers between own nodes, and those that PROTOCOL names, typed at the door.
 
+use super::binding::Binding;
 use super::errand::{Errand, GoResult, Outcome, Passed};
 use lineside::gossip::Occupancy;
 use std::time::Duration;
@@ -18,10 +19,11 @@
 pub const TARGET: &str = "ferryhinge-line-target-ms";
 pub const OUTCOME: &str = "ferryhinge-line-outcome";
 pub const OCCUPANCY: &str = "ferryhinge-line-occupancy";
+pub const REGIONS: &str = "ferryhinge-line-regions";
 pub const FREE_IN: &str = "ferryhinge-line-free-in-ms";
 
 /// What never goes to an endpoint or requester, whoever sent it.
-pub const LINE_HEADERS: [&str; 5] = [PRIORITY, TARGET, OUTCOME, OCCUPANCY, FREE_IN];
+pub const LINE_HEADERS: [&str; 6] = [PRIORITY, TARGET, OUTCOME, OCCUPANCY, FREE_IN, REGIONS];
 
 /// Reads what a sibling node passes on.
 pub fn read_errand(inquiry: Inquiry, sort: u64, now: Moment) -> Option<Errand> {
@@ -31,7 +33,8 @@
     let caller = inquiry.header(CALLER)?.to_owned();
     let priority = inquiry.header(PRIORITY)?.parse().ok()?;
     let (horizon, target) = (now + millis(DEADLINE)?, now + millis(TARGET)?);
-    Some(Errand { inquiry, attempt, instance, caller, priority, sort, horizon, target })
+    let binding = inquiry.header(REGIONS).map(Binding::read).unwrap_or_default();
+    Some(Errand { inquiry, attempt, instance, caller, priority, sort, horizon, target, binding })
 }
 
 fn word_of(outcome: &Outcome) -> &'static str {
@@ -40,6 +43,7 @@
         Outcome::NotTaken { why: Passed::Gone, .. } => "gone",
         Outcome::NotTaken { why: Passed::Busy, .. } => "busy",
         Outcome::NotTaken { why: Passed::Late, .. } => "late",
+        Outcome::NotTaken { why: Passed::Outside, .. } => "outside",
         Outcome::NotExecuted => "not-executed",
         Outcome::NotSent => "not-sent",
         Outcome::Failed(_) => "failed",
@@ -86,6 +90,7 @@
         "gone" => Some(not_taken(Passed::Gone)),
         "busy" => Some(not_taken(Passed::Busy)),
         "late" => Some(not_taken(Passed::Late)),
+        "outside" => Some(not_taken(Passed::Outside)),
         "not-executed" => Some(Outcome::NotExecuted),
         "not-sent" => Some(Outcome::NotSent),
         "over-horizon" => Some(Outcome::OverHorizon),
--- a/crates/pointsman/src/dispatch/mod.rs
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! A request's way: a plan is made, as data, and then carried out.
 
 mod balance;
+mod binding;
 mod budget;
 mod carry;
 mod errand;
@@ -8,8 +9,11 @@
 mod plan;
 mod pool;
 mod remote;
+#[cfg(test)]
+mod tests;
 
 pub use balance::Balance;
+pub use binding::Binding;
 pub use budget::{BudgetBounds, Budgets};
 pub use carry::carry_out;
 pub use carry::come_back;
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -1,7 +1,7 @@
 //! A go at the node beside another endpoint.
 
 use super::errand::{Errand, GoResult, Outcome};
-use super::headers::{CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PRIORITY, TARGET, read_outcome};
+use super::headers::{CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PRIORITY, REGIONS, TARGET, read_outcome};
 use super::pool::Pool;
 use http::Method;
 use std::net::SocketAddr;
@@ -43,13 +43,17 @@
     let deadline = (left.as_millis().max(1)).to_string();
     let target = now.until(errand.target).as_millis().to_string();
     let priority = errand.priority.to_string();
-    let replaced = [
+    let regions = errand.binding.write();
+    let mut replaced = vec![
         (EXPECTED, errand.instance.as_str()),
         (DEADLINE, deadline.as_str()),
         (TARGET, target.as_str()),
         (PRIORITY, priority.as_str()),
         (CALLER, errand.caller.as_str()),
     ];
+    if let Some(regions) = &regions {
+        replaced.push((REGIONS, regions));
+    }
     let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
     let bodyless = errand.inquiry.method == Method::HEAD;
     let exchange = async {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -1,7 +1,7 @@
 //! The doors: requesters and the endpoint's own calls, sibling nodes, and the platform's probes.
 
-use super::Pointsman;
-use crate::dispatch::{self, Plan, Unplanned, read_errand, write_outcome};
+use super::{Pointsman, tenancy};
+use crate::dispatch::{self, Binding, Plan, Unplanned, read_errand, write_outcome};
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock;
@@ -49,7 +49,15 @@
         let now = clock::now();
         let routes = node.fleet.borrow().routes().cloned();
         Some(match Plan::make(&inquiry, routes.as_ref(), now) {
-            Ok(plan) => dispatch::carry_out(node, plan, inquiry).await,
+            Ok(plan) => match tenancy::bind(node, &inquiry, routes.as_deref()) {
+                Ok(binding) => {
+                    let tenant = binding.tenant.clone();
+                    let answer = dispatch::carry_out(node, plan, inquiry, binding).await;
+                    tenancy::count(node, tenant.as_deref(), &answer);
+                    answer
+                }
+                Err(declined) => *declined,
+            },
             Err(Unplanned::Malformed(reason)) => Return::text(400, reason),
             Err(Unplanned::NoRoute) => Return::text(404, "no route leads there"),
             Err(Unplanned::NothingKnown) => dispatch::come_back(
@@ -73,12 +81,19 @@
 
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
         let routes = self.0.fleet.borrow().routes().cloned();
-        let route =
-            inquiry.header("host").zip(routes).and_then(|(host, routes)| routes.find(host, inquiry.path()).cloned());
+        let route = inquiry
+            .header("host")
+            .zip(routes.clone())
+            .and_then(|(host, routes)| routes.find(host, inquiry.path()).cloned());
         let sort = route.map(|route| stable_hash(&route.name)).unwrap_or_default();
-        let Some(errand) = read_errand(inquiry, sort, clock::now()) else {
+        let own = routes.as_deref().map(|routes| Binding::of(&inquiry, routes)).unwrap_or(Ok(Binding::default()));
+        let Some(mut errand) = read_errand(inquiry, sort, clock::now()) else {
             return Some(Return::text(400, "only sibling nodes pass requests on here").closing());
         };
+        let permitted = tenancy::accept(&self.0, &mut errand, own);
+        if !permitted {
+            return Some(write_outcome(tenancy::turned_away(), &errand.attempt));
+        }
         let result = self.0.platform.run(&errand).await;
         Some(write_outcome(result, &errand.attempt))
     }
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -149,6 +149,9 @@
             roster.tick(now)
         };
         gossip(&node, actions);
+        if turns.is_multiple_of(100) {
+            super::tenancy::tell(&node);
+        }
         turns += 1;
         monoio::time::sleep(Duration::from_millis(100)).await;
     }
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -5,16 +5,18 @@
 mod error;
 mod learn;
 mod start;
+pub mod tenancy;
 
 pub use error::NodeError;
 pub use start::run;
+pub use tenancy::TenantCounts;
 
 use crate::dispatch::{Balance, Budgets, Pool};
 use crate::platform::Platform;
 use lineside::call::Caller;
 use lineside::gossip::Roster;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use timetable::fleet::FleetState;
 use trackbed::kernel::LiveConfig;
@@ -36,6 +38,7 @@
     pub siblings: Pool,
     /// Measured size of answers, by route.
     pub sizes: RefCell<HashMap<u64, f64>>,
+    pub tenants: RefCell<BTreeMap<String, TenantCounts>>,
     pub random: RefCell<Random>,
     /// All that was acknowledged before this process started is known here.
     pub assured: Cell<bool>,
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -54,6 +54,7 @@
                 budgets: RefCell::new(Budgets::new(now)),
                 siblings: Pool::default(),
                 sizes: RefCell::default(),
+                tenants: RefCell::default(),
                 random: RefCell::new(Random::from_system()),
                 assured: Cell::new(false),
                 leaving: Cell::new(false),
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -9,7 +9,7 @@
 pub use admission::{Admission, TurnedAway};
 pub use beats::BeatsDoor;
 
-use crate::dispatch::{Errand, GoResult, Outcome, Passed, Pool};
+use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed, Pool};
 use lineside::gossip::Occupancy;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -40,6 +40,9 @@
     pub lines: Pool,
     /// The endpoint could not be reached; it is tried again after this.
     pub unreachable_until: Cell<Moment>,
+    /// Bindings of what runs at the endpoint, or may still run there, each until when.
+    pub bindings: RefCell<Vec<(u64, Moment, Binding)>>,
+    next_binding: Cell<u64>,
     /// This node is about to end and takes nothing more for the endpoint.
     pub closed: Cell<bool>,
 }
@@ -53,6 +56,8 @@
             admission: Rc::default(),
             lines: Pool::default(),
             unreachable_until: Cell::default(),
+            bindings: RefCell::default(),
+            next_binding: Cell::new(0),
             closed: Cell::new(false),
         }
     }
@@ -109,6 +114,7 @@
         if errand.left(now) < Duration::from_millis(2) {
             return self.passed(Passed::Late, Duration::from_millis(50));
         }
+        let bound = self.bind(errand);
         let outcome = exchange::at_endpoint(self, errand).await;
         match &outcome {
             Outcome::Answered(answer) if answer.is_success() => {
@@ -117,7 +123,31 @@
             Outcome::NotSent => self.unreachable_until.set(clock::now() + Duration::from_millis(250)),
             _ => {}
         }
+        // After any other outcome the endpoint may go on until the horizon, and make its calls.
+        if let (Some(bound), Outcome::Answered(_) | Outcome::NotExecuted | Outcome::NotSent) = (bound, &outcome) {
+            self.bindings.borrow_mut().retain(|(number, _, _)| *number != bound);
+        }
         drop(slot);
         self.result(outcome)
     }
+
+    fn bind(&self, errand: &Errand) -> Option<u64> {
+        if errand.binding.is_free() {
+            return None;
+        }
+        let number = self.next_binding.get();
+        self.next_binding.set(number + 1);
+        self.bindings.borrow_mut().push((number, errand.horizon, errand.binding.clone()));
+        Some(number)
+    }
+
+    /// What every request that runs at the endpoint permits. Its own region always does, as each of
+    /// them was permitted here. Free once nothing bound runs any more.
+    pub fn bound(&self, now: Moment) -> Binding {
+        let mut bindings = self.bindings.borrow_mut();
+        bindings.retain(|(_, until, _)| now < *until);
+        let mut all = bindings.iter().fold(Binding::default(), |all, (_, _, binding)| all.and(binding));
+        all.tenant = None;
+        all
+    }
 }
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -122,6 +122,7 @@
         priority: 1,
         sort: 1,
         horizon: now + Duration::from_secs(20),
+        binding: Default::default(),
         target: now + Duration::from_secs(20),
     }
 }
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use timetable::fleet::{FleetChange, Instance};
 use trackbed::clock;
-use trackbed::ids::{InstanceId, Zxid};
+use trackbed::ids::{InstanceId, RegionName, Zxid};
 
 /// A caller of its own moves on after a second of silence.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
@@ -65,7 +65,10 @@
             return ControlReturn::not_now("the primary has changed");
         };
         let mut holds = node.holds.borrow_mut();
-        let desk = Desk { ahead, settled: &settled, holds: &mut holds, now: clock::now() };
+        let config = node.live.get();
+        let knows_region = |region: &RegionName| config.zones.values().any(|known| known == region);
+        let now = clock::now();
+        let desk = Desk { ahead, settled: &settled, holds: &mut holds, now, knows_region: &knows_region };
         resource.decide(name, call, desk)
     };
     match decision {
--- a/crates/signalbox/src/resources/configuration.rs
+++ b/crates/signalbox/src/resources/configuration.rs
@@ -70,14 +70,13 @@
         let message = format!("/version {epoch} does not rise above {current}: choose a higher one");
         return Decision::Settled(ControlReturn::fault(400, &message));
     }
-    if let ConfigChange::Patch(patch) = &change {
-        let patched = match fleet.configuration() {
-            Some(configuration) => configuration.patched(patch),
-            None => Whole::default().patched(patch),
-        };
-        if let Err(fault) = patched {
-            return invalid(&fault);
-        }
+    let next = match (&change, fleet.configuration()) {
+        (ConfigChange::Whole(whole), _) => Ok(whole.clone()),
+        (ConfigChange::Patch(patch), Some(configuration)) => configuration.patched(patch),
+        (ConfigChange::Patch(patch), None) => Whole::default().patched(patch),
+    };
+    if let Err(fault) = next.and_then(|next| next.check_regions(desk.knows_region)) {
+        return invalid(&fault);
     }
     Decision::Propose(Box::new(Change::Fleet(FleetChange::Configure { change, digest })), done())
 }
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -15,6 +15,7 @@
 use lineside::call::{ControlCall, ControlReturn};
 use std::collections::BTreeMap;
 use trackbed::clock::Moment;
+use trackbed::ids::RegionName;
 
 /// What a primary has at hand to decide a call.
 pub struct Desk<'a> {
@@ -26,6 +27,8 @@
     /// Invariant: never moves back for a holder.
     pub holds: &'a mut BTreeMap<String, Moment>,
     pub now: Moment,
+    /// Whether a region is one of the fleet's.
+    pub knows_region: &'a dyn Fn(&RegionName) -> bool,
 }
 
 /// What comes of a call, as data.
--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -37,7 +37,13 @@
     /// Decides a call. Answers that are due come back by `commit`.
     fn call(&mut self, number: usize, call: &ControlCall) -> Option<ControlReturn> {
         let (resource, name) = find(&call.path).expect("a known resource");
-        let desk = Desk { ahead: &self.ahead, settled: &self.settled, holds: &mut self.holds, now: self.now };
+        let desk = Desk {
+            ahead: &self.ahead,
+            settled: &self.settled,
+            holds: &mut self.holds,
+            now: self.now,
+            knows_region: &|_| true,
+        };
         match resource.decide(name, call, desk) {
             Decision::Read(answer) => Some(answer),
             Decision::Settled(answer) if self.open.is_empty() => Some(answer),
--- a/crates/timetable/src/configuration/checks.rs
+++ b/crates/timetable/src/configuration/checks.rs
@@ -22,4 +22,12 @@
     OddKind { route: String },
     #[display("/routes/{route}/traffic_split gives no service any weight: give one a weight above zero")]
     NoWeight { route: String },
+    #[display("/tenants/{tenant} is no name: use letters, digits, dots, dashes and underscores")]
+    BadTenantName { tenant: String },
+    #[display("/tenants/{tenant}/regions is empty: permit one region at least")]
+    NoRegions { tenant: String },
+    #[display("/tenants/{tenant}/regions names the unknown region {region}: use a region of the fleet")]
+    UnknownRegion { tenant: String, region: String },
+    #[display("/tenants/{tenant}/claims claims what tenant {other} claims: give it to one of them")]
+    DoubledClaim { tenant: String, other: String },
 }
--- a/crates/timetable/src/configuration/document.rs
+++ b/crates/timetable/src/configuration/document.rs
@@ -3,11 +3,12 @@
 use super::checks::Fault;
 use super::route::{Limits, Route, Service};
 use super::table::Routes;
+use super::tenant::{Tenant, Tenants};
 use borsh::{BorshDeserialize, BorshSerialize};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use trackbed::ids::ConfigEpoch;
+use trackbed::ids::{ConfigEpoch, RegionName};
 use trackbed::logs::escape;
 
 /// Items by name, each as its JSON text.
@@ -19,6 +20,7 @@
     pub epoch: ConfigEpoch,
     routes: Items,
     services: Items,
+    tenants: Items,
     /// Whatever else stands at the top, with `limits`.
     others: Items,
 }
@@ -77,10 +79,13 @@
             epoch: epoch_of(&value)?,
             routes: items_of(value.pointer(["routes"].iter()), "/routes")?,
             services: items_of(value.pointer(["services"].iter()), "/services")?,
+            tenants: items_of(value.pointer(["tenants"].iter()), "/tenants")?,
             others: Items::new(),
         };
         for (name, item) in value.as_object().into_iter().flat_map(|table| table.iter()) {
-            if !matches!(name, "version" | "routes" | "services") {
+            // An empty table of tenants comes back as it was put.
+            let kept = name != "tenants" || configuration.tenants.is_empty();
+            if kept && !matches!(name, "version" | "routes" | "services") {
                 configuration.others.insert(name.to_owned(), text_of(item));
             }
         }
@@ -112,8 +117,12 @@
         match table {
             "routes" => Ok(&mut self.routes),
             "services" => Ok(&mut self.services),
+            "tenants" => {
+                self.others.remove("tenants");
+                Ok(&mut self.tenants)
+            }
             "limits" => Ok(&mut self.others),
-            _ => Err(Fault::Wrong { place: format!("/upserts/{table}"), wanted: "routes or services" }),
+            _ => Err(Fault::Wrong { place: format!("/upserts/{table}"), wanted: "routes, services or tenants" }),
         }
     }
 
@@ -138,7 +147,22 @@
             Some(text) => Limits::parse(&item(text)?)?,
             None => Limits::default(),
         };
-        Routes::build(self.epoch, routes, services, limits)
+        let mut tenants = Vec::with_capacity(self.tenants.len());
+        for (name, text) in &self.tenants {
+            tenants.push(Tenant::parse(name, &item(text)?)?);
+        }
+        Routes::build(self.epoch, routes, services, limits, Tenants::build(tenants)?)
+    }
+
+    /// Every region that a tenant names must be one of the fleet's.
+    pub fn check_regions(&self, known: &dyn Fn(&RegionName) -> bool) -> Result<(), Fault> {
+        for (name, text) in &self.tenants {
+            let tenant = Tenant::parse(name, &item(text)?)?;
+            if let Some(region) = tenant.regions.iter().find(|region| !known(region)) {
+                return Err(Fault::UnknownRegion { tenant: name.clone(), region: region.as_str().to_owned() });
+            }
+        }
+        Ok(())
     }
 
     /// The whole configuration, laid out as it is put.
@@ -149,6 +173,11 @@
             push_items(&mut text, items);
             text.push('}');
         }
+        if !self.tenants.is_empty() {
+            text.push_str(",\"tenants\":{");
+            push_items(&mut text, &self.tenants);
+            text.push('}');
+        }
         if !self.others.is_empty() {
             text.push(',');
             push_items(&mut text, &self.others);
@@ -262,4 +291,33 @@
         let fault = configuration.patched(&Patch::parse(patch).unwrap()).unwrap_err();
         assert_matches!(fault, Fault::UnknownService { .. });
     }
+
+    #[test]
+    fn tenants_are_checked_as_strictly_and_found_by_claim_or_header() {
+        let with = |tenants: &str| whole(GOOD).replace("\"extra\"", &format!("\"tenants\":{tenants},\"extra\""));
+        let parse = |tenants: &str| Configuration::parse(with(tenants).as_bytes());
+        let claim = |prefix: &str| format!(r#""claims":[{{"hostname":"H","path_prefix":"{prefix}"}}]"#);
+        let good = format!(r#"{{"x":{{"regions":["r1"],{}}},"y":{{"regions":["r1","r2"]}}}}"#, claim("/a/"));
+        let configuration = parse(&good).unwrap();
+        assert_eq!(Configuration::parse(configuration.to_json().as_bytes()).unwrap(), configuration);
+        let routes = configuration.typed().unwrap();
+        let find = |path: &str, named: Option<&str>| {
+            routes.tenants.find("h:80", path, named).map(|tenant| tenant.map(|tenant| tenant.name.clone()))
+        };
+        assert_eq!(find("/a/1", None), Ok(Some("x".into())));
+        assert_eq!(find("/b/1", None), Ok(None));
+        assert_eq!(find("/b/1", Some("y")), Ok(Some("y".into())));
+        assert_eq!(find("/a/1", Some("y")), Err(crate::configuration::TenantDoubt::Contradicted));
+        assert_eq!(find("/b/1", Some("z")), Err(crate::configuration::TenantDoubt::Unknown));
+        let known = |region: &RegionName| region.as_str() == "r1";
+        assert_matches!(configuration.check_regions(&known), Err(Fault::UnknownRegion { region, .. }) if region == "r2");
+        assert_matches!(parse(r#"{"x":{"regions":[]}}"#), Err(Fault::NoRegions { .. }));
+        assert_matches!(parse(r#"{"x y":{"regions":["r1"]}}"#), Err(Fault::BadTenantName { .. }));
+        assert_matches!(parse(r#"{"x":{}}"#), Err(Fault::Wrong { .. }));
+        let twice = format!(r#"{{"x":{{"regions":["r1"],{0}}},"y":{{"regions":["r1"],{0}}}}}"#, claim("/a/"));
+        assert_matches!(parse(&twice), Err(Fault::DoubledClaim { .. }));
+        let patch = br#"{"version":"r9","upserts":{"tenants":{"x":{"regions":["r2"]}}},"removals":{"tenants":["y"]}}"#;
+        let next = configuration.patched(&Patch::parse(patch).unwrap()).unwrap().typed().unwrap();
+        assert_eq!(next.tenants.all().map(|tenant| tenant.name.clone()).collect::<Vec<_>>(), ["x"]);
+    }
 }
--- a/crates/timetable/src/configuration/mod.rs
+++ b/crates/timetable/src/configuration/mod.rs
@@ -4,8 +4,10 @@
 mod document;
 mod route;
 mod table;
+mod tenant;
 
 pub use checks::Fault;
 pub use document::{Configuration, Patch};
 pub use route::{Limits, Route, RouteKind, Service};
 pub use table::Routes;
+pub use tenant::{TENANT_HEADER, Tenant, TenantDoubt, Tenants};
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -2,6 +2,7 @@
 
 use super::checks::Fault;
 use super::route::{Limits, Route, Service};
+use super::tenant::Tenants;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use trackbed::ids::{ConfigEpoch, ServiceName};
@@ -18,6 +19,7 @@
 pub struct Routes {
     pub epoch: ConfigEpoch,
     pub limits: Limits,
+    pub tenants: Tenants,
     services: BTreeMap<String, Service>,
     hosts: HashMap<String, Host>,
 }
@@ -28,6 +30,7 @@
         routes: Vec<Rc<Route>>,
         services: BTreeMap<String, Service>,
         limits: Limits,
+        tenants: Tenants,
     ) -> Result<Self, Fault> {
         let mut hosts: HashMap<String, Host> = HashMap::new();
         for route in routes {
@@ -46,7 +49,7 @@
         for host in hosts.values_mut() {
             host.open.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Ok(Self { epoch, limits, services, hosts })
+        Ok(Self { epoch, limits, tenants, services, hosts })
     }
 
     /// The route with the longest prefix that begins the path.
