--- a/crates/gauge/src/against.rs
+++ b/crates/gauge/src/against.rs
@@ -59,6 +59,13 @@
             }
         }
     }
+    for tenant in routes.tenants.all() {
+        if !now.regions.is_empty() && !tenant.regions.iter().any(|region| now.regions.contains(region.as_str())) {
+            let place = format!("/tenants/{}/regions", tenant.name);
+            let remedy = "start endpoints there, or permit a region that has some";
+            findings.push(Finding::warning(&place, "no node beside an endpoint is in any of these regions", remedy));
+        }
+    }
     for (name, service) in routes.services() {
         let slots = now.endpoints.iter().filter(|one| one.service == *name).map(|one| one.slots).max();
         if slots.is_some_and(|slots| slots > service.max_connections as u64) {
--- a/crates/gauge/src/ask.rs
+++ b/crates/gauge/src/ask.rs
@@ -2,6 +2,7 @@
 
 use derive_more::{Display, Error};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use timetable::configuration::Configuration;
@@ -30,6 +31,8 @@
     pub epoch: ConfigEpoch,
     pub configuration: Option<Configuration>,
     pub endpoints: Vec<Endpoint>,
+    /// Where there are nodes beside endpoints.
+    pub regions: BTreeSet<String>,
 }
 
 impl FleetNow {
@@ -46,7 +49,14 @@
                 service_time: field("service_s").and_then(|span| span.as_f64()).map(Duration::from_secs_f64),
             });
         }
-        Some(Self { epoch, configuration, endpoints })
+        let nodes = value.pointer(["nodes"].iter()).and_then(|nodes| nodes.as_array());
+        let regions = nodes
+            .into_iter()
+            .flat_map(|nodes| nodes.iter())
+            .filter(|node| node.pointer(["role"].iter()).and_then(|role| role.as_str()) == Some("beside"))
+            .filter_map(|node| node.pointer(["region"].iter())?.as_str().map(str::to_owned))
+            .collect();
+        Some(Self { epoch, configuration, endpoints, regions })
     }
 }
 
--- a/crates/gauge/src/main.rs
+++ b/crates/gauge/src/main.rs
@@ -125,9 +125,9 @@
         "a":{"hostname":"h","path_prefix":"/a/","route_type":"idempotent","timeout_s":0.5,"service_name":"s"},
         "b":{"hostname":"h","path_prefix":"/a/b/","route_type":"upload","timeout_s":1,
              "traffic_split":[{"service_name":"s","weight":1},{"service_name":"t","weight":9}]}},
-        "services":{"s":{"max_connections":3},"t":{}}}"#;
+        "services":{"s":{"max_connections":3},"t":{}},"tenants":{"x":{"regions":["far"]}}}"#;
 
-    const FLEET: &str = r#"{"configuration":"r7","endpoints":[
+    const FLEET: &str = r#"{"configuration":"r7","nodes":[{"role":"beside","region":"near"}],"endpoints":[
         {"instance_id":"i1","service_name":"s","capacity_slots":6,"draining":false,"service_s":0.7},
         {"instance_id":"i2","service_name":"t","capacity_slots":6,"draining":true}]}"#;
 
@@ -150,6 +150,7 @@
         assert_eq!(found("/version", "above"), 1);
         assert_eq!(found("/routes/a/timeout_s", "usual"), 1);
         assert_eq!(found("/routes/b/traffic_split", "drain"), 1);
+        assert_eq!(found("/tenants/x/regions", "region"), 1);
         assert_eq!(found("/services/s/max_connections", "slots"), 1);
         assert_eq!(findings.iter().filter(|finding| finding.level == Level::Fault).count(), 1);
     }
