--- a/crates/pointsman/src/dispatch/budget.rs
+++ b/crates/pointsman/src/dispatch/budget.rs
@@ -116,7 +116,7 @@
                     // A node starts anew: it gets no fresh allowance.
                     budgets[node] = Budgets::new(now);
                 }
-                if random.chance(0.3) {
+                if random.chance(0.05) {
                     budgets[node].first_go(&service, now, window);
                     firsts.push(tick);
                 }
