--- a/crates/pointsman/src/dispatch/balance.rs
+++ b/crates/pointsman/src/dispatch/balance.rs
@@ -18,6 +18,7 @@
     pub slots: u32,
     pub is_local: bool,
     pub same_zone: bool,
+    pub same_region: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -44,6 +45,8 @@
     watched: HashMap<InstanceId, Watched>,
 }
 
+/// The way to another region and back, in microseconds, on top of what any far zone costs.
+const OTHER_REGION: f64 = 80_000.0;
 const ASSUMED_SERVICE: f64 = 60_000.0;
 /// After this long an occupancy told says nothing any more.
 const VIEW_LASTS: Duration = Duration::from_secs(2);
@@ -135,7 +138,9 @@
                 continue;
             };
             let mut cost = expected * (1.0 + random.below(100) as f64 / 1000.0);
-            if !candidate.same_zone {
+            if !candidate.same_region {
+                cost += far_cost + OTHER_REGION;
+            } else if !candidate.same_zone {
                 cost += far_cost;
             } else if candidate.is_local {
                 cost -= 1500.0;
@@ -164,6 +169,7 @@
             slots: 4,
             is_local: false,
             same_zone: true,
+            same_region: true,
         }
     }
 
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -54,6 +54,7 @@
             slots: instance.slots,
             is_local: instance.node == config.node_name,
             same_zone: instance.zone == config.zone,
+            same_region: config.zones.get(&instance.zone) == Some(&config.region),
         })
         .collect()
 }
