--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::clock;
-use trackbed::http::{Line, ReturnError, write_inquiry};
+use trackbed::http::{Line, Return, ReturnError, write_inquiry};
 use trackbed::net::connect;
 
 /// How long a sibling may take to accept a connection.
@@ -56,22 +56,27 @@
     }
     let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
     let bodyless = errand.inquiry.method == Method::HEAD;
-    let exchange = async {
+    let exchange = async move {
         line.write(bytes).await.map_err(|_| ReturnError::Silent)?;
-        line.read_return(bodyless, BODY_LIMIT).await
+        line.read_return_or_flow(bodyless, BODY_LIMIT).await
     };
     match monoio::time::timeout(left + LAST_WORD, exchange).await {
-        Ok(Ok(answer)) => {
+        Ok(Ok((answer, line))) => {
             let closes = answer.closes;
             match read_outcome(answer, &errand.attempt) {
-                Some(result) => {
-                    if !closes {
+                Some(mut result) => {
+                    if let Outcome::Answered(Return { flow: Some(flow), .. }) = &mut result.outcome {
+                        flow.end_by(errand.horizon + LAST_WORD);
+                    }
+                    if let Some(line) = line.filter(|_| !closes) {
                         pool.keep(beside, line, clock::now(), IDLE);
                     }
                     result
                 }
                 None => {
-                    line.break_off();
+                    if let Some(line) = line {
+                        line.break_off();
+                    }
                     only(Outcome::Failed("the sibling's answer belongs to another request"))
                 }
             }
@@ -80,9 +85,7 @@
             pool.clear(beside);
             only(Outcome::Failed("the sibling's connection broke off"))
         }
-        Err(_) => {
-            line.break_off();
-            only(Outcome::OverHorizon)
-        }
+        // The line went with the exchange, and is closed.
+        Err(_) => only(Outcome::OverHorizon),
     }
 }
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -43,38 +43,40 @@
         [(EXPECTED, errand.instance.as_str()), (DEADLINE, deadline.as_str()), (CALLER, errand.caller.as_str())];
     let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
     let bodyless = errand.inquiry.method == Method::HEAD;
-    let whole = async {
+    let whole = async move {
         line.write(bytes).await.map_err(|_| ReturnError::Cut)?;
-        let answer = line.read_return(bodyless, BODY_LIMIT).await?;
+        let (answer, line) = line.read_return_or_flow(bodyless, BODY_LIMIT).await?;
         if single(&answer.headers, ATTEMPT) == Some(errand.attempt.as_str()) {
-            return Ok((answer, true));
+            return Ok((answer, line, true));
         }
         // A surplus answer to an earlier request may stand in this one's place: the next is looked at,
         // and the line is not used again.
-        let next = line.read_return(bodyless, BODY_LIMIT).await?;
+        let misplaced = ReturnError::Malformed("the answer belongs to another request");
+        let Some(line) = line else { return Err(misplaced) };
+        let (next, line) = line.read_return_or_flow(bodyless, BODY_LIMIT).await?;
         match single(&next.headers, ATTEMPT) == Some(errand.attempt.as_str()) {
-            true => Ok((next, false)),
-            false => Err(ReturnError::Malformed("the answer belongs to another request")),
+            true => Ok((next, line, false)),
+            false => Err(misplaced),
         }
     };
     match monoio::time::timeout(left, whole).await {
-        Err(_) => {
-            line.break_off();
-            Outcome::OverHorizon
-        }
-        Ok(Err(_)) => {
-            line.break_off();
-            Outcome::Failed("the endpoint's answer broke off or can't be read")
-        }
-        Ok(Ok((answer, in_step))) => {
-            if in_step && !answer.closes && !line.has_surplus() {
-                let keep = match answer.keep_alive {
-                    Some(seconds) => Duration::from_secs(seconds).saturating_sub(KEEP_MARGIN),
-                    None => USUAL_KEEP,
-                };
-                platform.lines.keep(address, line, clock::now(), keep);
-            } else {
-                line.break_off();
+        // In both cases the line went with the exchange, and is closed.
+        Err(_) => Outcome::OverHorizon,
+        Ok(Err(_)) => Outcome::Failed("the endpoint's answer broke off or can't be read"),
+        Ok(Ok((mut answer, line, in_step))) => {
+            if let Some(flow) = &mut answer.flow {
+                flow.end_by(errand.horizon);
+            }
+            match line {
+                Some(line) if in_step && !answer.closes && !line.has_surplus() => {
+                    let keep = match answer.keep_alive {
+                        Some(seconds) => Duration::from_secs(seconds).saturating_sub(KEEP_MARGIN),
+                        None => USUAL_KEEP,
+                    };
+                    platform.lines.keep(address, line, clock::now(), keep);
+                }
+                Some(line) => line.break_off(),
+                None => {}
             }
             judge(answer)
         }
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use timetable::fleet::Instance;
 use trackbed::clock::{self, Moment};
+use trackbed::http::Return;
 use trackbed::ids::InstanceId;
 
 /// One life of the endpoint, as this node knows it.
@@ -115,7 +116,7 @@
             return self.passed(Passed::Late, Duration::from_millis(50));
         }
         let bound = self.bind(errand);
-        let outcome = exchange::at_endpoint(self, errand).await;
+        let mut outcome = exchange::at_endpoint(self, errand).await;
         match &outcome {
             Outcome::Answered(answer) if answer.is_success() => {
                 self.admission.measured(errand.sort, clock::now().since(now))
@@ -127,7 +128,10 @@
         if let (Some(bound), Outcome::Answered(_) | Outcome::NotExecuted | Outcome::NotSent) = (bound, &outcome) {
             self.bindings.borrow_mut().retain(|(number, _, _)| *number != bound);
         }
-        drop(slot);
+        if let Outcome::Answered(Return { flow: Some(flow), .. }) = &mut outcome {
+            // The endpoint is at it until the body has gone through.
+            flow.hold(Box::new(slot));
+        }
         self.result(outcome)
     }
 
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -225,3 +225,42 @@
     });
     outcome.unwrap();
 }
+
+#[test]
+fn a_long_answer_flows_and_holds_its_slot_and_a_cut_one_does_not_end_well() {
+    let outcome = trackbed::kernel::run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        const LENGTH: usize = 3 << 20;
+        monoio::spawn(async move {
+            for cut in [0, 1000] {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let (_, buffer) = stream.read(Vec::with_capacity(4096)).await;
+                let text = String::from_utf8_lossy(&buffer).to_ascii_lowercase();
+                let attempt = text.split("attempt-id: ").nth(1).unwrap().lines().next().unwrap().to_owned();
+                let body: String = std::iter::repeat_n("0123456789abcdef", LENGTH / 16).collect();
+                let whole = answer(&attempt, &body, "");
+                let _ = stream.write_all(whole.as_bytes()[..whole.len() - cut].to_vec()).await;
+            }
+        });
+        let platform = platform(address);
+        for cut in [0, 1000] {
+            let Outcome::Answered(mut answer) = platform.run(&errand(cut)).await.outcome else { panic!("answered") };
+            let mut flow = answer.flow.take().expect("too long to be held");
+            assert_eq!(flow.length() as usize, LENGTH);
+            assert_eq!(platform.admission.counts().0, 1, "the endpoint is at it still");
+            let mut taken = 0;
+            let ended = loop {
+                match flow.next().await {
+                    Some(bytes) if bytes.is_empty() => break true,
+                    Some(bytes) => taken += bytes.len(),
+                    None => break false,
+                }
+            };
+            assert_eq!((taken, ended), (LENGTH - cut, cut == 0));
+            drop(flow);
+            assert_eq!(platform.admission.counts().0, 0);
+        }
+    });
+    outcome.unwrap();
+}
--- a/crates/trackbed/src/http/mod.rs
+++ b/crates/trackbed/src/http/mod.rs
@@ -3,6 +3,7 @@
 
 mod body;
 mod door;
+mod flow;
 mod head;
 mod json;
 mod line;
@@ -13,6 +14,7 @@
 
 pub use body::Framing;
 pub use door::{DoorError, DoorLimits};
+pub use flow::{Flow, HELD_WHOLE};
 pub use head::{Inquiry, connection_closes, is_hop_header, single};
 pub use json::JsonReturn;
 pub use line::Line;
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -1,6 +1,7 @@
 //! Answers: written to requesters, read from endpoints and siblings.
 
 use super::body::Framing;
+use super::flow::{Flow, HELD_WHOLE};
 use super::head::{HeadError, Inquiry, head_length, take_return_head};
 use super::line::{BodyError, Line};
 use bytes::Bytes;
@@ -8,12 +9,14 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use std::io::Write;
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Return {
     pub status: u16,
     /// Invariant: no header that concerns one connection only, no length.
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// The body, where it is too long to be held. Invariant: `body` is empty then.
+    pub flow: Option<Box<Flow>>,
     /// The connection ends after this answer.
     pub closes: bool,
     /// For how long the other side keeps the idle connection, where it says so.
@@ -35,7 +38,7 @@
 
 impl Return {
     pub fn new(status: u16) -> Self {
-        Self { status, headers: HeaderMap::new(), body: Bytes::new(), closes: false, keep_alive: None }
+        Self { status, headers: HeaderMap::new(), body: Bytes::new(), flow: None, closes: false, keep_alive: None }
     }
 
     pub fn text(status: u16, text: &str) -> Self {
@@ -68,7 +71,8 @@
         let _ = write!(bytes, "HTTP/1.1 {} {}\r\n", self.status, reason.unwrap_or("Status"));
         push_headers(&mut bytes, &self.headers);
         if self.status != 204 && self.status != 304 {
-            let _ = write!(bytes, "Content-Length: {}\r\n", self.body.len());
+            let length = self.flow.as_ref().map(|flow| flow.length()).unwrap_or(self.body.len() as u64);
+            let _ = write!(bytes, "Content-Length: {length}\r\n");
         }
         if self.closes {
             bytes.extend_from_slice(b"Connection: close\r\n");
@@ -119,6 +123,37 @@
 impl Line {
     /// Reads one answer whole; answers of the 1xx kind are passed over.
     pub async fn read_return(&mut self, bodyless: bool, limit: u64) -> Result<Return, ReturnError> {
+        let (mut answer, framing) = self.read_return_head(bodyless).await?;
+        answer.body = self.read_return_body(framing, limit).await?;
+        Ok(answer)
+    }
+
+    /// The same, but a long body is left to flow, and takes the line with it.
+    pub async fn read_return_or_flow(
+        mut self,
+        bodyless: bool,
+        limit: u64,
+    ) -> Result<(Return, Option<Line>), ReturnError> {
+        let (mut answer, framing) = self.read_return_head(bodyless).await?;
+        if let Framing::Length(length) = framing
+            && length > HELD_WHOLE
+        {
+            answer.flow = Some(Box::new(Flow::new(self, length)));
+            return Ok((answer, None));
+        }
+        answer.body = self.read_return_body(framing, limit).await?;
+        Ok((answer, Some(self)))
+    }
+
+    async fn read_return_body(&mut self, framing: Framing, limit: u64) -> Result<Bytes, ReturnError> {
+        self.read_body(framing, limit).await.map_err(|error| match error {
+            BodyError::Cut | BodyError::Io(_) => ReturnError::Cut,
+            BodyError::Malformed(reason) => ReturnError::Malformed(reason),
+            BodyError::TooLong => ReturnError::TooLong,
+        })
+    }
+
+    async fn read_return_head(&mut self, bodyless: bool) -> Result<(Return, Framing), ReturnError> {
         loop {
             let mut seen = 0;
             let length = loop {
@@ -146,18 +181,13 @@
             if head.framing == Framing::UntilClose {
                 return Err(ReturnError::Malformed("the answer's end can't be told from a break"));
             }
-            let body = self.read_body(head.framing, limit).await.map_err(|error| match error {
-                BodyError::Cut | BodyError::Io(_) => ReturnError::Cut,
-                BodyError::Malformed(reason) => ReturnError::Malformed(reason),
-                BodyError::TooLong => ReturnError::TooLong,
-            })?;
-            return Ok(Return {
-                status: head.status,
+            let answer = Return {
                 headers: head.headers,
-                body,
                 closes: head.closes,
                 keep_alive: head.keep_alive,
-            });
+                ..Return::new(head.status)
+            };
+            return Ok((answer, head.framing));
         }
     }
 }
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -1,6 +1,7 @@
 //! A door: accepts connections and has a handler answer what comes in on them.
 
 use super::door::{DoorError, DoorLimits};
+use super::flow::Flow;
 use super::head::Inquiry;
 use super::line::Line;
 use super::returns::Return;
@@ -73,6 +74,17 @@
     }
 }
 
+/// Passes a body on as fast as it is taken; false when it broke off.
+async fn pass_on(flow: &mut Flow, line: &mut Line) -> bool {
+    loop {
+        match flow.next().await {
+            Some(bytes) if bytes.is_empty() => return true,
+            Some(bytes) if line.write(bytes.to_vec()).await.is_ok() => {}
+            _ => return false,
+        }
+    }
+}
+
 async fn serve_line<H: Handler>(stream: TcpStream, serving: &Serving, handler: Rc<H>) {
     let _open = Count::up(&serving.open, 1);
     let mut line = Line::new(stream);
@@ -108,7 +120,17 @@
         };
         answer.closes |= !keeps || serving.leaving.get();
         let closes = answer.closes;
-        if line.write(answer.encode(bodyless)).await.is_err() || closes {
+        if line.write(answer.encode(bodyless)).await.is_err() {
+            return;
+        }
+        if let Some(flow) = answer.flow.as_mut().filter(|_| !bodyless)
+            && !pass_on(flow, &mut line).await
+        {
+            // What ends early must not look complete.
+            line.break_off();
+            return;
+        }
+        if closes {
             return;
         }
     }
