--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -18,7 +18,7 @@
 const ASKED_IN_VAIN: u32 = 3;
 /// What a go in another zone must save to be worth its way and its bytes, in microseconds.
 const FAR_COST: f64 = 3_000.0;
-const FAR_COST_OF_A_BYTE: f64 = 1.0;
+const FAR_COST_OF_A_BYTE: f64 = 5.0;
 /// Heads on the way there and back.
 const HEAD_BYTES: f64 = 700.0;
 const SHUN_UNREACHABLE: Duration = Duration::from_millis(600);
