--- a/crates/interlocking/src/zab/election.rs
+++ b/crates/interlocking/src/zab/election.rs
@@ -30,12 +30,17 @@
     pub(super) fn on_poll(&mut self, heard: Heard, asked_by_address: bool) {
         let from = heard.voter.clone();
         self.weigh_lease(&heard);
-        if heard.state == PollState::Looking
+        if matches!(heard.state, PollState::Looking | PollState::Retired)
             && matches!(&self.role, Role::Following(following) if following.leader.id == from.id)
         {
             // The leader itself has given up, or started anew.
             self.look();
         }
+        if heard.state == PollState::Retired {
+            self.polls.remove(&from.id);
+            self.gone = Some((from.id, heard.promised));
+            return;
+        }
         // Only a member that knows a leader answers, or one asked by its address alone: an answer
         // never calls for another, or there would be no end to them.
         let poll = self.own_poll();
@@ -68,7 +73,10 @@
     /// A poll of before the lease is told apart by its promise, which is below the lease's epoch;
     /// one that reached this life of the process was sent after all leases of the last.
     fn weigh_lease(&mut self, heard: &Heard) {
-        if heard.state != PollState::Looking || heard.promised < self.current || self.now >= self.lease_given.1 {
+        if !matches!(heard.state, PollState::Looking | PollState::Retired)
+            || heard.promised < self.current
+            || self.now >= self.lease_given.1
+        {
             return;
         }
         let void = if self.lease_given.0 == MemberId(0) {
--- a/crates/interlocking/src/zab/following.rs
+++ b/crates/interlocking/src/zab/following.rs
@@ -192,7 +192,8 @@
 
     pub(super) fn on_ping(&mut self, from: Voter, epoch: ZabEpoch, stamp: u64, upto: Zxid) {
         let (now, current, promised) = (self.now, self.current, self.promised);
-        if matches!(self.role, Role::Looking { .. }) && epoch >= current {
+        let gone = self.gone.is_some_and(|(id, last)| id == from.id && epoch <= last);
+        if matches!(self.role, Role::Looking { .. }) && epoch >= current && !gone {
             self.follow(from);
             return;
         }
--- a/crates/interlocking/src/zab/messages.rs
+++ b/crates/interlocking/src/zab/messages.rs
@@ -17,6 +17,8 @@
     Looking,
     /// Leads an attempt that is not established yet.
     Electing,
+    /// About to end, and no part of any election.
+    Retired,
     Following(Voter),
     /// An established primary.
     Leading,
--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -122,6 +122,10 @@
     pub(super) next_poll: Moment,
     /// Until then no other leader's epoch is promised: the lease of the one last heard may run.
     pub(super) lease_given: (MemberId, Moment),
+    /// Who retired last, and in which epoch at most: heartbeats of before mean nothing.
+    pub(super) gone: Option<(MemberId, ZabEpoch)>,
+    /// This process is about to end: it takes no part any more.
+    pub(super) retired: bool,
     /// Voters seen idle in this life of the process.
     pub(super) seen_idle: BTreeSet<MemberId>,
     /// Where to ask when no voter is known or reachable.
@@ -154,6 +158,8 @@
             polls: BTreeMap::new(),
             next_poll: now,
             lease_given: (MemberId(0), held_until),
+            gone: None,
+            retired: false,
             seen_idle: BTreeSet::new(),
             contacts: Vec::new(),
             waiting: VecDeque::new(),
@@ -231,7 +237,7 @@
     pub fn handle(&mut self, envelope: Envelope, now: Moment) -> Vec<Action> {
         self.now = now;
         let Envelope { from, to, message } = envelope;
-        if from.id == self.me.id || (to != self.me.id && to != MemberId(0)) {
+        if self.retired || from.id == self.me.id || (to != self.me.id && to != MemberId(0)) {
             return Vec::new();
         }
         match message {
@@ -257,6 +263,9 @@
 
     pub fn tick(&mut self, now: Moment) -> Vec<Action> {
         self.now = now;
+        if self.retired {
+            return Vec::new();
+        }
         match &self.role {
             Role::Looking { .. } => self.tick_looking(),
             Role::Following(_) => self.tick_following(),
@@ -265,6 +274,21 @@
         self.finish()
     }
 
+    /// Ends this member's part in order. A primary says so, and with that its lease is over: the
+    /// others need not wait for its silence.
+    pub fn retire(&mut self, now: Moment) -> Vec<Action> {
+        self.now = now;
+        if matches!(self.role, Role::Leading(_)) {
+            self.look();
+            let (promised, current, last) = (self.promised, self.current, self.history.last());
+            let poll = Message::Poll { promised, current, last, state: PollState::Retired };
+            let others: Vec<Voter> = self.voters().iter().filter(|voter| voter.id != self.me.id).cloned().collect();
+            others.into_iter().for_each(|voter| self.send(voter, poll.clone()));
+        }
+        self.retired = true;
+        self.finish()
+    }
+
     /// A write and all before it are durable.
     pub fn durable(&mut self, ticket: Ticket, now: Moment) -> Vec<Action> {
         self.now = now;
--- a/crates/interlocking/src/zab/tests.rs
+++ b/crates/interlocking/src/zab/tests.rs
@@ -541,3 +541,19 @@
         assert!(world.elections >= 2);
     }
 }
+
+#[test]
+fn a_primary_that_retires_is_followed_at_once() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, 3);
+        world.run(Duration::from_secs(3), 0.2);
+        let (epoch, primary) = world.primaries.last_key_value().map(|(epoch, host)| (*epoch, *host)).unwrap();
+        let now = world.now;
+        let actions = world.members[primary as usize].zab.as_mut().unwrap().retire(now);
+        world.act(primary, actions);
+        world.run(Duration::from_millis(20), 0.2);
+        world.kill(primary);
+        world.run(Duration::from_millis(400), 0.2);
+        assert!(world.primaries.last_key_value().unwrap().0 > &epoch, "seed {seed}");
+    }
+}
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -183,8 +183,12 @@
     serving.leaving.set(true);
     let actions = node.roster.borrow_mut().leave();
     siblings::gossip(node, actions);
-    let limit = clock::now() + node.live.get().bounds.grace_period().mul_f64(0.3).min(Duration::from_millis(800));
+    let limit = clock::now() + node.live.get().bounds.grace_period().mul_f64(0.3).min(Duration::from_millis(600));
     while clock::now() < limit && serving.under_way.get() > 0 {
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
+    let actions = node.zab.borrow_mut().retire(clock::now());
+    act(node, actions);
+    // What was said has to leave this machine before the process does.
+    monoio::time::sleep(Duration::from_millis(60)).await;
 }
