--- a/crates/trackbed/src/net/datagrams.rs
+++ b/crates/trackbed/src/net/datagrams.rs
@@ -8,6 +8,7 @@
 use std::os::fd::{AsRawFd, BorrowedFd};
 use std::time::Duration;
 
+const PAUSE: Duration = Duration::from_millis(2);
 const LONGEST: usize = 4 << 10;
 
 pub struct Datagrams(UdpSocket);
@@ -33,23 +34,28 @@
     }
 
     pub async fn receive(&self) -> (Vec<u8>, SocketAddr) {
+        // True right after the socket was said to be readable.
+        let mut promised = false;
         loop {
             let mut space = [MaybeUninit::<u8>::uninit(); LONGEST];
             match self.with_socket(|socket| socket.recv_from(&mut space)) {
-                Ok((count, from)) => {
+                Ok((count, from)) if from.as_socket().is_some() => {
                     // SAFETY: the operating system wrote `count` bytes.
-                    let bytes: Vec<u8> = space[..count].iter().map(|byte| unsafe { byte.assume_init() }).collect();
+                    let bytes = space[..count].iter().map(|byte| unsafe { byte.assume_init() }).collect();
                     if let Some(from) = from.as_socket() {
                         return (bytes, from);
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    if self.0.readable(false).await.is_err() {
-                        monoio::time::sleep(Duration::from_millis(5)).await;
+                    // Said to be readable, and nothing there: this too may go on for ever.
+                    if promised || self.0.readable(false).await.is_err() {
+                        monoio::time::sleep(PAUSE).await;
                     }
+                    promised = !promised;
                 }
-                // A port that nobody listens at answers so: the roster finds out by silence.
-                Err(_) => monoio::time::sleep(Duration::from_millis(1)).await,
+                // Nothing that names its sender, or a port that nobody listens at. Either may come again at
+                // once, so the loop pauses rather than turns on the spot.
+                _ => monoio::time::sleep(PAUSE).await,
             }
         }
     }
