--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -225,15 +225,6 @@
         }
     }
 
-    /// When this node last heard from a majority-backed primary; now, if it is one.
-    pub fn in_touch_at(&self) -> Option<Moment> {
-        match &self.role {
-            Role::Leading(leading) if leading.is_established() && self.lease_holds(self.now) => Some(self.now),
-            Role::Following(following) if following.is_in_step(self.current) => Some(following.heard),
-            _ => None,
-        }
-    }
-
     pub fn handle(&mut self, envelope: Envelope, now: Moment) -> Vec<Action> {
         self.now = now;
         let Envelope { from, to, message } = envelope;
--- a/crates/pointsman/src/main.rs
+++ b/crates/pointsman/src/main.rs
@@ -5,7 +5,7 @@
 mod node;
 mod platform;
 
-use trackbed::config::{Command, CommandOutcome, ConfigError, LocalConfig};
+use trackbed::config::{Command, ConfigError, LocalConfig};
 
 const ABOUT: &str = "pointsman is the data plane of ferryhinge. It runs beside an application endpoint.\n";
 
@@ -23,25 +23,5 @@
 }
 
 fn main() {
-    let status = match Command::read("pointsman", ABOUT, check) {
-        CommandOutcome::Done { text, status } => {
-            if status == 0 {
-                println!("{text}");
-            } else {
-                eprintln!("{text}");
-            }
-            status
-        }
-        CommandOutcome::Run(command) => {
-            trackbed::logs::start("pointsman", command.config.node_name.as_str(), command.level);
-            match node::run(*command) {
-                Ok(()) => 0,
-                Err(error) => {
-                    log::error!("{error}");
-                    1
-                }
-            }
-        }
-    };
-    std::process::exit(status);
+    std::process::exit(Command::main("pointsman", ABOUT, check, node::run));
 }
--- a/crates/signalbox/src/main.rs
+++ b/crates/signalbox/src/main.rs
@@ -5,7 +5,7 @@
 mod node;
 mod resources;
 
-use trackbed::config::{Command, CommandOutcome, ConfigError, LocalConfig};
+use trackbed::config::{Command, ConfigError, LocalConfig};
 
 const ABOUT: &str = "signalbox is the control plane of ferryhinge. It runs on the machines with disks.\n";
 
@@ -17,25 +17,5 @@
 }
 
 fn main() {
-    let status = match Command::read("signalbox", ABOUT, check) {
-        CommandOutcome::Done { text, status } => {
-            if status == 0 {
-                println!("{text}");
-            } else {
-                eprintln!("{text}");
-            }
-            status
-        }
-        CommandOutcome::Run(command) => {
-            trackbed::logs::start("signalbox", command.config.node_name.as_str(), command.level);
-            match node::run(*command) {
-                Ok(()) => 0,
-                Err(error) => {
-                    log::error!("{error}");
-                    1
-                }
-            }
-        }
-    };
-    std::process::exit(status);
+    std::process::exit(Command::main("signalbox", ABOUT, check, node::run));
 }
--- a/crates/trackbed/src/config/command.rs
+++ b/crates/trackbed/src/config/command.rs
@@ -23,6 +23,35 @@
 }
 
 impl Command {
+    /// What both daemons' `main` does: reads the command line, runs, and gives the process's status.
+    pub fn main<E: std::fmt::Display>(
+        program: &'static str,
+        about: &str,
+        check: fn(&LocalConfig) -> Result<(), ConfigError>,
+        run: fn(Command) -> Result<(), E>,
+    ) -> i32 {
+        match Self::read(program, about, check) {
+            CommandOutcome::Done { text, status } => {
+                if status == 0 {
+                    println!("{text}");
+                } else {
+                    eprintln!("{text}");
+                }
+                status
+            }
+            CommandOutcome::Run(command) => {
+                crate::logs::start(program, command.config.node_name.as_str(), command.level);
+                match run(*command) {
+                    Ok(()) => 0,
+                    Err(error) => {
+                        log::error!("{error}");
+                        1
+                    }
+                }
+            }
+        }
+    }
+
     pub fn read(program: &str, about: &str, check: fn(&LocalConfig) -> Result<(), ConfigError>) -> CommandOutcome {
         let mut options = Options::new();
         options.optflag("h", "help", "print this text");
--- a/crates/trackbed/src/http/line.rs
+++ b/crates/trackbed/src/http/line.rs
@@ -53,13 +53,6 @@
         self.stream.write_all(bytes).await.0.map(|_| ())
     }
 
-    /// Waits until the other side closes or sends something.
-    pub async fn stirs(&self) {
-        if self.held.is_empty() {
-            let _ = self.stream.readable(true).await;
-        }
-    }
-
     pub(super) async fn read_body(&mut self, framing: Framing, limit: u64) -> Result<Bytes, BodyError> {
         match framing {
             Framing::Nothing => Ok(Bytes::new()),
