--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -1,7 +1,7 @@
 //! What is asked and answered.
 
-use crate::gossip::Occupancy;
 use borsh::{BorshDeserialize, BorshSerialize};
+use std::net::SocketAddr;
 use timetable::fleet::{FleetNews, Instance};
 use trackbed::ids::{InstanceId, Zxid};
 
@@ -53,8 +53,11 @@
     SignOff(InstanceId),
     /// Only a primary answers; anyone else says that it isn't one.
     Control(ControlCall),
-    /// How busy the endpoint beside the asked node is.
-    Occupancy,
+    /// The endpoints that spoke at a core node since it last told, by hash of their ids.
+    Heard {
+        from: SocketAddr,
+        heard: Vec<u64>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -65,7 +68,6 @@
     },
     Control(ControlReturn),
     Done,
-    Occupancy(Option<Occupancy>),
     /// Nothing was done and nothing will be.
     NotNow(String),
     /// Whether it was done can't be told.
--- a/crates/lineside/src/gossip/cards.rs
+++ b/crates/lineside/src/gossip/cards.rs
@@ -7,7 +7,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Role {
     Core,
+    /// Stands beside one endpoint.
     Beside,
+    /// A gateway: home to endpoints near it.
+    Gate,
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -84,6 +84,8 @@
     next_seed: Moment,
     next_number: u64,
     random: Random,
+    /// Rises whenever a card changes that says who is there.
+    revision: u64,
     actions: Vec<GossipAction>,
 }
 
@@ -106,6 +108,7 @@
             next_seed: now,
             next_number: 1,
             random,
+            revision: 0,
             actions: Vec::new(),
         }
     }
@@ -123,6 +126,13 @@
     pub fn told_by(&self, name: &NodeName) -> Option<(Zxid, ConfigEpoch)> {
         self.known.get(name).map(|known| known.told)
     }
+    /// Rises whenever the roster changes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+    pub fn is_leaving(&self) -> bool {
+        self.me.standing == Standing::Leaving
+    }
     pub fn me(&self) -> &Sibling {
         &self.me.sibling
     }
@@ -155,6 +165,7 @@
     /// This node is about to end.
     pub fn leave(&mut self) -> Vec<GossipAction> {
         self.me.standing = Standing::Leaving;
+        self.revision += 1;
         let targets: Vec<SocketAddr> = self
             .known
             .values()
@@ -264,6 +275,7 @@
             let place = self.random.below(self.turn.len() as u64 + 1) as usize;
             self.turn.insert(place, name);
         }
+        self.revision += 1;
         self.spread(card);
         true
     }
@@ -437,6 +449,7 @@
         }
         for name in forgotten {
             self.known.remove(&name);
+            self.revision += 1;
             self.introduced.remove(&name);
             self.turn.retain(|other| *other != name);
         }
--- a/crates/pointsman/src/dispatch/balance.rs
+++ b/crates/pointsman/src/dispatch/balance.rs
@@ -43,6 +43,8 @@
 #[derive(Default)]
 pub struct Balance {
     watched: HashMap<InstanceId, Watched>,
+    /// Nodes that could not be reached, each kept out until when.
+    nodes: HashMap<NodeName, Moment>,
 }
 
 /// The way to another region and back, in microseconds, on top of what any far zone costs.
@@ -89,6 +91,15 @@
         watched.shunned_until = now + span * (1 << (watched.failures - 1));
     }
 
+    pub fn shun_node(&mut self, node: &NodeName, now: Moment, span: Duration) {
+        self.nodes.retain(|_, until| now < *until);
+        self.nodes.insert(node.clone(), now + span);
+    }
+
+    pub fn is_node_shunned(&self, node: &NodeName, now: Moment) -> bool {
+        self.nodes.get(node).is_some_and(|until| now < *until)
+    }
+
     pub fn forget_all_but(&mut self, known: impl Fn(&InstanceId) -> bool) {
         self.watched.retain(|instance, watched| watched.own > 0 || known(instance));
     }
--- /dev/null
+++ b/crates/pointsman/src/dispatch/candidates.rs
@@ -0,0 +1,105 @@
+//! The endpoints that a request may go to, as seen from here.
+
+use super::balance::Candidate;
+use super::binding::Binding;
+use super::plan::Plan;
+use crate::node::{Mode, Pointsman};
+use crate::platform::{Gate, Seat};
+use lineside::gossip::Standing;
+use std::rc::Rc;
+use timetable::fleet::Instance;
+use trackbed::clock::Moment;
+use trackbed::config::LocalConfig;
+
+/// Up to so many endpoints of a service all are looked at; beyond, as many drawn by chance. A
+/// request's cost must not rise with the fleet.
+const LOOKED_AT: usize = 16;
+/// Of those drawn by a gateway, how many lie in its own zone, and how many anywhere.
+const DRAWN_NEAR: usize = 6;
+const DRAWN_ANYWHERE: usize = 2;
+
+pub fn candidates(node: &Pointsman, plan: &Plan, binding: &Binding, now: Moment) -> Vec<Candidate> {
+    match node.mode {
+        Mode::Beside => beside(node, plan, binding),
+        Mode::Gateway => gateway(node, plan, binding, now),
+    }
+}
+
+fn candidate(config: &LocalConfig, instance: &Instance) -> Candidate {
+    Candidate {
+        instance: instance.id.clone(),
+        node: instance.node.clone(),
+        beside: instance.beside,
+        zone: instance.zone.clone(),
+        slots: instance.slots,
+        is_local: instance.node == config.node_name,
+        same_zone: instance.zone == config.zone,
+        same_region: config.zones.get(&instance.zone) == Some(&config.region),
+    }
+}
+
+fn beside(node: &Pointsman, plan: &Plan, binding: &Binding) -> Vec<Candidate> {
+    let config = node.live.get();
+    let fleet = node.fleet.borrow();
+    let roster = node.roster.borrow();
+    let serving = fleet.serving(&plan.service);
+    let fit = |instance: &&Rc<Instance>| {
+        !instance.draining
+            && instance.has_node_beside()
+            && binding.permits(config.zones.get(&instance.zone))
+            && (instance.node == config.node_name
+                || roster.standing(&instance.node).is_none_or(|is| is <= Standing::Suspect))
+    };
+    serving.iter().filter(fit).map(|instance| candidate(&config, instance)).collect()
+}
+
+/// Those at home here, and a few at home elsewhere.
+fn gateway(node: &Pointsman, plan: &Plan, binding: &Binding, now: Moment) -> Vec<Candidate> {
+    let config = node.live.get();
+    let Some(seating) = node.homes.seating(&plan.service) else {
+        return Vec::new();
+    };
+    let permitted = |seat: &&Seat| binding.permits(config.zones.get(&seat.instance.zone));
+    let mut balance = node.balance.borrow_mut();
+    let mut found: Vec<Candidate> = Vec::with_capacity(LOOKED_AT);
+    let near = &seating.seats[seating.own_zone.clone()];
+    let at_home = |gate: &Gate| gate.name == config.node_name;
+    for seat in near.iter().filter(|seat| at_home(&seat.home)).filter(permitted) {
+        if let Some(platform) = node.homes.platform(&seat.instance.id, &node.fleet.borrow(), now) {
+            if let Some(occupancy) = platform.occupancy(now) {
+                balance.told(&occupancy, now);
+            }
+            found.push(Candidate { is_local: true, ..candidate(&config, &seat.instance) });
+        }
+    }
+    let mut random = node.random.borrow_mut();
+    let mut take = |seat: &Seat| {
+        let gate = match &seat.deputy {
+            Some(deputy) if balance.is_node_shunned(&seat.home.name, now) => deputy,
+            _ => &seat.home,
+        };
+        let known = found.iter().any(|known| known.instance == seat.instance.id);
+        if !known && permitted(&seat) && !at_home(&seat.home) {
+            let is_local = at_home(gate);
+            let (node, beside) = (gate.name.clone(), gate.inbound);
+            found.push(Candidate { node, beside, is_local, ..candidate(&config, &seat.instance) });
+        }
+    };
+    let mut draw = |among: &[Seat], most: usize| {
+        if among.len() <= most {
+            among.iter().for_each(&mut take);
+            return;
+        }
+        // From a place by chance in steps by chance; one met twice counts once.
+        let start = random.below(among.len() as u64) as usize;
+        let stride = 1 + random.below(among.len() as u64 - 1) as usize;
+        let mut at = start;
+        for _ in 0..most {
+            take(&among[at]);
+            at = (at + stride) % among.len();
+        }
+    };
+    draw(near, DRAWN_NEAR);
+    draw(&seating.seats, DRAWN_ANYWHERE);
+    found
+}
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -2,11 +2,12 @@
 
 use super::balance::Candidate;
 use super::binding::Binding;
+use super::candidates::candidates;
 use super::errand::{Errand, GoResult, Outcome, Passed};
 use super::headers::CALLER;
 use super::plan::Plan;
 use super::{BudgetBounds, remote};
-use crate::node::{Pointsman, tenancy};
+use crate::node::{Mode, Pointsman, tenancy};
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock;
@@ -22,6 +23,7 @@
 /// Heads on the way there and back.
 const HEAD_BYTES: f64 = 700.0;
 const SHUN_UNREACHABLE: Duration = Duration::from_millis(600);
+const SHUN_NODE: Duration = Duration::from_millis(1500);
 const SHUN_GONE: Duration = Duration::from_millis(300);
 const SHUN_FAILING: Duration = Duration::from_millis(150);
 
@@ -32,37 +34,9 @@
     Return::text(503, reason).with_header("retry-after", &format!("{:.3}", wait.as_secs_f64()))
 }
 
-fn candidates(node: &Pointsman, plan: &Plan, binding: &Binding) -> Vec<Candidate> {
-    let config = node.live.get();
-    let fleet = node.fleet.borrow();
-    let roster = node.roster.borrow();
-    fleet
-        .serving(&plan.service)
-        .iter()
-        .filter(|instance| !instance.draining)
-        .filter(|instance| binding.permits(config.zones.get(&instance.zone)))
-        .filter(|instance| {
-            use lineside::gossip::Standing;
-            instance.node == config.node_name
-                || roster.standing(&instance.node).is_none_or(|is| is <= Standing::Suspect)
-        })
-        .map(|instance| Candidate {
-            instance: instance.id.clone(),
-            node: instance.node.clone(),
-            beside: instance.beside,
-            zone: instance.zone.clone(),
-            slots: instance.slots,
-            is_local: instance.node == config.node_name,
-            same_zone: instance.zone == config.zone,
-            same_region: config.zones.get(&instance.zone) == Some(&config.region),
-        })
-        .collect()
-}
-
 fn budget(node: &Pointsman) -> BudgetBounds {
     let config = node.live.get();
-    let beside =
-        node.roster.borrow().cards().filter(|card| card.sibling.role == lineside::gossip::Role::Beside).count();
+    let beside = node.roster.borrow().cards().filter(|card| card.sibling.role != lineside::gossip::Role::Core).count();
     BudgetBounds {
         ratio: config.bounds.retry_budget_ratio(),
         slack: config.bounds.retry_slack(),
@@ -74,7 +48,10 @@
 async fn go(node: &Rc<Pointsman>, candidate: &Candidate, errand: &Errand) -> GoResult {
     node.balance.borrow_mut().begin(&candidate.instance);
     let result = if candidate.is_local {
-        node.platform.run(errand).await
+        match node.platform_of(&candidate.instance) {
+            Some(platform) => platform.run(errand).await,
+            None => super::errand::gone(),
+        }
     } else {
         remote::deliver(&node.siblings, candidate.beside, errand).await
     };
@@ -91,6 +68,10 @@
     }
     match &result.outcome {
         Outcome::Answered(_) | Outcome::OverHorizon => balance.went_well(&candidate.instance),
+        // At a gateway it is the home that could not be reached, and another may stand in for it.
+        Outcome::NotSent if result.occupancy.is_none() && node.mode == Mode::Gateway => {
+            balance.shun_node(&candidate.node, now, SHUN_NODE)
+        }
         Outcome::NotSent => balance.shun(&candidate.instance, now, SHUN_UNREACHABLE),
         Outcome::NotTaken { why: Passed::Gone | Passed::Outside, .. } => {
             balance.shun(&candidate.instance, now, SHUN_GONE)
@@ -119,7 +100,7 @@
         target: plan.target,
     };
     errand.inquiry.headers.remove(CALLER);
-    let mut left = candidates(node, &plan, &errand.binding);
+    let mut left = candidates(node, &plan, &errand.binding, now);
     let mut asked_in_vain = 0;
     let mut offered = 0;
     let mut may_have_run = None;
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -63,6 +63,12 @@
     OverHorizon,
 }
 
+/// That life is not here.
+pub fn gone() -> GoResult {
+    let outcome = Outcome::NotTaken { why: Passed::Gone, free_in: Duration::from_millis(50) };
+    GoResult { outcome, occupancy: None }
+}
+
 /// What one go at one node brought, with how busy its endpoint is.
 #[derive(Debug)]
 pub struct GoResult {
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -30,7 +30,7 @@
     let millis = |name: &str| inquiry.header(name).and_then(|text| text.parse::<u64>().ok()).map(Duration::from_millis);
     let attempt = inquiry.header(ATTEMPT)?.to_owned();
     let instance = InstanceId::new(inquiry.header(EXPECTED)?);
-    let caller = inquiry.header(CALLER)?.to_owned();
+    let caller = inquiry.header(CALLER).unwrap_or_default().to_owned();
     let priority = inquiry.header(PRIORITY)?.parse().ok()?;
     let (horizon, target) = (now + millis(DEADLINE)?, now + millis(TARGET)?);
     let binding = inquiry.header(REGIONS).map(Binding::read).unwrap_or_default();
--- a/crates/pointsman/src/dispatch/mod.rs
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod binding;
 mod budget;
+mod candidates;
 mod carry;
 mod errand;
 mod headers;
@@ -17,7 +18,7 @@
 pub use budget::{BudgetBounds, Budgets};
 pub use carry::carry_out;
 pub use carry::come_back;
-pub use errand::{Errand, GoResult, Outcome, Passed};
+pub use errand::{Errand, GoResult, Outcome, Passed, gone};
 pub use headers::{ATTEMPT, CALLER, DEADLINE, EXPECTED, LINE_HEADERS, NOT_EXECUTED, STAMP, read_errand, write_outcome};
 pub use plan::{Plan, Unplanned};
 pub use pool::Pool;
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -49,8 +49,10 @@
         (DEADLINE, deadline.as_str()),
         (TARGET, target.as_str()),
         (PRIORITY, priority.as_str()),
-        (CALLER, errand.caller.as_str()),
     ];
+    if !errand.caller.is_empty() {
+        replaced.push((CALLER, &errand.caller));
+    }
     if let Some(regions) = &regions {
         replaced.push((REGIONS, regions));
     }
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -1,7 +1,7 @@
 //! The doors: requesters and the endpoint's own calls, sibling nodes, and the platform's probes.
 
 use super::{Pointsman, tenancy};
-use crate::dispatch::{self, Binding, Plan, Unplanned, read_errand, write_outcome};
+use crate::dispatch::{self, Binding, Plan, Unplanned, gone, read_errand, write_outcome};
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock;
@@ -94,7 +94,10 @@
         if !permitted {
             return Some(write_outcome(tenancy::turned_away(), &errand.attempt));
         }
-        let result = self.0.platform.run(&errand).await;
+        let result = match self.0.platform_of(&errand.instance) {
+            Some(platform) => platform.run(&errand).await,
+            None => gone(),
+        };
         Some(write_outcome(result, &errand.attempt))
     }
 }
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -1,6 +1,6 @@
 //! How this node comes to know the fleet: all of it at the start, then news from whoever is ahead.
 
-use super::{Pointsman, core_calls};
+use super::{Mode, Pointsman, core_calls};
 use crate::platform::Life;
 use borsh::BorshDeserialize;
 use lineside::call::{Answering, Ask, Reply};
@@ -21,7 +21,6 @@
                 let fleet = self.fleet.borrow();
                 Reply::News { news: fleet.news_since(since), zxid: fleet.zxid() }
             }
-            Ask::Occupancy => Reply::Occupancy(self.platform.occupancy(clock::now())),
             _ => Reply::NotNow("this node holds no order: ask a core node".into()),
         }
     }
@@ -51,6 +50,7 @@
         return;
     }
     adopt_life(node);
+    node.seat_endpoints();
     let fleet = node.fleet.borrow();
     node.balance.borrow_mut().forget_all_but(|instance| fleet.instance(instance).is_some());
     let actions = {
@@ -64,6 +64,9 @@
 
 /// A node that started anew rebuilds what it knew of its endpoint from what was ordered.
 fn adopt_life(node: &Pointsman) {
+    if node.mode == Mode::Gateway {
+        return;
+    }
     let name = node.live.get().node_name.clone();
     let fleet = node.fleet.borrow();
     let mut life = node.platform.life.borrow_mut();
@@ -115,6 +118,7 @@
             }
             let actions = node.roster.borrow_mut().receive(from, datagram, now);
             gossip(&node, actions);
+            node.seat_endpoints();
         }
     }
 }
@@ -144,11 +148,13 @@
                     config.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), config.core_port())).collect(),
                 );
                 node.siblings.tidy(now);
+                node.homes.tidy(&config.node_name, now);
                 node.platform.lines.tidy(now);
             }
             roster.tick(now)
         };
         gossip(&node, actions);
+        node.seat_endpoints();
         if turns.is_multiple_of(100) {
             super::tenancy::tell(&node);
         }
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -1,37 +1,45 @@
-//! One node beside an endpoint: the loop, and the state that is passed down it.
+//! One node of the data plane: the loop, and the state that is passed down it.
 
 pub mod core_calls;
 mod doors;
 mod error;
 mod learn;
+mod mode;
 mod start;
 pub mod tenancy;
 
 pub use error::NodeError;
+pub use mode::Mode;
 pub use start::run;
 pub use tenancy::TenantCounts;
 
 use crate::dispatch::{Balance, Budgets, Pool};
-use crate::platform::Platform;
+use crate::platform::{Homes, Platform};
 use lineside::call::Caller;
 use lineside::gossip::Roster;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use timetable::fleet::FleetState;
+use trackbed::clock;
+use trackbed::ids::InstanceId;
 use trackbed::kernel::LiveConfig;
 use trackbed::net::Datagrams;
 use trackbed::random::Random;
 
-/// All that a node beside an endpoint holds.
+/// All that a node holds.
 pub struct Pointsman {
+    pub mode: Mode,
     pub live: Rc<LiveConfig>,
     /// Invariant: only moves on within one life of this process.
     pub fleet: RefCell<FleetState>,
     pub roster: RefCell<Roster>,
     pub datagrams: Datagrams,
     pub caller: Caller,
-    pub platform: Platform,
+    /// The endpoint beside this node. Invariant: has no life at a gateway.
+    pub platform: Rc<Platform>,
+    /// Endpoints that have nobody beside them. Invariant: empty beside an endpoint.
+    pub homes: Homes,
     pub balance: RefCell<Balance>,
     pub budgets: RefCell<Budgets>,
     /// Lines to the nodes beside other endpoints.
@@ -46,3 +54,21 @@
     /// News are being fetched.
     pub fetching: Cell<bool>,
 }
+
+impl Pointsman {
+    /// The platform that holds a life's slots here.
+    pub fn platform_of(&self, instance: &InstanceId) -> Option<Rc<Platform>> {
+        match self.mode {
+            Mode::Beside => Some(self.platform.clone()),
+            Mode::Gateway => self.homes.platform(instance, &self.fleet.borrow(), clock::now()),
+        }
+    }
+
+    /// Seats the endpoints anew where fleet or roster moved on.
+    pub fn seat_endpoints(&self) {
+        if self.mode == Mode::Gateway {
+            let (fleet, roster) = (self.fleet.borrow(), self.roster.borrow());
+            self.homes.refresh(&fleet, &roster, self.live.get().home_port(), clock::now());
+        }
+    }
+}
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -1,11 +1,11 @@
 //! From settings to a running node, and to its end.
 
 use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
-use super::{NodeError, Pointsman, learn};
+use super::{Mode, NodeError, Pointsman, learn};
 use crate::dispatch::{Balance, Budgets, Pool};
-use crate::platform::{BeatsDoor, Platform};
+use crate::platform::{BeatsDoor, Homes, Platform};
 use lineside::call::{Caller, serve_siblings};
-use lineside::gossip::{Role, Roster, RosterTiming, Sibling};
+use lineside::gossip::{Roster, RosterTiming, Sibling};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,12 +27,13 @@
 pub fn run(command: Command) -> Result<(), NodeError> {
     let signals = Signals::register()?;
     let config = command.config.clone();
+    let mode = Mode::of(&config)?;
     let now = clock::now();
     let address = SocketAddr::new(config.ip_address, config.beside_port());
     let sibling = Sibling {
         name: config.node_name.clone(),
         incarnation: Incarnation(1),
-        role: Role::Beside,
+        role: mode.role(),
         address,
         zone: config.zone.clone(),
         region: config.region.clone(),
@@ -44,12 +45,14 @@
         outcome = async {
             let live = Rc::new(LiveConfig::new(command.path, config.clone()));
             let node = Rc::new(Pointsman {
+                mode,
                 live: live.clone(),
                 fleet: RefCell::new(FleetState::default()),
                 roster: RefCell::new(roster),
                 datagrams: Datagrams::bind(address)?,
                 caller: Caller::default(),
-                platform: Platform::new(config.app_address),
+                platform: Rc::new(Platform::new(config.app_address)),
+                homes: Homes::default(),
                 balance: RefCell::new(Balance::default()),
                 budgets: RefCell::new(Budgets::new(now)),
                 siblings: Pool::default(),
@@ -87,9 +90,18 @@
     // 200 descriptors are kept back, and as many for lines to siblings and the endpoint.
     let most = (config.limits.file_descriptors as usize).saturating_sub(500).max(64);
     open(find("listen_addresses.readiness", config.listen.readiness)?, 32, ReadinessDoor(node.clone()))?;
-    open(find("listen_addresses.control_plane", config.listen.control_plane)?, 64, BeatsDoor(node.clone()))?;
-    let inbound = find("listen_addresses.inbound", config.listen.inbound)?;
-    let outbound = find("listen_addresses.outbound", config.listen.outbound)?;
+    let (inbound, outbound) = match node.mode {
+        Mode::Beside => {
+            let beats = find("listen_addresses.control_plane", config.listen.control_plane)?;
+            open(beats, 64, BeatsDoor(node.clone()))?;
+            let inbound = find("listen_addresses.inbound", config.listen.inbound)?;
+            (inbound, find("listen_addresses.outbound", config.listen.outbound)?)
+        }
+        Mode::Gateway => {
+            let inbound = SocketAddr::new(config.ip_address, config.home_port());
+            (inbound, find("listen_addresses.frontend", config.listen.frontend)?)
+        }
+    };
     Ok(Doors {
         inbound: open(inbound, most / 3, InboundDoor(node.clone()))?,
         outbound: open(outbound, most / 2, OutboundDoor(node.clone()))?,
@@ -106,6 +118,8 @@
     learn::gossip(node, actions);
     // The siblings are told before the endpoint's door closes to new errands.
     monoio::time::sleep(Duration::from_millis(250).min(grace / 10)).await;
+    node.seat_endpoints();
+    // At a gateway the endpoints have other homes by now; what still comes for them is served.
     node.platform.closed.set(true);
     doors.outbound.leaving.set(true);
     // The platform asks once a second and takes two misses.
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -3,14 +3,12 @@
 use super::Life;
 use crate::node::{Pointsman, core_calls};
 use lineside::call::{Ask, Reply};
-use sonic_rs::{JsonValueTrait, Value};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use timetable::fleet::Instance;
+use timetable::fleet::{Beat, Post};
 use trackbed::clock;
 use trackbed::http::{DoorLimits, Handler, Inquiry, JsonReturn, Return};
-use trackbed::ids::{InstanceId, ServiceName, ZoneName};
+use trackbed::ids::InstanceId;
 
 pub struct BeatsDoor(pub Rc<Pointsman>);
 
@@ -18,12 +16,6 @@
 /// The endpoint moves on after a second.
 const ACKNOWLEDGE_LIMIT: Duration = Duration::from_millis(900);
 
-struct Beat {
-    instance: Instance,
-    sequence: u64,
-    cold: Duration,
-}
-
 impl Handler for BeatsDoor {
     fn limits(&self) -> DoorLimits {
         DoorLimits { body_bytes: 64 << 10, ..DoorLimits::default() }
@@ -56,31 +48,10 @@
 
 impl BeatsDoor {
     fn read(&self, id: InstanceId, body: &[u8]) -> Result<Beat, &'static str> {
-        let value: Value = sonic_rs::from_slice(body).map_err(|_| "the body is not JSON")?;
-        let text = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_str());
-        let number = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_f64());
-        let address: SocketAddr =
-            text("address").and_then(|text| text.parse().ok()).ok_or("address is missing or can't be read")?;
-        let slots = number("capacity_slots").filter(|slots| *slots >= 1.0).unwrap_or(1.0) as u32;
         let config = self.0.live.get();
-        let draining = match text("lifecycle_state") {
-            Some("draining") => true,
-            Some("ready") | None => false,
-            Some(_) => return Err("lifecycle_state is neither ready nor draining"),
-        };
-        let instance = Instance {
-            id,
-            service: ServiceName::new(text("service_name").ok_or("service_name is missing")?),
-            address,
-            zone: text("zone").map(ZoneName::new).unwrap_or_else(|| config.zone.clone()),
-            node: config.node_name.clone(),
-            beside: config.listen.inbound.ok_or("this node takes no inbound requests")?,
-            slots: slots.min(10_000),
-            draining,
-        };
-        let cold = number("cold_remaining_s").filter(|cold| (0.0..1e6).contains(cold)).unwrap_or(0.0);
-        let sequence = number("sequence").filter(|sequence| *sequence >= 0.0).unwrap_or(0.0) as u64;
-        Ok(Beat { instance, sequence, cold: Duration::from_secs_f64(cold) })
+        let beside = config.listen.inbound.ok_or("this node takes no inbound requests")?;
+        let post = Post { node: config.node_name.clone(), beside };
+        Beat::read(id, body, Some(post), &config.zone)
     }
 
     async fn beat(&self, id: InstanceId, inquiry: &Inquiry) -> Return {
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -39,8 +39,11 @@
         return Outcome::NotSent;
     }
     let deadline = left.as_millis().max(1).to_string();
-    let replaced =
-        [(EXPECTED, errand.instance.as_str()), (DEADLINE, deadline.as_str()), (CALLER, errand.caller.as_str())];
+    let mut replaced = vec![(EXPECTED, errand.instance.as_str()), (DEADLINE, deadline.as_str())];
+    if !errand.caller.is_empty() {
+        // Where requests begin at a gateway, no service runs there.
+        replaced.push((CALLER, &errand.caller));
+    }
     let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
     let bodyless = errand.inquiry.method == Method::HEAD;
     let whole = async move {
--- /dev/null
+++ b/crates/pointsman/src/platform/homes.rs
@@ -0,0 +1,272 @@
+//! Where endpoints that have no node beside them are at home, among the gateways near them.
+//!
+//! Every gateway works the seating out from the fleet's state and the roster, so that nobody has to
+//! tell it. Two gateways whose rosters differ for a moment may both hold an endpoint's slots: that
+//! costs occupancy, never safety, as what may not run twice is sent once whoever holds the slots.
+
+use super::{Life, Platform};
+use lineside::gossip::{Role, Roster, Standing};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use timetable::fleet::{FleetState, Instance};
+use trackbed::clock::Moment;
+use trackbed::ids::{InstanceId, NodeName, ServiceName, ZoneName, Zxid};
+use trackbed::random::stable_hash;
+
+/// What is no longer at home here is let go when it has been idle for so long.
+const LINGERS: Duration = Duration::from_secs(4);
+
+/// A gateway as a home.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Gate {
+    pub name: NodeName,
+    /// Where it takes requests that siblings pass on.
+    pub inbound: SocketAddr,
+    pub zone: ZoneName,
+}
+
+/// Where one endpoint is at home, and who stands in while that home can't be reached.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    pub instance: Rc<Instance>,
+    pub home: Rc<Gate>,
+    pub deputy: Option<Rc<Gate>>,
+}
+
+#[derive(Debug, Default)]
+pub struct Seating {
+    /// Invariant: the seats of a service stand zone by zone, `own_zone` names those of this node's.
+    pub seats: Vec<Seat>,
+    pub own_zone: std::ops::Range<usize>,
+}
+
+pub struct Homes {
+    made_for: Cell<Option<(Zxid, u64)>>,
+    by_service: RefCell<HashMap<ServiceName, Rc<Seating>>>,
+    /// Invariant: by life; a platform here has a life.
+    platforms: RefCell<BTreeMap<InstanceId, (Rc<Platform>, Moment)>>,
+}
+
+fn mix(one: u64, other: u64) -> u64 {
+    let mut mixed = one ^ other.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Gives every endpoint a home: the gate of its zone that ranks first for it and has room left. Room
+/// is what an even share comes to, rounded up, so that no gate holds much more than another.
+fn seat_zone(instances: &[&Rc<Instance>], gates: &[(u64, Rc<Gate>)]) -> Vec<Seat> {
+    let room = instances.len().div_ceil(gates.len().max(1));
+    let mut held = vec![0usize; gates.len()];
+    let mut seats = Vec::with_capacity(instances.len());
+    for instance in instances {
+        let own = stable_hash(instance.id.as_str());
+        let mut best: Option<(u64, usize)> = None;
+        let mut deputy: Option<(u64, usize)> = None;
+        for (index, (hash, _)) in gates.iter().enumerate() {
+            let rank = mix(own, *hash);
+            if held[index] < room && best.is_none_or(|(top, _)| rank > top) {
+                deputy = best;
+                best = Some((rank, index));
+            } else if deputy.is_none_or(|(top, _)| rank > top) {
+                deputy = Some((rank, index));
+            }
+        }
+        if let Some((_, index)) = best {
+            held[index] += 1;
+            let deputy = deputy.map(|(_, index)| gates[index].1.clone());
+            seats.push(Seat { instance: (*instance).clone(), home: gates[index].1.clone(), deputy });
+        }
+    }
+    seats
+}
+
+/// The seating of one service's endpoints.
+pub fn seat(instances: &[Rc<Instance>], gates: &[Rc<Gate>], own_zone: &ZoneName) -> Seating {
+    let mut zones: BTreeMap<&ZoneName, Vec<&Rc<Instance>>> = BTreeMap::new();
+    for instance in instances.iter().filter(|instance| !instance.draining && !instance.has_node_beside()) {
+        zones.entry(&instance.zone).or_default().push(instance);
+    }
+    let hashed = |gates: Vec<&Rc<Gate>>| -> Vec<(u64, Rc<Gate>)> {
+        gates.into_iter().map(|gate| (stable_hash(gate.name.as_str()), gate.clone())).collect()
+    };
+    let mut seating = Seating::default();
+    for (zone, instances) in zones {
+        let mut near = hashed(gates.iter().filter(|gate| gate.zone == *zone).collect());
+        if near.is_empty() {
+            near = hashed(gates.iter().collect());
+        }
+        let begin = seating.seats.len();
+        seating.seats.extend(seat_zone(&instances, &near));
+        if zone == own_zone {
+            seating.own_zone = begin..seating.seats.len();
+        }
+    }
+    seating
+}
+
+impl Default for Homes {
+    fn default() -> Self {
+        Self { made_for: Cell::new(None), by_service: RefCell::default(), platforms: RefCell::default() }
+    }
+}
+
+impl Homes {
+    /// Works the seating out anew where fleet or roster moved on.
+    pub fn refresh(&self, fleet: &FleetState, roster: &Roster, home_port: u16, now: Moment) {
+        let key = (fleet.zxid(), roster.revision());
+        if self.made_for.replace(Some(key)) == Some(key) {
+            return;
+        }
+        let me = roster.me();
+        let gate = |name: &NodeName, address: SocketAddr, zone: &ZoneName| {
+            Rc::new(Gate { name: name.clone(), inbound: SocketAddr::new(address.ip(), home_port), zone: zone.clone() })
+        };
+        let mut gates: Vec<Rc<Gate>> = roster
+            .cards()
+            .filter(|card| card.sibling.role == Role::Gate && card.standing == Standing::Alive)
+            .map(|card| gate(&card.sibling.name, card.sibling.address, &card.sibling.zone))
+            .collect();
+        if !roster.is_leaving() {
+            gates.push(gate(&me.name, me.address, &me.zone));
+        }
+        gates.sort_by(|one, other| one.name.cmp(&other.name));
+        let mut by_service = self.by_service.borrow_mut();
+        by_service.clear();
+        for (service, instances) in fleet.services() {
+            by_service.insert(service.clone(), Rc::new(seat(instances, &gates, &me.zone)));
+        }
+        let here = by_service.values().flat_map(|seating| &seating.seats).filter(|seat| seat.home.name == me.name);
+        let here: Vec<Rc<Instance>> = here.map(|seat| seat.instance.clone()).collect();
+        drop(by_service);
+        for instance in &here {
+            self.hold(instance, now);
+        }
+        let mut platforms = self.platforms.borrow_mut();
+        for (id, (platform, held)) in platforms.iter_mut() {
+            match fleet.instance(id) {
+                Some(instance) if !instance.draining => {
+                    platform.admission.set_slots(instance.slots);
+                    if here.iter().any(|at_home| at_home.id == *id) {
+                        *held = now;
+                    }
+                }
+                // Nothing new goes to it from here, whatever was on its way.
+                _ => platform.leave_life(),
+            }
+        }
+    }
+
+    /// Takes up an endpoint's slots here.
+    fn hold(&self, instance: &Rc<Instance>, now: Moment) -> Rc<Platform> {
+        let mut platforms = self.platforms.borrow_mut();
+        let (platform, held) = platforms.entry(instance.id.clone()).or_insert_with(|| {
+            let platform = Platform::new(Some(instance.address));
+            platform.admission.set_slots(instance.slots);
+            *platform.life.borrow_mut() = Some(Life {
+                instance: (**instance).clone(),
+                sequence: 0,
+                heard: now,
+                leaving: instance.draining,
+                cold_until: now,
+            });
+            (Rc::new(platform), now)
+        });
+        *held = now;
+        platform.clone()
+    }
+
+    pub fn seating(&self, service: &ServiceName) -> Option<Rc<Seating>> {
+        self.by_service.borrow().get(service).cloned()
+    }
+
+    /// The platform of a life. A sibling that passes something on for a life held elsewhere sees another
+    /// roster, or could not reach the home: it is served here meanwhile.
+    pub fn platform(&self, id: &InstanceId, fleet: &FleetState, now: Moment) -> Option<Rc<Platform>> {
+        if let Some((platform, held)) = self.platforms.borrow_mut().get_mut(id) {
+            *held = now;
+            return Some(platform.clone());
+        }
+        let instance = fleet.instance(id).filter(|instance| !instance.draining && !instance.has_node_beside())?;
+        Some(self.hold(&Rc::new(instance.clone()), now))
+    }
+
+    /// Lets go of what is at home elsewhere now.
+    pub fn tidy(&self, own: &NodeName, now: Moment) {
+        let by_service = self.by_service.borrow();
+        let seats = by_service.values().flat_map(|seating| &seating.seats);
+        let here: std::collections::BTreeSet<&InstanceId> =
+            seats.filter(|seat| seat.home.name == *own).map(|seat| &seat.instance.id).collect();
+        self.platforms.borrow_mut().retain(|id, (platform, held)| {
+            platform.lines.tidy(now);
+            here.contains(id) || platform.admission.counts() != (0, 0) || now.since(*held) < LINGERS
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn instances(count: usize) -> Vec<Rc<Instance>> {
+        let instance = |index: usize| Instance {
+            id: InstanceId::new(&format!("i-{index:04}")),
+            service: ServiceName::new("s"),
+            address: ([10, 1, (index / 250) as u8, (index % 250) as u8], 80).into(),
+            zone: ZoneName::new(["a", "b", "c"][index % 3]),
+            node: Instance::nobody(),
+            beside: ([10, 0, 0, 1], 80).into(),
+            slots: 2,
+            draining: false,
+        };
+        (0..count).map(|index| Rc::new(instance(index))).collect()
+    }
+
+    fn gates(count: usize) -> Vec<Rc<Gate>> {
+        let gate = |index: usize| Gate {
+            name: NodeName::new(&format!("gate-{index}")),
+            inbound: ([10, 0, 0, index as u8], 9).into(),
+            zone: ZoneName::new(["a", "b", "c"][index % 3]),
+        };
+        (0..count).map(|index| Rc::new(gate(index))).collect()
+    }
+
+    fn held(seating: &Seating) -> BTreeMap<NodeName, usize> {
+        let mut held = BTreeMap::new();
+        for seat in &seating.seats {
+            *held.entry(seat.home.name.clone()).or_default() += 1;
+        }
+        held
+    }
+
+    #[test]
+    fn every_endpoint_has_one_home_near_it_and_shares_are_even() {
+        let (instances, gates) = (instances(240), gates(90));
+        let seating = seat(&instances, &gates, &ZoneName::new("b"));
+        assert_eq!(seating.seats.len(), instances.len());
+        assert!(seating.seats.iter().all(|seat| seat.home.zone == seat.instance.zone));
+        assert!(seating.seats.iter().all(|seat| seat.deputy.as_ref().is_some_and(|deputy| *deputy != seat.home)));
+        assert!(seating.seats[seating.own_zone.clone()].iter().all(|seat| seat.instance.zone.as_str() == "b"));
+        assert_eq!(seating.own_zone.len(), 80);
+        assert!(held(&seating).values().all(|count| *count <= 3), "{:?}", held(&seating));
+    }
+
+    #[test]
+    fn a_lost_home_moves_few_and_a_zone_without_gates_is_served_from_others() {
+        let (instances, gates) = (instances(240), gates(90));
+        let zone = ZoneName::new("a");
+        let before = seat(&instances, &gates, &zone);
+        let fewer: Vec<_> = gates.iter().filter(|gate| gate.name.as_str() != "gate-3").cloned().collect();
+        let after = seat(&instances, &fewer, &zone);
+        let moved =
+            before.seats.iter().zip(&after.seats).filter(|(before, after)| before.home.name != after.home.name).count();
+        assert!((1..=16).contains(&moved), "{moved} homes moved");
+        let far: Vec<_> = gates.iter().filter(|gate| gate.zone.as_str() != "a").cloned().collect();
+        assert_eq!(seat(&instances, &far, &zone).seats.len(), instances.len());
+        assert!(seat(&instances, &[], &zone).seats.is_empty());
+    }
+}
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -1,13 +1,16 @@
-//! The endpoint beside this node, and all that is true of it.
+//! The endpoints whose slots this node holds, and all that is true of them: the one beside it, or
+//! those at home here.
 
 mod admission;
 mod beats;
 mod exchange;
+mod homes;
 #[cfg(test)]
 mod tests;
 
 pub use admission::{Admission, TurnedAway};
 pub use beats::BeatsDoor;
+pub use homes::{Gate, Homes, Seat};
 
 use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed, Pool};
 use lineside::gossip::Occupancy;
@@ -79,6 +82,13 @@
         })
     }
 
+    /// Nothing new goes to this life any more.
+    pub fn leave_life(&self) {
+        if let Some(life) = self.life.borrow_mut().as_mut() {
+            life.leaving = true;
+        }
+    }
+
     fn result(&self, outcome: Outcome) -> GoResult {
         GoResult { outcome, occupancy: self.occupancy(clock::now()) }
     }
--- /dev/null
+++ b/crates/signalbox/src/node/beats.rs
@@ -0,0 +1,224 @@
+//! Beats of endpoints that have no node beside them, and what silence means.
+//!
+//! A beat that says nothing new is answered here, from what is committed, and costs the primary
+//! nothing. Once a second each core node tells the primary whom it heard. An endpoint of which the
+//! primary was told nothing for long is taken off the list; it is taken back when it speaks again.
+
+use super::{Signalbox, primary};
+use lineside::call::{Ask, Reply};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use timetable::fleet::{Beat, FleetChange, FleetState};
+use trackbed::clock::{self, Moment};
+use trackbed::http::{Inquiry, JsonReturn, Return};
+use trackbed::ids::InstanceId;
+use trackbed::random::stable_hash;
+
+pub const PREFIX: &str = "/v1/instances/";
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// Silence in beats after which an endpoint counts as gone; and the shortest such silence.
+const BEATS_MISSED: u32 = 8;
+const SHORTEST_SILENCE: Duration = Duration::from_secs(12);
+/// Endpoints taken off the list at once.
+const AT_ONCE: usize = 8;
+
+/// Who was heard here, and what the primary was told.
+#[derive(Default)]
+pub struct Heard {
+    /// The highest sequence of each life. Invariant: a beat that is not above it changes nothing.
+    sequences: HashMap<InstanceId, u64>,
+    /// Heard here since the last report.
+    fresh: BTreeSet<u64>,
+    /// At the primary only: when each was last heard anywhere.
+    last: HashMap<u64, Moment>,
+    /// At the primary only: when each core node last reported.
+    reports: BTreeMap<SocketAddr, Moment>,
+    /// Since when silence counts. Invariant: not before this node became primary.
+    counted_from: Moment,
+}
+
+impl Heard {
+    /// A new primary, or one that was cut off, knows of nobody's silence.
+    pub fn start_anew(&mut self, now: Moment) {
+        self.last.clear();
+        self.reports.clear();
+        self.counted_from = now;
+    }
+
+    pub fn reported(&mut self, from: SocketAddr, heard: Vec<u64>, now: Moment) {
+        self.reports.insert(from, now);
+        self.last.extend(heard.into_iter().map(|name| (name, now)));
+    }
+
+    /// Those silent for too long. Nobody, while the core itself can't hear well: when a core node
+    /// does not report, or most endpoints are silent at once, silence is told of the core and not
+    /// of the endpoints, and is counted anew.
+    fn silent(&mut self, fleet: &FleetState, core: usize, longest: Duration, now: Moment) -> Vec<InstanceId> {
+        let recent = self.reports.values().filter(|at| now.since(**at) < REPORT_EVERY * 3).count();
+        if recent < core {
+            self.counted_from = now;
+            return Vec::new();
+        }
+        let from = self.counted_from;
+        let silence = |id: &InstanceId| {
+            let last = self.last.get(&stable_hash(id.as_str())).copied().unwrap_or(from);
+            now.since(last.max(from))
+        };
+        let homeless: Vec<&InstanceId> =
+            fleet.instances().filter(|instance| !instance.has_node_beside()).map(|instance| &instance.id).collect();
+        let mut silent: Vec<InstanceId> =
+            homeless.iter().filter(|id| silence(id) > longest).map(|id| (*id).clone()).collect();
+        if silent.len() * 2 > homeless.len() {
+            self.counted_from = now;
+            return Vec::new();
+        }
+        silent.truncate(AT_ONCE);
+        silent
+    }
+}
+
+fn acknowledged() -> Return {
+    Return::json(200, "{}".into())
+}
+
+fn told(reply: Reply) -> Return {
+    match reply {
+        Reply::Done => acknowledged(),
+        _ => Return::fault(503, "the order can't be reached just now: beat again").with_header("retry-after", "0.2"),
+    }
+}
+
+pub async fn answer(node: &Signalbox, inquiry: &Inquiry) -> Return {
+    let id = inquiry.path().strip_prefix(PREFIX).unwrap_or("");
+    if id.is_empty() || id.len() > 200 {
+        return Return::fault(404, "no such resource: beats go to /v1/instances/ID");
+    }
+    let id = InstanceId::new(id);
+    match inquiry.method.as_str() {
+        "PUT" => beat(node, id, inquiry).await,
+        "DELETE" => told(primary::sign_off(node, id).await),
+        _ => Return::fault(405, "use PUT to beat and DELETE to sign off"),
+    }
+}
+
+async fn beat(node: &Signalbox, id: InstanceId, inquiry: &Inquiry) -> Return {
+    let zone = node.live.get().zone.clone();
+    let beat = match Beat::read(id, &inquiry.body, None, &zone) {
+        Ok(beat) => beat,
+        Err(reason) => return Return::fault(400, reason),
+    };
+    let id = beat.instance.id.clone();
+    {
+        let mut heard = node.heard.borrow_mut();
+        heard.fresh.insert(stable_hash(id.as_str()));
+        let known = heard.sequences.entry(id.clone()).or_insert(0);
+        if beat.sequence < *known {
+            return acknowledged();
+        }
+        *known = beat.sequence;
+    }
+    let ordered = {
+        let settled = node.settled.borrow();
+        settled.fleet.has_ended(&id) || settled.fleet.instance(&id) == Some(&beat.instance)
+    };
+    match ordered {
+        true => acknowledged(),
+        false => told(primary::register(node, beat.instance).await),
+    }
+}
+
+/// Tells the primary who was heard here, and judges the silent if this is the primary.
+pub async fn keep_watch(node: Rc<Signalbox>) {
+    loop {
+        monoio::time::sleep(REPORT_EVERY).await;
+        let now = clock::now();
+        let primary = node.zab.borrow().primary();
+        let Some(primary) = primary else { continue };
+        let heard: Vec<u64> = std::mem::take(&mut node.heard.borrow_mut().fresh).into_iter().collect();
+        if primary.id != node.zab.borrow().me().id {
+            let any = node.settled.borrow().fleet.instances().any(|instance| !instance.has_node_beside());
+            if any {
+                let ask = Ask::Heard { from: node.own_address, heard };
+                let _ = node.caller.call(primary.address, ask, REPORT_EVERY / 2).await;
+            }
+            continue;
+        }
+        node.heard.borrow_mut().reported(node.own_address, heard, now);
+        take_off_the_silent(&node, now);
+    }
+}
+
+fn take_off_the_silent(node: &Signalbox, now: Moment) {
+    let core = node.zab.borrow().voters().len();
+    let longest = (node.live.get().heartbeat * BEATS_MISSED).max(SHORTEST_SILENCE);
+    let silent = {
+        let settled = node.settled.borrow();
+        let mut heard = node.heard.borrow_mut();
+        heard.sequences.retain(|id, _| settled.fleet.instance(id).is_some());
+        heard.silent(&settled.fleet, core, longest, now)
+    };
+    for id in silent {
+        log::warn!("endpoint {id} has been silent for over {} s: it is taken off the list", longest.as_secs());
+        primary::order(node, FleetChange::Lost(id));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use timetable::fleet::Instance;
+    use trackbed::ids::{ServiceName, ZoneName, Zxid};
+
+    fn fleet(count: u16) -> FleetState {
+        let mut fleet = FleetState::default();
+        for index in 0..count {
+            let address = ([10, 0, 0, 1], index + 1).into();
+            let instance = Instance {
+                id: InstanceId::new(&format!("i{index}")),
+                service: ServiceName::new("s"),
+                address,
+                zone: ZoneName::new("z"),
+                node: Instance::nobody(),
+                beside: address,
+                slots: 2,
+                draining: false,
+            };
+            fleet.apply(Zxid::new(1, index as u64 + 1), FleetChange::Register(instance));
+        }
+        fleet
+    }
+
+    fn core(index: u8) -> SocketAddr {
+        ([10, 0, 1, index], 1).into()
+    }
+
+    #[test]
+    fn only_the_truly_silent_are_taken_off() {
+        let fleet = fleet(10);
+        let name = |index: usize| stable_hash(&format!("i{index}"));
+        let longest = Duration::from_secs(12);
+        let mut heard = Heard::default();
+        let mut now = Moment::from_micros(1_000_000);
+        heard.start_anew(now);
+        let mut gone = Vec::new();
+        for second in 0..60 {
+            now = now + Duration::from_secs(1);
+            // One never speaks again after ten seconds; for a time no core node but the primary is heard;
+            // later all endpoints are silent at once.
+            let cut = (20..40).contains(&second);
+            let dark = second >= 45;
+            let speaking = (0..10).filter(|index| !dark && !(*index == 3 && second >= 10)).map(name).collect();
+            heard.reported(core(0), speaking, now);
+            if !cut {
+                heard.reported(core(1), Vec::new(), now);
+            }
+            for id in heard.silent(&fleet, 2, longest, now) {
+                gone.push((second, id));
+            }
+        }
+        assert!(gone.iter().all(|(_, id)| id.as_str() == "i3"), "{gone:?}");
+        assert!(gone.iter().all(|(second, _)| *second >= 50), "a cut is not counted as silence: {gone:?}");
+    }
+}
--- a/crates/signalbox/src/node/doors.rs
+++ b/crates/signalbox/src/node/doors.rs
@@ -1,6 +1,6 @@
 //! The door for operators and applications.
 
-use super::{Signalbox, fleet_view, primary};
+use super::{Signalbox, beats, fleet_view, primary};
 use lineside::call::ControlCall;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,6 +34,9 @@
                 _ => Return::fault(405, "the fleet can only be read here"),
             });
         }
+        if inquiry.path().starts_with(beats::PREFIX) {
+            return Some(beats::answer(&self.0, &inquiry).await);
+        }
         let call = ControlCall {
             method: inquiry.method.as_str().to_owned(),
             path: inquiry.path().to_owned(),
--- a/crates/signalbox/src/node/fleet_view.rs
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -11,6 +11,7 @@
     match role {
         Role::Core => "core",
         Role::Beside => "beside",
+        Role::Gate => "gate",
     }
 }
 
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One core node: the loop, and the state that is passed down it.
 
+mod beats;
 mod disk;
 mod doors;
 mod error;
@@ -21,6 +22,7 @@
 use lineside::gossip::Roster;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc;
 use trackbed::clock::Moment;
@@ -48,6 +50,10 @@
     pub watchers: RefCell<BTreeMap<String, Vec<oneshot::Sender<()>>>>,
     /// Weight of the history when the last image was written.
     pub imaged_weight: Cell<usize>,
+    /// Which endpoints spoke here, and at the primary anywhere.
+    pub heard: RefCell<beats::Heard>,
+    /// Where siblings call this node.
+    pub own_address: SocketAddr,
     pub next_members: Cell<Moment>,
     pub leaving: Cell<bool>,
 }
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -166,12 +166,19 @@
     let ask = Ask::Register(instance.clone());
     order_fleet(node, ask, |fleet| {
         // A late word of an ended life changes nothing.
+        let mut instance = instance.clone();
+        instance.draining |= fleet.instance(&instance.id).is_some_and(|known| known.draining);
         let known = fleet.has_ended(&instance.id) || fleet.instance(&instance.id) == Some(&instance);
-        (!known).then(|| FleetChange::Register(instance.clone()))
+        (!known).then(|| FleetChange::Register(instance))
     })
     .await
 }
 
+/// Orders a change that nobody waits for.
+pub fn order(node: &Signalbox, change: FleetChange) {
+    propose(node, Change::Fleet(change));
+}
+
 pub async fn sign_off(node: &Signalbox, id: InstanceId) -> Reply {
     let ask = Ask::SignOff(id.clone());
     order_fleet(node, ask, |fleet| (!fleet.has_ended(&id)).then(|| FleetChange::End(id.clone()))).await
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/siblings.rs
@@ -29,7 +29,10 @@
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
             Ask::Register(instance) => primary::register(&self, instance).await,
             Ask::SignOff(id) => primary::sign_off(&self, id).await,
-            Ask::Occupancy => Reply::Occupancy(None),
+            Ask::Heard { from, heard } => {
+                self.heard.borrow_mut().reported(from, heard, clock::now());
+                Reply::Done
+            }
         }
     }
 }
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -1,6 +1,6 @@
 //! From settings and disk to a running node.
 
-use super::{NodeError, Signalbox, disk, doors, siblings, turn};
+use super::{NodeError, Signalbox, beats, disk, doors, siblings, turn};
 use crate::ledger::Ledger;
 use futures_channel::mpsc::unbounded;
 use interlocking::storage::{FileDisk, Recovered, Storage};
@@ -99,6 +99,8 @@
                 waiting: RefCell::default(),
                 watchers: RefCell::default(),
                 imaged_weight: Cell::new(0),
+                heard: RefCell::default(),
+                own_address: address,
                 next_members: Cell::new(now),
                 leaving: Cell::new(false),
             });
@@ -107,6 +109,7 @@
             monoio::spawn(turn::watch_disk(node.clone(), completions));
             monoio::spawn(turn::keep_time(node.clone()));
             monoio::spawn(siblings::listen(node.clone()));
+            monoio::spawn(beats::keep_watch(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             turn::leave(&node, &serving).await;
             Ok::<(), NodeError>(())
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -98,6 +98,7 @@
             Action::Ready { epoch } => {
                 log::info!("primary of epoch {epoch}");
                 take_over(node, now);
+                node.heard.borrow_mut().start_anew(now);
             }
             Action::Deposed => {
                 log::info!("no longer primary");
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -2,7 +2,6 @@
 
 mod cells;
 mod configuration;
-mod instances;
 mod locks;
 mod numbers;
 #[cfg(test)]
--- a/crates/timetable/src/fleet/changes.rs
+++ b/crates/timetable/src/fleet/changes.rs
@@ -10,10 +10,11 @@
 pub struct Instance {
     pub id: InstanceId,
     pub service: ServiceName,
-    /// Reached only from its own machine. Invariant: one life at an address at a time.
+    /// Invariant: one life at an address at a time.
     pub address: SocketAddr,
     pub zone: ZoneName,
-    /// The node beside it, and where that takes requests for it.
+    /// The node beside it, and where that takes requests for it. Invariant: where none is beside,
+    /// the name is empty and the address the endpoint's own; it has a home among the gateways then.
     pub node: NodeName,
     pub beside: SocketAddr,
     pub slots: u32,
@@ -35,4 +36,17 @@
     },
     Register(Instance),
     End(InstanceId),
+    /// Silent for so long that it counts as gone. Invariant: a life that speaks again is taken back.
+    Lost(InstanceId),
+}
+
+impl Instance {
+    /// The name that stands where no node is beside an endpoint.
+    pub fn nobody() -> NodeName {
+        NodeName::new("")
+    }
+
+    pub fn has_node_beside(&self) -> bool {
+        !self.node.as_str().is_empty()
+    }
 }
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -8,7 +8,7 @@
 use trackbed::ids::{ConfigEpoch, InstanceId, ServiceName, Zxid};
 
 /// How many ended lives and taken calls are remembered.
-const REMEMBERED: usize = 256;
+const REMEMBERED: usize = 1024;
 /// Bytes of changes kept for those a little behind.
 const TAIL_BYTES: usize = 1 << 20;
 
@@ -46,7 +46,8 @@
         let tail_base = frame.zxid;
         let routes = frame.configuration.as_ref().and_then(|configuration| configuration.typed().ok()).map(Rc::new);
         let mut state = Self { frame, routes, tail_base, ..Self::default() };
-        state.index_instances();
+        let instances: Vec<Instance> = state.frame.instances.values().cloned().collect();
+        instances.iter().for_each(|instance| state.index(instance));
         state
     }
 
@@ -78,15 +79,29 @@
     pub fn has_taken(&self, digest: u128) -> bool {
         self.frame.taken.iter().any(|(_, taken)| *taken == digest)
     }
+    /// Every service that has endpoints, with them.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Rc<Instance>])> {
+        self.by_service.iter().map(|(service, instances)| (service, instances.as_slice()))
+    }
     /// The endpoints of a service, draining ones among them.
     pub fn serving(&self, service: &ServiceName) -> &[Rc<Instance>] {
         self.by_service.get(service).map(Vec::as_slice).unwrap_or(&[])
     }
 
-    fn index_instances(&mut self) {
-        self.by_service.clear();
-        for instance in self.frame.instances.values() {
-            self.by_service.entry(instance.service.clone()).or_default().push(Rc::new(instance.clone()));
+    /// Invariant: the endpoints of a service stand in the order of their ids, on every node.
+    fn index(&mut self, instance: &Instance) {
+        let serving = self.by_service.entry(instance.service.clone()).or_default();
+        let place = serving.partition_point(|other| other.id < instance.id);
+        serving.insert(place, Rc::new(instance.clone()));
+    }
+
+    fn remove(&mut self, id: &InstanceId) {
+        let Some(gone) = self.frame.instances.remove(id) else { return };
+        if let Some(serving) = self.by_service.get_mut(&gone.service) {
+            serving.retain(|other| other.id != *id);
+            if serving.is_empty() {
+                self.by_service.remove(&gone.service);
+            }
         }
     }
 
@@ -113,13 +128,15 @@
                 for id in gone {
                     self.end(&id);
                 }
-                self.frame.instances.insert(instance.id.clone(), instance.clone());
-                self.index_instances();
-            }
-            FleetChange::End(id) => {
-                self.end(id);
-                self.index_instances();
+                let mut instance = instance.clone();
+                // What was ordered of leaving holds for the rest of a life, whatever a late word says.
+                instance.draining |= self.frame.instances.get(&instance.id).is_some_and(|known| known.draining);
+                self.remove(&instance.id);
+                self.index(&instance);
+                self.frame.instances.insert(instance.id.clone(), instance);
             }
+            FleetChange::End(id) => self.end(id),
+            FleetChange::Lost(id) => self.remove(id),
         }
         self.tail.push_back((zxid, change, weight));
         self.tail_bytes += weight;
@@ -152,7 +169,7 @@
     }
 
     fn end(&mut self, id: &InstanceId) {
-        self.frame.instances.remove(id);
+        self.remove(id);
         if !self.frame.ended.contains(id) {
             self.frame.ended.push_back(id.clone());
             if self.frame.ended.len() > REMEMBERED {
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -24,6 +24,7 @@
 /// Invariant: an address is here only for what the machine's role serves.
 #[derive(Clone, Debug, Default)]
 pub struct ListenAddresses {
+    pub frontend: Option<SocketAddr>,
     pub inbound: Option<SocketAddr>,
     pub outbound: Option<SocketAddr>,
     pub readiness: Option<SocketAddr>,
@@ -44,6 +45,8 @@
     /// Every zone known at the start, with its region.
     pub zones: BTreeMap<ZoneName, RegionName>,
     pub ip_address: std::net::IpAddr,
+    /// What the machine's role serves to those outside the system.
+    pub serves: Vec<String>,
     pub listen: ListenAddresses,
     /// Invariant: first ≤ last, and two ports at least.
     pub internal_ports: (u16, u16),
@@ -143,6 +146,14 @@
                 seeds.push(seed.as_str().and_then(|text| text.parse().ok()).ok_or_else(wrong)?);
             }
         }
+        let mut serves = Vec::new();
+        if let Some(list) = fields.find(&["serves"]) {
+            let wanted = "a list of words like \"sidecar\"";
+            let wrong = || ConfigError::Wrong { field: "serves".into(), wanted };
+            for word in list.as_array().ok_or_else(wrong)?.iter() {
+                serves.push(word.as_str().ok_or_else(wrong)?.to_owned());
+            }
+        }
         let bounds = match fields.find(&["bounds"]) {
             Some(value) if value.is_str() => Bounds::from_texts(value.as_str().into_iter()),
             Some(value) => Bounds::from_texts(
@@ -160,7 +171,9 @@
                 .text(&["ip_address"], wanted)?
                 .parse()
                 .map_err(|_| ConfigError::Wrong { field: "ip_address".into(), wanted })?,
+            serves,
             listen: ListenAddresses {
+                frontend: fields.address(&["listen_addresses", "frontend"])?,
                 inbound: fields.address(&["listen_addresses", "inbound"])?,
                 outbound: fields.address(&["listen_addresses", "outbound"])?,
                 readiness: fields.address(&["listen_addresses", "readiness"])?,
@@ -192,10 +205,19 @@
         self.internal_ports.0
     }
 
-    /// Where a node beside an endpoint listens for its siblings, on any machine.
+    /// Where a node that carries traffic listens for its siblings, on any machine.
     pub fn beside_port(&self) -> u16 {
         self.internal_ports.0 + 1
     }
+
+    /// Where a gateway takes requests that its siblings pass on, on any machine.
+    pub fn home_port(&self) -> u16 {
+        self.internal_ports.0 + 2
+    }
+
+    pub fn serves(&self, word: &str) -> bool {
+        self.serves.iter().any(|served| served == word)
+    }
 }
 
 #[cfg(test)]
