Gossip compares rosters by parts; news packed; the fleet's state no longer fetched from the primary by all

A configuration of 680 routes (230 KB) took longer on a 2.8 Mbit/s way than the 420 ms a call was given, was broken off and fetched again by all nodes at once; each pair of nodes that met told the other its whole roster. A test holds datagrams per node at 10 and 240 nodes.

--- a/crates/lineside/src/call/caller.rs
+++ b/crates/lineside/src/call/caller.rs
@@ -13,6 +13,8 @@
 use trackbed::net::{FrameReader, StreamHandle, connect, encode_frame};
 
 const DIAL_LIMIT: Duration = Duration::from_millis(500);
+/// How many times its limit a long reply may take while it keeps coming.
+const LONG_REPLIES: u32 = 20;
 const OUTBOX_BYTES: usize = 48 << 20;
 
 #[derive(Clone, Debug, PartialEq, Display, Error)]
@@ -35,6 +37,8 @@
     pumping: Cell<bool>,
     waiting: RefCell<Waiting>,
     broken: Cell<bool>,
+    /// Bytes read so far.
+    received: RefCell<Rc<Cell<u64>>>,
 }
 
 /// Calls siblings. Invariant: a stream on which a call went unanswered is broken off, so that
@@ -47,21 +51,34 @@
 
 impl Caller {
     pub async fn call(&self, to: SocketAddr, ask: Ask, limit: Duration) -> Result<Reply, CallError> {
+        self.call_with(to, ask, limit, 1).await
+    }
+
+    /// For what may be long: the limit is on silence, and all of it may take many times as long.
+    pub async fn call_for_much(&self, to: SocketAddr, ask: Ask, limit: Duration) -> Result<Reply, CallError> {
+        self.call_with(to, ask, limit, LONG_REPLIES).await
+    }
+
+    async fn call_with(&self, to: SocketAddr, ask: Ask, limit: Duration, patience: u32) -> Result<Reply, CallError> {
         let stream = self.stream(to);
         let number = self.next_number.get();
         self.next_number.set(number + 1);
-        let (sender, receiver) = oneshot::channel();
+        let (sender, mut receiver) = oneshot::channel();
         stream.waiting.borrow_mut().insert(number, sender);
         stream.push(encode_frame(&SiblingMessage::Ask { number, ask }));
         Stream::pump(&stream, to);
-        match monoio::time::timeout(limit, receiver).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) => Err(CallError::NoReply),
-            Err(_) => {
-                stream.break_off(CallError::NoReply);
-                Err(CallError::NoReply)
+        for _ in 0..patience {
+            let before = stream.received.borrow().get();
+            match monoio::time::timeout(limit, &mut receiver).await {
+                Ok(Ok(outcome)) => return outcome,
+                Ok(Err(_)) => return Err(CallError::NoReply),
+                // A long reply on a narrow way is waited for while it keeps coming.
+                Err(_) if stream.received.borrow().get() > before => {}
+                Err(_) => break,
             }
         }
+        stream.break_off(CallError::NoReply);
+        Err(CallError::NoReply)
     }
 
     /// Sends without waiting. What is told to a sibling that can't be reached is lost.
@@ -119,6 +136,7 @@
         let reading = stream.clone();
         monoio::spawn(async move {
             let mut reader = FrameReader::new(read);
+            *reading.received.borrow_mut() = reader.received();
             while let Ok(message) = reader.next::<SiblingMessage>().await {
                 if let SiblingMessage::Reply { number, reply } = message
                     && let Some(sender) = reading.waiting.borrow_mut().remove(&number)
--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -49,6 +49,8 @@
         since: Zxid,
         assured: bool,
     },
+    /// How far the primary's committed state is, under its lease.
+    Assure,
     Register(Instance),
     SignOff(InstanceId),
     /// Only a primary answers; anyone else says that it isn't one.
@@ -68,6 +70,8 @@
     },
     Control(ControlReturn),
     Done,
+    /// All that was acknowledged is at or before this.
+    Upto(Zxid),
     /// Nothing was done and nothing will be.
     NotNow(String),
     /// Whether it was done can't be told.
--- a/crates/lineside/src/gossip/cards.rs
+++ b/crates/lineside/src/gossip/cards.rs
@@ -65,6 +65,12 @@
         number: u64,
         about: SocketAddr,
     },
+    /// The sender's roster, part by part: who differs in a part answers with the cards of it.
+    Compare {
+        parts: Vec<u32>,
+    },
+    /// Cards that were asked for.
+    Cards,
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -10,6 +10,10 @@
 
 const CARDS_IN_A_DATAGRAM: usize = 8;
 const FANOUT: usize = 3;
+/// A roster is compared in so many parts.
+const PARTS: usize = 32;
+/// News that follow on each other within this time are told together.
+const TELL_EVERY: Duration = Duration::from_millis(40);
 
 #[derive(Clone, Copy, Debug)]
 pub struct RosterTiming {
@@ -77,8 +81,13 @@
     errands: VecDeque<(u64, SocketAddr, u64)>,
     /// What is still to be passed on, and how often.
     rumours: VecDeque<(Card, u32)>,
-    /// When a node was last told of everyone.
-    introduced: BTreeMap<NodeName, Moment>,
+    /// What the cards of each part come to. Invariant: of all in `known`, and of `me`.
+    parts: [u32; PARTS],
+    /// The next moment at which a sibling may be asked for what differs.
+    next_compare: Moment,
+    /// The next moment at which siblings are told that the fleet moved on, and whether they are to be.
+    next_tell: Moment,
+    to_tell: bool,
     seeds: Vec<SocketAddr>,
     next_probe: Moment,
     next_seed: Moment,
@@ -89,10 +98,29 @@
     actions: Vec<GossipAction>,
 }
 
+/// The part of a roster in which a node's card counts.
+fn part_of(name: &NodeName) -> usize {
+    (stable_hash(name.as_str()) % PARTS as u64) as usize
+}
+
+/// What a card adds to its part. The dead add nothing: nodes forget them at different times, and who
+/// still has a dead node alive differs all the same.
+fn worth_of(card: &Card) -> u32 {
+    if card.standing == Standing::Dead {
+        return 0;
+    }
+    let facts = card.sibling.incarnation.0.wrapping_mul(8).wrapping_add(card.standing as u64 + 1);
+    let mixed = stable_hash(card.sibling.name.as_str()) ^ facts.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed.wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 32) as u32
+}
+
 impl Roster {
     pub fn new(me: Sibling, seeds: Vec<SocketAddr>, timing: RosterTiming, random: Random, now: Moment) -> Self {
+        let me = Card { sibling: me, standing: Standing::Alive };
+        let mut parts = [0; PARTS];
+        parts[part_of(&me.sibling.name)] ^= worth_of(&me);
         Self {
-            me: Card { sibling: me, standing: Standing::Alive },
+            me,
             fleet: Zxid::ZERO,
             configuration: ConfigEpoch::default(),
             occupancy: None,
@@ -102,7 +130,10 @@
             probes: Vec::new(),
             errands: VecDeque::new(),
             rumours: VecDeque::new(),
-            introduced: BTreeMap::new(),
+            parts,
+            next_compare: now,
+            next_tell: now,
+            to_tell: false,
             seeds,
             next_probe: now,
             next_seed: now,
@@ -153,18 +184,27 @@
             .map(|known| &known.card.sibling)
     }
 
-    /// The own fleet state moved on: a few are told at once.
-    pub fn fleet_moved(&mut self, fleet: Zxid) -> Vec<GossipAction> {
+    /// The own fleet state moved on: a few are told, at once or together with what follows right after.
+    pub fn fleet_moved(&mut self, fleet: Zxid, now: Moment) -> Vec<GossipAction> {
         if fleet > self.fleet {
             self.fleet = fleet;
-            self.tell_a_few();
+            self.to_tell = true;
+            self.tell_if_due(now);
         }
         std::mem::take(&mut self.actions)
     }
 
+    fn tell_if_due(&mut self, now: Moment) {
+        if self.to_tell && now >= self.next_tell {
+            self.to_tell = false;
+            self.next_tell = now + TELL_EVERY;
+            self.tell_a_few();
+        }
+    }
+
     /// This node is about to end.
     pub fn leave(&mut self) -> Vec<GossipAction> {
-        self.me.standing = Standing::Leaving;
+        self.change_me(|me| me.standing = Standing::Leaving);
         self.revision += 1;
         let targets: Vec<SocketAddr> = self
             .known
@@ -192,11 +232,15 @@
     }
 
     fn digest(&self) -> u64 {
-        let cards = self.known.values().map(|known| &known.card).chain(std::iter::once(&self.me));
-        cards.fold(0, |digest, card| {
-            let facts = card.sibling.incarnation.0.wrapping_mul(8).wrapping_add(card.standing as u64);
-            digest ^ stable_hash(card.sibling.name.as_str()).wrapping_mul(facts | 1).rotate_left(facts as u32 % 63)
-        })
+        self.parts
+            .iter()
+            .fold(0, |digest: u64, part| digest.rotate_left(5).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ *part as u64)
+    }
+
+    fn change_me(&mut self, change: impl FnOnce(&mut Card)) {
+        let before = worth_of(&self.me);
+        change(&mut self.me);
+        self.parts[part_of(&self.me.sibling.name)] ^= before ^ worth_of(&self.me);
     }
 
     fn datagram(&mut self, kind: Kind) -> Datagram {
@@ -245,7 +289,8 @@
             let heard = (card.sibling.incarnation, card.standing);
             if heard > (own, self.me.standing) {
                 // Somebody holds an earlier life, or a false report: this life speaks up.
-                self.me.sibling.incarnation = Incarnation(card.sibling.incarnation.0.max(own.0) + 1);
+                let next = Incarnation(card.sibling.incarnation.0.max(own.0) + 1);
+                self.change_me(|me| me.sibling.incarnation = next);
                 let me = self.me.clone();
                 self.spread(me);
             }
@@ -263,11 +308,13 @@
             if known.card.sibling.incarnation != card.sibling.incarnation {
                 known.occupancy = None;
             }
+            self.parts[part_of(&name)] ^= worth_of(&known.card) ^ worth_of(&card);
             known.card = card.clone();
         } else {
             if card.standing == Standing::Dead {
                 return false;
             }
+            self.parts[part_of(&name)] ^= worth_of(&card);
             self.known.insert(
                 name.clone(),
                 Known { card: card.clone(), since: now, occupancy: None, told: Default::default() },
@@ -286,7 +333,6 @@
             return Vec::new();
         }
         let name = card.sibling.name.clone();
-        let is_new = !self.known.contains_key(&name);
         self.learn(card.clone(), now);
         if let Some(known) = self.known.get_mut(&name) {
             if known.card.sibling.incarnation == card.sibling.incarnation {
@@ -306,7 +352,7 @@
             self.actions.push(GossipAction::Ahead { sibling: card.sibling.clone() });
         }
         let differs = roster != self.digest();
-        let due = self.introduced.get(&name).is_none_or(|at| now.since(*at) >= self.timing.probe * 2);
+        let answers = matches!(kind, Kind::Cards | Kind::Compare { .. });
         match kind {
             Kind::Ping { number } => self.send(from, Kind::Ack { number }),
             Kind::Ack { number } => {
@@ -327,30 +373,34 @@
                     self.errands.pop_front();
                 }
             }
+            Kind::Compare { parts } => self.tell_parts(from, &parts),
+            Kind::Cards => {}
         }
-        if is_new || (due && differs) {
-            self.introduced.insert(name, now);
-            self.introduce(from);
+        if differs && !answers && now >= self.next_compare {
+            // One at a time: a roster takes the same whether few or many siblings differ.
+            self.next_compare = now + self.timing.probe;
+            let parts = self.parts.to_vec();
+            self.send(from, Kind::Compare { parts });
         }
         std::mem::take(&mut self.actions)
     }
 
-    /// Tells a newcomer of everyone.
-    fn introduce(&mut self, to: SocketAddr) {
-        let cards: Vec<Card> = self
-            .known
-            .values()
-            .filter(|known| known.card.standing != Standing::Dead)
-            .map(|known| known.card.clone())
-            .collect();
+    /// Tells the cards of the parts in which another roster differs, the dead among them.
+    fn tell_parts(&mut self, to: SocketAddr, theirs: &[u32]) {
+        let differs = |name: &NodeName| {
+            let part = part_of(name);
+            theirs.get(part) != Some(&self.parts[part])
+        };
+        let known = self.known.values().map(|known| &known.card);
+        let cards: Vec<Card> = known.filter(|card| differs(&card.sibling.name)).cloned().collect();
         for chunk in cards.chunks(CARDS_IN_A_DATAGRAM) {
             let datagram = Datagram {
                 from: self.me.clone(),
                 fleet: self.fleet,
                 configuration: self.configuration,
                 roster: self.digest(),
-                occupancy: self.occupancy.clone(),
-                kind: Kind::Ack { number: 0 },
+                occupancy: None,
+                kind: Kind::Cards,
                 news: chunk.to_vec(),
             };
             self.actions.push(GossipAction::Send { to, datagram });
@@ -360,6 +410,7 @@
     pub fn tick(&mut self, now: Moment) -> Vec<GossipAction> {
         self.judge_probes(now);
         self.judge_suspects(now);
+        self.tell_if_due(now);
         if now >= self.next_seed {
             let lonely = self.alive(Role::Core).next().is_none();
             self.next_seed = now + if lonely { self.timing.probe } else { self.timing.probe * 8 };
@@ -448,9 +499,10 @@
             self.learn(Card { standing: Standing::Dead, ..card }, now);
         }
         for name in forgotten {
-            self.known.remove(&name);
+            if let Some(known) = self.known.remove(&name) {
+                self.parts[part_of(&name)] ^= worth_of(&known.card);
+            }
             self.revision += 1;
-            self.introduced.remove(&name);
             self.turn.retain(|other| *other != name);
         }
     }
--- a/crates/lineside/src/gossip/tests.rs
+++ b/crates/lineside/src/gossip/tests.rs
@@ -14,11 +14,13 @@
     fleet: BTreeMap<SocketAddr, Zxid>,
     flying: Vec<(Moment, SocketAddr, SocketAddr, Datagram)>,
     silenced: BTreeSet<SocketAddr>,
+    /// Datagrams sent, and cards in them.
+    sent: (usize, usize),
     random: Random,
 }
 
 fn address(index: u16) -> SocketAddr {
-    ([10, 0, 0, index as u8 + 1], 7000).into()
+    ([10, 0, (index >> 8) as u8, index as u8], 7000).into()
 }
 
 fn sibling(index: u16) -> Sibling {
@@ -41,6 +43,7 @@
             fleet: BTreeMap::new(),
             flying: Vec::new(),
             silenced: BTreeSet::new(),
+            sent: (0, 0),
             random: Random::seeded(seed),
         };
         for index in 0..count {
@@ -61,6 +64,8 @@
         for action in actions {
             match action {
                 GossipAction::Send { to, datagram } => {
+                    self.sent.0 += 1;
+                    self.sent.1 += datagram.news.len();
                     if !self.random.chance(0.05) {
                         let due = self.now + Duration::from_micros(200 + self.random.below(3000));
                         self.flying.push((due, at, to, datagram));
@@ -78,7 +83,7 @@
 
     fn move_on(&mut self, at: SocketAddr, zxid: Zxid) {
         self.fleet.insert(at, zxid);
-        let actions = self.rosters.get_mut(&at).unwrap().fleet_moved(zxid);
+        let actions = self.rosters.get_mut(&at).unwrap().fleet_moved(zxid, self.now);
         self.act(at, actions);
     }
 
@@ -151,6 +156,33 @@
     }
 }
 
+/// Datagrams, and cards in them, per node and second, once all know each other and while they meet.
+fn traffic(count: u16) -> (f64, f64, f64) {
+    let mut fleet = Fleet::start(count, 11);
+    fleet.run(Duration::from_secs(8));
+    let (met, met_cards) = std::mem::take(&mut fleet.sent);
+    fleet.run(Duration::from_secs(5));
+    let (calm, _) = fleet.sent;
+    let per = |sent: usize, seconds: f64| sent as f64 / seconds / count as f64;
+    for index in 0..count {
+        let name = sibling(index).name;
+        let others = fleet.rosters.iter().filter(|(at, _)| **at != address(index));
+        let there = others.filter(|(_, roster)| roster.standing(&name).is_some_and(|is| is <= Standing::Suspect));
+        assert_eq!(there.count(), count as usize - 1, "{count} nodes: n{index} is known to all");
+    }
+    (per(calm, 5.0), per(met, 8.0), per(met_cards, 8.0) / count as f64)
+}
+
+#[test]
+fn a_node_says_no_more_in_a_large_fleet() {
+    let (small_calm, ..) = traffic(10);
+    let (large_calm, large_met, cards_each) = traffic(240);
+    assert!(large_calm < small_calm * 1.3, "calm: {small_calm} and {large_calm} datagrams a node and second");
+    // Meeting costs what the roster's length comes to, a few times over, and not once for each sibling.
+    assert!(large_met < 40.0, "meeting: {large_met} datagrams a node and second");
+    assert!(cards_each < 3.0, "meeting: each card told {cards_each} times a node and second");
+}
+
 #[test]
 fn loss_alone_kills_nobody() {
     let mut fleet = Fleet::start(10, 3);
--- a/crates/pointsman/src/node/core_calls.rs
+++ b/crates/pointsman/src/node/core_calls.rs
@@ -36,7 +36,12 @@
             if left.is_zero() {
                 return None;
             }
-            match node.caller.call(core, ask.clone(), ONE_LIMIT.min(left)).await {
+            let one = ONE_LIMIT.min(left);
+            let reply = match &ask {
+                Ask::News { .. } => node.caller.call_for_much(core, ask.clone(), one).await,
+                _ => node.caller.call(core, ask.clone(), one).await,
+            };
+            match reply {
                 Ok(Reply::NotNow(_) | Reply::Unknown) | Err(_) => {}
                 Ok(reply) => return Some(reply),
             }
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -56,7 +56,7 @@
     let actions = {
         let mut roster = node.roster.borrow_mut();
         roster.set_configuration(fleet.epoch());
-        roster.fleet_moved(fleet.zxid())
+        roster.fleet_moved(fleet.zxid(), clock::now())
     };
     drop(fleet);
     gossip(node, actions);
@@ -100,7 +100,7 @@
     monoio::spawn(async move {
         let since = node.fleet.borrow().zxid();
         let ask = Ask::News { since, assured: false };
-        let reply = node.caller.call(sibling.address, ask, Duration::from_millis(400)).await;
+        let reply = node.caller.call_for_much(sibling.address, ask, Duration::from_millis(400)).await;
         node.fetching.set(false);
         if let Ok(Reply::News { news, .. }) = reply {
             take(&node, since, news);
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -7,6 +7,7 @@
 use lineside::call::{Ask, CallError, ControlCall, ControlReturn, Reply};
 use std::time::Duration;
 use timetable::fleet::{FleetChange, Instance};
+use timetable::packed::Packed;
 use trackbed::clock;
 use trackbed::ids::{InstanceId, RegionName, Zxid};
 
@@ -101,7 +102,7 @@
 /// Broadcasts one change, and builds the next on it.
 fn propose(node: &Signalbox, change: Change) -> Option<Zxid> {
     let now = clock::now();
-    let payload = borsh::to_vec(&change).expect("writing to memory can't fail");
+    let payload = Packed::pack(&change).into_bytes();
     let (zxid, actions) = node.zab.borrow_mut().propose(vec![payload], now)?;
     if let Some(ahead) = node.ahead.borrow_mut().as_mut() {
         ahead.apply(zxid, change, now);
@@ -144,22 +145,40 @@
     }
 }
 
-/// All that was acknowledged before the call: the primary's own word, under its lease.
+/// How far all that was acknowledged goes: the primary's own word, under its lease.
+pub fn assure(node: &Signalbox) -> Reply {
+    let zab = node.zab.borrow();
+    if !zab.is_primary() || !zab.lease_holds(clock::now()) {
+        return Reply::NotNow("this node may no longer be the primary".into());
+    }
+    Reply::Upto(node.settled.borrow().fleet.zxid())
+}
+
+/// All that was acknowledged before the call, out of what this node holds: the primary only says how
+/// far that is, so that it need not bring the state to every node of the fleet itself.
 pub async fn assured_news(node: &Signalbox, since: Zxid) -> Reply {
     let Some(primary) = node.zab.borrow().primary() else {
         return Reply::NotNow("no primary just now".into());
     };
-    if primary.id != node.zab.borrow().me().id {
-        return match node.caller.call(primary.address, Ask::News { since, assured: true }, CALL_LIMIT).await {
-            Ok(reply) => reply,
-            Err(error) => Reply::NotNow(error.to_string()),
-        };
-    }
-    let settled = node.settled.borrow();
-    match lease_holds(node) {
-        true => Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() },
-        false => Reply::NotNow("this node may no longer be the primary".into()),
+    let own = primary.id == node.zab.borrow().me().id;
+    let word = match own {
+        true => Ok(assure(node)),
+        false => node.caller.call(primary.address, Ask::Assure, CALL_LIMIT / 3).await,
+    };
+    let upto = match word {
+        Ok(Reply::Upto(upto)) => upto,
+        Ok(reply) => return reply,
+        Err(error) => return Reply::NotNow(error.to_string()),
+    };
+    for _ in 0..10 {
+        let settled = node.settled.borrow();
+        if settled.fleet.zxid() >= upto {
+            return Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() };
+        }
+        drop(settled);
+        monoio::time::sleep(Duration::from_millis(20)).await;
     }
+    Reply::NotNow("this node is behind: ask another".into())
 }
 
 pub async fn register(node: &Signalbox, instance: Instance) -> Reply {
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/siblings.rs
@@ -26,6 +26,7 @@
                 Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() }
             }
             Ask::News { since, assured: true } => primary::assured_news(&self, since).await,
+            Ask::Assure => primary::assure(&self),
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
             Ask::Register(instance) => primary::register(&self, instance).await,
             Ask::SignOff(id) => primary::sign_off(&self, id).await,
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -4,7 +4,6 @@
 use super::start::core_address;
 use super::{Signalbox, members, siblings};
 use crate::ledger::{Change, Ledger};
-use borsh::BorshDeserialize;
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_core::Stream;
 use interlocking::storage::{FileDisk, Storage};
@@ -15,6 +14,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use timetable::packed::Packed;
 use trackbed::clock::{self, Moment};
 use trackbed::http::Serving;
 
@@ -84,7 +84,7 @@
                 // The writer ends only with the process.
                 let _ = node.disk.send(Write::Append { ticket, records: records.collect() });
             }
-            Action::Deliver { zxid, payload } => match Change::try_from_slice(&payload) {
+            Action::Deliver { zxid, payload } => match Packed::read::<Change>(&payload) {
                 Ok(change) => deliver(node, zxid, change, now),
                 Err(error) => log::error!("a transaction can't be read ({error}): upgrade this node"),
             },
@@ -159,7 +159,7 @@
     let actions = {
         let mut roster = node.roster.borrow_mut();
         roster.set_configuration(epoch);
-        roster.fleet_moved(zxid)
+        roster.fleet_moved(zxid, clock::now())
     };
     siblings::gossip(node, actions);
 }
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -2,7 +2,9 @@
 
 use super::changes::{ConfigChange, FleetChange, Instance};
 use crate::configuration::{Configuration, Routes};
+use crate::packed::Packed;
 use borsh::{BorshDeserialize, BorshSerialize};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use trackbed::ids::{ConfigEpoch, InstanceId, ServiceName, Zxid};
@@ -25,8 +27,11 @@
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum FleetNews {
     /// Changes in order, right after the zxid asked for.
-    Changes(Vec<(Zxid, FleetChange)>),
-    Whole(FleetFrame),
+    Changes(Vec<(Zxid, Packed)>),
+    Whole {
+        zxid: Zxid,
+        frame: Packed,
+    },
 }
 
 /// Invariants: `frame.zxid` only rises; `routes` is what `frame.configuration` says.
@@ -36,9 +41,11 @@
     routes: Option<Rc<Routes>>,
     by_service: BTreeMap<ServiceName, Vec<Rc<Instance>>>,
     /// Invariant: gapless from `tail_base` on.
-    tail: VecDeque<(Zxid, FleetChange, usize)>,
+    tail: VecDeque<(Zxid, Packed)>,
     tail_base: Zxid,
     tail_bytes: usize,
+    /// The whole, as last told. Invariant: right only for the zxid beside it.
+    told_whole: RefCell<Option<(Zxid, Packed)>>,
 }
 
 impl FleetState {
@@ -107,13 +114,13 @@
 
     /// Makes a change that was ordered at `zxid`.
     pub fn apply(&mut self, zxid: Zxid, change: FleetChange) {
+        let packed = Packed::pack(&change);
+        self.apply_packed(zxid, change, packed);
+    }
+
+    fn apply_packed(&mut self, zxid: Zxid, change: FleetChange, packed: Packed) {
         assert!(zxid > self.frame.zxid, "the fleet's state only moves on");
         self.frame.zxid = zxid;
-        let weight = match &change {
-            FleetChange::Configure { change: ConfigChange::Whole(configuration), .. } => configuration.to_json().len(),
-            FleetChange::Configure { .. } => 4096,
-            _ => 256,
-        };
         match &change {
             FleetChange::Configure { change, digest } => self.configure(change, *digest),
             FleetChange::Register(instance) => {
@@ -138,14 +145,14 @@
             FleetChange::End(id) => self.end(id),
             FleetChange::Lost(id) => self.remove(id),
         }
-        self.tail.push_back((zxid, change, weight));
-        self.tail_bytes += weight;
+        self.tail_bytes += packed.length();
+        self.tail.push_back((zxid, packed));
         while self.tail_bytes > TAIL_BYTES || self.tail.len() > 512 {
-            let Some((zxid, _, weight)) = self.tail.pop_front() else {
+            let Some((zxid, packed)) = self.tail.pop_front() else {
                 break;
             };
             self.tail_base = zxid;
-            self.tail_bytes -= weight;
+            self.tail_bytes -= packed.length();
         }
     }
 
@@ -183,24 +190,32 @@
         if zxid >= self.frame.zxid {
             return None;
         }
-        let known = zxid == self.tail_base || self.tail.iter().any(|(at, _, _)| *at == zxid);
+        let known = zxid == self.tail_base || self.tail.iter().any(|(at, _)| *at == zxid);
         if !known {
-            return Some(FleetNews::Whole(self.frame.clone()));
+            let mut told = self.told_whole.borrow_mut();
+            let zxid = self.frame.zxid;
+            if told.as_ref().is_none_or(|(at, _)| *at != zxid) {
+                *told = Some((zxid, Packed::pack(&self.frame)));
+            }
+            return told.clone().map(|(zxid, frame)| FleetNews::Whole { zxid, frame });
         }
-        let changes = self.tail.iter().filter(|(at, _, _)| *at > zxid);
-        Some(FleetNews::Changes(changes.map(|(at, change, _)| (*at, change.clone())).collect()))
+        let changes = self.tail.iter().filter(|(at, _)| *at > zxid);
+        Some(FleetNews::Changes(changes.cloned().collect()))
     }
 
     /// Takes news asked for at `since`; true when this state moved on.
     pub fn take(&mut self, since: Zxid, news: FleetNews) -> bool {
         let before = self.frame.zxid;
         match news {
-            FleetNews::Whole(frame) if frame.zxid > before => *self = Self::from_frame(frame),
+            FleetNews::Whole { zxid, frame } if zxid > before => {
+                let Ok(whole) = frame.unpack::<FleetFrame>() else { return false };
+                *self = Self::from_frame(whole);
+                *self.told_whole.borrow_mut() = Some((zxid, frame));
+            }
             FleetNews::Changes(changes) if since == before => {
-                for (zxid, change) in changes {
-                    if zxid > self.frame.zxid {
-                        self.apply(zxid, change);
-                    }
+                for (zxid, packed) in changes.into_iter().filter(|(zxid, _)| *zxid > before) {
+                    let Ok(change) = packed.unpack() else { break };
+                    self.apply_packed(zxid, change, packed);
                 }
             }
             _ => {}
--- a/crates/timetable/src/lib.rs
+++ b/crates/timetable/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod configuration;
 pub mod fleet;
+pub mod packed;
--- /dev/null
+++ b/crates/timetable/src/packed.rs
@@ -0,0 +1,80 @@
+//! What is told to many, packed once: configurations are long and say the same words over and over.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use flate2::Compression;
+use flate2::read::{DeflateDecoder, DeflateEncoder};
+use std::io::{self, Read};
+use std::rc::Rc;
+
+/// What is shorter is left as it is.
+const WORTH_PACKING: usize = 1 << 10;
+/// Longest value unpacked.
+const LONGEST: u64 = 96 << 20;
+const PLAIN: u8 = 0;
+const DEFLATED: u8 = 1;
+
+/// A value in its borsh encoding, deflated where that is worth it. Invariant: the first byte says which.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Packed(Rc<Vec<u8>>);
+
+impl Packed {
+    pub fn pack<T: BorshSerialize>(value: &T) -> Self {
+        let mut bytes = vec![PLAIN];
+        value.serialize(&mut bytes).expect("writing to memory can't fail");
+        if bytes.len() > WORTH_PACKING {
+            let mut packed = vec![DEFLATED];
+            let outcome = DeflateEncoder::new(&bytes[1..], Compression::new(3)).read_to_end(&mut packed);
+            if outcome.is_ok() && packed.len() < bytes.len() {
+                bytes = packed;
+            }
+        }
+        bytes.shrink_to_fit();
+        Self(Rc::new(bytes))
+    }
+
+    pub fn unpack<T: BorshDeserialize>(&self) -> io::Result<T> {
+        Self::read(&self.0)
+    }
+
+    /// Reads what `into_bytes` gave.
+    pub fn read<T: BorshDeserialize>(bytes: &[u8]) -> io::Result<T> {
+        match bytes.split_first() {
+            Some((&PLAIN, plain)) => T::try_from_slice(plain),
+            Some((&DEFLATED, packed)) => {
+                let mut plain = Vec::new();
+                DeflateDecoder::new(packed).take(LONGEST).read_to_end(&mut plain)?;
+                T::try_from_slice(&plain)
+            }
+            _ => Err(io::Error::new(io::ErrorKind::InvalidData, "neither plain nor packed: upgrade this node")),
+        }
+    }
+
+    pub fn into_bytes(self) -> Vec<u8> {
+        Rc::unwrap_or_clone(self.0)
+    }
+
+    pub fn length(&self) -> usize {
+        self.0.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn long_values_take_less_and_come_back_as_they_were() {
+        for count in [0usize, 3, 400] {
+            let route = |index| {
+                format!("{{\"hostname\":\"h{index}.example\",\"path_prefix\":\"/p{index}/\",\"timeout_s\":1.5}}")
+            };
+            let value: Vec<String> = (0..count).map(route).collect();
+            let packed = Packed::pack(&value);
+            assert_eq!(packed.unpack::<Vec<String>>().unwrap(), value);
+            let plain = borsh::to_vec(&value).unwrap().len();
+            assert!(packed.length() <= plain + 1 && (count < 400 || packed.length() * 4 < plain));
+        }
+        assert!(Packed::read::<u64>(&[]).is_err());
+        assert!(Packed::read::<u64>(&[DEFLATED, 1, 2]).is_err());
+    }
+}
--- a/crates/trackbed/src/net/frames.rs
+++ b/crates/trackbed/src/net/frames.rs
@@ -3,7 +3,9 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use derive_more::{Display, Error, From};
 use monoio::io::AsyncReadRent;
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 
 /// Longest frame taken from a sibling.
 const MAX_FRAME: usize = 96 << 20;
@@ -34,11 +36,17 @@
     /// Bytes read and not yet given out.
     held: Vec<u8>,
     taken: usize,
+    /// Bytes read so far, for whoever waits for a long frame.
+    received: Rc<Cell<u64>>,
 }
 
 impl<S: AsyncReadRent> FrameReader<S> {
     pub fn new(stream: S) -> Self {
-        Self { stream, held: Vec::new(), taken: 0 }
+        Self { stream, held: Vec::new(), taken: 0, received: Rc::default() }
+    }
+
+    pub fn received(&self) -> Rc<Cell<u64>> {
+        self.received.clone()
     }
 
     pub async fn next<T: BorshDeserialize>(&mut self) -> Result<T, FrameError> {
@@ -68,6 +76,7 @@
             if outcome? == 0 {
                 return Err(FrameError::Closed);
             }
+            self.received.set(self.received.get() + buffer.len() as u64);
             self.held.extend_from_slice(&buffer);
         }
     }
