--- a/crates/lineside/src/call/caller.rs
+++ b/crates/lineside/src/call/caller.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use trackbed::net::{FrameReader, StreamHandle, connect, encode_frame};
+use trackbed::net::{FrameReader, StreamHandle, Tally, connect, encode_frame};
 
 const DIAL_LIMIT: Duration = Duration::from_millis(500);
 /// How many times its limit a long reply may take while it keeps coming.
@@ -39,6 +39,7 @@
     broken: Cell<bool>,
     /// Bytes read so far.
     received: RefCell<Rc<Cell<u64>>>,
+    tally: Rc<Cell<Tally>>,
 }
 
 /// Calls siblings. Invariant: a stream on which a call went unanswered is broken off, so that
@@ -47,6 +48,7 @@
 pub struct Caller {
     streams: RefCell<HashMap<SocketAddr, Rc<Stream>>>,
     next_number: Cell<u64>,
+    tally: Rc<Cell<Tally>>,
 }
 
 impl Caller {
@@ -92,12 +94,17 @@
         }
     }
 
+    /// What was sent over streams dialled here. Bytes read are those of whole replies.
+    pub fn tally(&self) -> Tally {
+        self.tally.get()
+    }
+
     fn stream(&self, to: SocketAddr) -> Rc<Stream> {
         let mut streams = self.streams.borrow_mut();
         if let Some(stream) = streams.get(&to).filter(|stream| !stream.broken.get()) {
             return stream.clone();
         }
-        let stream = Rc::new(Stream::default());
+        let stream = Rc::new(Stream { tally: self.tally.clone(), ..Stream::default() });
         streams.insert(to, stream.clone());
         stream
     }
@@ -106,6 +113,10 @@
 impl Stream {
     fn push(&self, frame: Vec<u8>) {
         self.outbox_bytes.set(self.outbox_bytes.get() + frame.len());
+        let mut tally = self.tally.get();
+        tally.sent += 1;
+        tally.sent_bytes += frame.len() as u64;
+        self.tally.set(tally);
         self.outbox.borrow_mut().push_back(frame);
     }
 
@@ -136,8 +147,15 @@
         let reading = stream.clone();
         monoio::spawn(async move {
             let mut reader = FrameReader::new(read);
-            *reading.received.borrow_mut() = reader.received();
+            let received = reader.received();
+            let mut counted = 0;
+            *reading.received.borrow_mut() = received.clone();
             while let Ok(message) = reader.next::<SiblingMessage>().await {
+                let mut tally = reading.tally.get();
+                tally.received += 1;
+                tally.received_bytes += received.get() - counted;
+                counted = received.get();
+                reading.tally.set(tally);
                 if let SiblingMessage::Reply { number, reply } = message
                     && let Some(sender) = reading.waiting.borrow_mut().remove(&number)
                 {
--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -49,6 +49,8 @@
         since: Zxid,
         assured: bool,
     },
+    /// Is anybody there?
+    Knock,
     /// How far the primary's committed state is, under its lease.
     Assure,
     Register(Instance),
--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -43,6 +43,11 @@
         to: SocketAddr,
         datagram: Datagram,
     },
+    /// Datagrams to that sibling stay unanswered: they are the first to be lost where a way is full. It
+    /// is to be called over a stream, and vouched for if it answers.
+    Knock {
+        sibling: Sibling,
+    },
     /// That sibling's fleet state is ahead.
     Ahead {
         sibling: Sibling,
@@ -53,6 +58,8 @@
 struct Known {
     card: Card,
     since: Moment,
+    /// When there was last a sign of life from the node itself: a datagram, or an answer over a stream.
+    heard: Moment,
     occupancy: Option<(Occupancy, Moment)>,
     /// How far its fleet state was when it last spoke.
     told: (Zxid, ConfigEpoch),
@@ -202,6 +209,19 @@
         }
     }
 
+    /// That node answered just now, in whatever way.
+    pub fn vouch(&mut self, name: &NodeName, now: Moment) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.heard = now;
+        }
+    }
+
+    /// For how long a silent node is only suspected: news need longer in a large fleet.
+    fn suspicion(&self) -> Duration {
+        let steps = (usize::BITS - self.known.len().leading_zeros()).max(4);
+        self.timing.suspicion * steps / 4
+    }
+
     /// This node is about to end.
     pub fn leave(&mut self) -> Vec<GossipAction> {
         self.change_me(|me| me.standing = Standing::Leaving);
@@ -317,7 +337,7 @@
             self.parts[part_of(&name)] ^= worth_of(&card);
             self.known.insert(
                 name.clone(),
-                Known { card: card.clone(), since: now, occupancy: None, told: Default::default() },
+                Known { card: card.clone(), since: now, heard: now, occupancy: None, told: Default::default() },
             );
             let place = self.random.below(self.turn.len() as u64 + 1) as usize;
             self.turn.insert(place, name);
@@ -335,6 +355,7 @@
         let name = card.sibling.name.clone();
         self.learn(card.clone(), now);
         if let Some(known) = self.known.get_mut(&name) {
+            known.heard = now;
             if known.card.sibling.incarnation == card.sibling.incarnation {
                 known.occupancy = occupancy.map(|occupancy| (occupancy, now));
                 known.told = (fleet, configuration);
@@ -437,12 +458,18 @@
         for _ in 0..self.turn.len() {
             let Some(name) = self.turn.pop_front() else { return };
             let Some(known) = self.known.get(&name) else { continue };
-            let (address, dead) = (known.card.sibling.address, known.card.standing == Standing::Dead);
+            let (address, standing) = (known.card.sibling.address, known.card.standing);
+            let dead = standing == Standing::Dead;
             self.turn.push_back(name.clone());
             // The dead are asked now and then: what was cut off comes back.
             if dead && !self.random.chance(0.2) {
                 continue;
             }
+            if standing == Standing::Suspect {
+                // It is told what is said of it.
+                let card = known.card.clone();
+                self.rumours.push_front((card, 1));
+            }
             let number = self.ping(address);
             if !dead {
                 self.probes.push(Probe { number, name, at: now, asked_others: false });
@@ -457,6 +484,9 @@
             let Some(known) = self.known.get(&probe.name) else {
                 return false;
             };
+            if known.heard > probe.at {
+                return false;
+            }
             let card = known.card.clone();
             if !probe.asked_others && now.since(probe.at) >= self.timing.patience {
                 probe.asked_others = true;
@@ -471,30 +501,50 @@
                     self.send(other, Kind::SecondOpinion { number: probe.number, about: card.sibling.address });
                 }
                 self.send(card.sibling.address, Kind::Ping { number: probe.number });
+                self.actions.push(GossipAction::Knock { sibling: card.sibling.clone() });
             }
             if now.since(probe.at) < self.timing.patience * 3 {
                 return true;
             }
             if card.standing == Standing::Alive {
-                self.learn(Card { standing: Standing::Suspect, ..card }, now);
+                let accusation = Card { standing: Standing::Suspect, ..card };
+                self.learn(accusation.clone(), now);
+                self.confront(accusation);
             }
             false
         });
         self.probes.extend(probes);
     }
 
+    /// Tells a node what is said of it, so that it can speak up.
+    fn confront(&mut self, accusation: Card) {
+        let to = accusation.sibling.address;
+        self.rumours.push_front((accusation, 1));
+        self.ping(to);
+    }
+
     fn judge_suspects(&mut self, now: Moment) {
+        let suspicion = self.suspicion();
         let mut due = Vec::new();
         let mut forgotten = Vec::new();
+        let mut confronted = Vec::new();
         for known in self.known.values() {
             let silent = now.since(known.since);
             match known.card.standing {
-                Standing::Suspect if silent >= self.timing.suspicion => due.push(known.card.clone()),
+                // Whoever spoke here since it was suspected is not buried from here.
+                Standing::Suspect if silent >= suspicion && known.heard <= known.since => due.push(known.card.clone()),
+                Standing::Suspect if silent >= suspicion => confronted.push(known.card.clone()),
                 Standing::Leaving if silent >= self.timing.memory => due.push(known.card.clone()),
                 Standing::Dead if silent >= self.timing.memory => forgotten.push(known.card.sibling.name.clone()),
                 _ => {}
             }
         }
+        for card in confronted {
+            if let Some(known) = self.known.get_mut(&card.sibling.name) {
+                known.since = now;
+            }
+            self.confront(card);
+        }
         for card in due {
             self.learn(Card { standing: Standing::Dead, ..card }, now);
         }
--- a/crates/lineside/src/gossip/tests.rs
+++ b/crates/lineside/src/gossip/tests.rs
@@ -71,6 +71,12 @@
                         self.flying.push((due, at, to, datagram));
                     }
                 }
+                GossipAction::Knock { sibling } => {
+                    if !self.silenced.contains(&at) && !self.silenced.contains(&sibling.address) {
+                        let now = self.now;
+                        self.rosters.get_mut(&at).unwrap().vouch(&sibling.name, now);
+                    }
+                }
                 GossipAction::Ahead { sibling } => {
                     let ahead = self.fleet[&sibling.address];
                     if ahead > self.fleet[&at] {
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -12,11 +12,14 @@
 use trackbed::clock;
 use trackbed::ids::Zxid;
 
+const KNOCK_LIMIT: Duration = Duration::from_millis(900);
+
 impl Answering for Pointsman {
     fn on_zab(&self, _: &[u8]) {}
 
     async fn answer(self: Rc<Self>, ask: Ask) -> Reply {
         match ask {
+            Ask::Knock => Reply::Done,
             Ask::News { since, assured: false } => {
                 let fleet = self.fleet.borrow();
                 Reply::News { news: fleet.news_since(since), zxid: fleet.zxid() }
@@ -108,6 +111,16 @@
     });
 }
 
+/// Asks a sibling that datagrams don't reach over a stream.
+fn knock(node: &Rc<Pointsman>, sibling: Sibling) {
+    let node = node.clone();
+    monoio::spawn(async move {
+        if node.caller.call(sibling.address, Ask::Knock, KNOCK_LIMIT).await == Ok(Reply::Done) {
+            node.roster.borrow_mut().vouch(&sibling.name, clock::now());
+        }
+    });
+}
+
 pub async fn listen(node: Rc<Pointsman>) {
     loop {
         let (bytes, from) = node.datagrams.receive().await;
@@ -131,6 +144,7 @@
                 node.datagrams.send(&bytes, to);
             }
             GossipAction::Ahead { sibling } => fetch(node, sibling),
+            GossipAction::Knock { sibling } => knock(node, sibling),
         }
     }
 }
@@ -157,6 +171,7 @@
         node.seat_endpoints();
         if turns.is_multiple_of(100) {
             super::tenancy::tell(&node);
+            log::info!("own datagrams {:?}; calls {:?}", node.datagrams.tally(), node.caller.tally());
         }
         turns += 1;
         monoio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -19,7 +19,7 @@
 use futures_channel::oneshot;
 use interlocking::zab::Zab;
 use lineside::call::Caller;
-use lineside::gossip::Roster;
+use lineside::gossip::{Roster, Sibling};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -54,6 +54,8 @@
     pub heard: RefCell<beats::Heard>,
     /// Where siblings call this node.
     pub own_address: SocketAddr,
+    /// Silent siblings to be asked over a stream.
+    pub to_knock: RefCell<Vec<Sibling>>,
     pub next_members: Cell<Moment>,
     pub leaving: Cell<bool>,
 }
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/siblings.rs
@@ -6,6 +6,7 @@
 use lineside::call::{Answering, Ask, Reply};
 use lineside::gossip::{Datagram, GossipAction};
 use std::rc::Rc;
+use std::time::Duration;
 use trackbed::clock;
 
 impl Answering for Signalbox {
@@ -26,6 +27,7 @@
                 Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() }
             }
             Ask::News { since, assured: true } => primary::assured_news(&self, since).await,
+            Ask::Knock => Reply::Done,
             Ask::Assure => primary::assure(&self),
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
             Ask::Register(instance) => primary::register(&self, instance).await,
@@ -38,6 +40,8 @@
     }
 }
 
+const KNOCK_LIMIT: Duration = Duration::from_millis(900);
+
 pub async fn listen(node: Rc<Signalbox>) {
     loop {
         let (bytes, from) = node.datagrams.receive().await;
@@ -51,9 +55,25 @@
 /// Carries out what the roster wants. A core node that is behind hears it from Zab, not from gossip.
 pub fn gossip(node: &Signalbox, actions: Vec<GossipAction>) {
     for action in actions {
-        if let GossipAction::Send { to, datagram } = action {
-            let bytes = borsh::to_vec(&datagram).expect("writing to memory can't fail");
-            node.datagrams.send(&bytes, to);
+        match action {
+            GossipAction::Send { to, datagram } => {
+                let bytes = borsh::to_vec(&datagram).expect("writing to memory can't fail");
+                node.datagrams.send(&bytes, to);
+            }
+            GossipAction::Knock { sibling } => node.to_knock.borrow_mut().push(sibling),
+            GossipAction::Ahead { .. } => {}
         }
     }
 }
+
+/// Asks those that datagrams don't reach over a stream.
+pub fn knock(node: &Rc<Signalbox>) {
+    for sibling in std::mem::take(&mut *node.to_knock.borrow_mut()) {
+        let node = node.clone();
+        monoio::spawn(async move {
+            if node.caller.call(sibling.address, Ask::Knock, KNOCK_LIMIT).await == Ok(Reply::Done) {
+                node.roster.borrow_mut().vouch(&sibling.name, clock::now());
+            }
+        });
+    }
+}
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -101,6 +101,7 @@
                 imaged_weight: Cell::new(0),
                 heard: RefCell::default(),
                 own_address: address,
+                to_knock: RefCell::default(),
                 next_members: Cell::new(now),
                 leaving: Cell::new(false),
             });
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -46,9 +46,13 @@
         if turns.is_multiple_of(2) {
             let actions = node.roster.borrow_mut().tick(now);
             siblings::gossip(&node, actions);
+            siblings::knock(&node);
             members::tend(&node, now);
             fold(&node);
         }
+        if turns.is_multiple_of(200) {
+            log::info!("own datagrams {:?}; calls {:?}", node.datagrams.tally(), node.caller.tally());
+        }
         turns += 1;
         monoio::time::sleep(TICK).await;
     }
--- a/crates/trackbed/src/net/mod.rs
+++ b/crates/trackbed/src/net/mod.rs
@@ -4,6 +4,6 @@
 mod frames;
 mod sockets;
 
-pub use datagrams::Datagrams;
+pub use datagrams::{Datagrams, Tally};
 pub use frames::{FrameError, FrameReader, encode_frame};
 pub use sockets::{SocketExt, StreamHandle, bind_tcp, connect};
