Free slots are looked for before queues are stood in; what a way takes counts; bytes to another zone weigh more

Two nodes are asked for a free slot before any queue is stood in; the sender learns what a way took beyond the time the node had the request.

--- a/crates/pointsman/src/dispatch/balance.rs
+++ b/crates/pointsman/src/dispatch/balance.rs
@@ -43,8 +43,17 @@
 #[derive(Default)]
 pub struct Balance {
     watched: HashMap<InstanceId, Watched>,
-    /// Nodes that could not be reached, each kept out until when.
-    nodes: HashMap<NodeName, Moment>,
+    nodes: HashMap<NodeName, Way>,
+}
+
+/// The way to a node.
+#[derive(Default)]
+struct Way {
+    /// It could not be reached, and is kept out until then.
+    shunned_until: Moment,
+    /// What short requests took beyond the time that the node had them, in microseconds, and when last.
+    took: f64,
+    at: Moment,
 }
 
 /// The way to another region and back, in microseconds, on top of what any far zone costs.
@@ -53,6 +62,17 @@
 /// After this long an occupancy told says nothing any more.
 const VIEW_LASTS: Duration = Duration::from_secs(2);
 
+/// Ways remembered at most.
+const MOST_WAYS: usize = 4096;
+/// What a way took fades by half in this time, so that it is tried again.
+const WAY_FADES: f64 = 700_000.0;
+
+impl Way {
+    fn took_by(&self, now: Moment) -> f64 {
+        self.took * 0.5f64.powf(now.since(self.at).as_micros() as f64 / WAY_FADES)
+    }
+}
+
 impl Balance {
     fn entry(&mut self, instance: &InstanceId) -> &mut Watched {
         if !self.watched.contains_key(instance) {
@@ -92,12 +112,28 @@
     }
 
     pub fn shun_node(&mut self, node: &NodeName, now: Moment, span: Duration) {
-        self.nodes.retain(|_, until| now < *until);
-        self.nodes.insert(node.clone(), now + span);
+        self.way(node).shunned_until = now + span;
     }
 
     pub fn is_node_shunned(&self, node: &NodeName, now: Moment) -> bool {
-        self.nodes.get(node).is_some_and(|until| now < *until)
+        self.nodes.get(node).is_some_and(|way| now < way.shunned_until)
+    }
+
+    fn way(&mut self, node: &NodeName) -> &mut Way {
+        if !self.nodes.contains_key(node) {
+            if self.nodes.len() > MOST_WAYS {
+                self.nodes.clear();
+            }
+            self.nodes.insert(node.clone(), Way::default());
+        }
+        self.nodes.get_mut(node).expect("inserted just now")
+    }
+
+    /// A full link, a lossy one or a node short of processor time shows in this and nowhere else.
+    pub fn way_took(&mut self, node: &NodeName, span: Duration, now: Moment) {
+        let way = self.way(node);
+        way.took = way.took_by(now) * 0.7 + span.as_micros() as f64 * 0.3;
+        way.at = now;
     }
 
     pub fn forget_all_but(&mut self, known: impl Fn(&InstanceId) -> bool) {
@@ -149,6 +185,11 @@
                 continue;
             };
             let mut cost = expected * (1.0 + random.below(100) as f64 / 1000.0);
+            if !candidate.is_local
+                && let Some(way) = self.nodes.get(&candidate.node)
+            {
+                cost += way.took_by(now);
+            }
             if !candidate.same_region {
                 cost += far_cost + OTHER_REGION;
             } else if !candidate.same_zone {
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -16,12 +16,18 @@
 use trackbed::random::stable_hash;
 
 /// Nodes asked in vain before a request is given up.
-const ASKED_IN_VAIN: u32 = 3;
+const ASKED_IN_VAIN: u32 = 4;
+/// Nodes asked whether a slot is free before any queue is stood in.
+const LOOKS_FOR_FREE: u32 = 2;
+/// What counts as no wait, of the time to the target.
+const NO_WAIT: f64 = 0.03;
 /// What a go in another zone must save to be worth its way and its bytes, in microseconds.
-const FAR_COST: f64 = 3_000.0;
-const FAR_COST_OF_A_BYTE: f64 = 5.0;
+const FAR_COST: f64 = 10_000.0;
+const FAR_COST_OF_A_BYTE: f64 = 20.0;
 /// Heads on the way there and back.
 const HEAD_BYTES: f64 = 700.0;
+/// What tells how the way to a node is.
+const SHORT_ANSWER: usize = 12 << 10;
 const SHUN_UNREACHABLE: Duration = Duration::from_millis(600);
 const SHUN_NODE: Duration = Duration::from_millis(1500);
 const SHUN_GONE: Duration = Duration::from_millis(300);
@@ -45,7 +51,13 @@
     }
 }
 
+/// A long answer takes its time on any way.
+fn is_short(outcome: &Outcome) -> bool {
+    !matches!(outcome, Outcome::Answered(answer) if answer.flow.is_some() || answer.body.len() > SHORT_ANSWER)
+}
+
 async fn go(node: &Rc<Pointsman>, candidate: &Candidate, errand: &Errand) -> GoResult {
+    let begun = clock::now();
     node.balance.borrow_mut().begin(&candidate.instance);
     let result = if candidate.is_local {
         match node.platform_of(&candidate.instance) {
@@ -61,11 +73,17 @@
         tenancy::violated(node, &errand.binding);
     }
     let now = clock::now();
+    if !candidate.is_local && result.occupancy.is_some() {
+        node.roster.borrow_mut().vouch(&candidate.node, now);
+    }
     let mut balance = node.balance.borrow_mut();
     balance.end(&candidate.instance);
     if let Some(occupancy) = &result.occupancy {
         balance.told(occupancy, now);
     }
+    if let Some(spent) = result.spent.filter(|_| is_short(&result.outcome)) {
+        balance.way_took(&candidate.node, now.since(begun).saturating_sub(spent), now);
+    }
     match &result.outcome {
         Outcome::Answered(_) | Outcome::OverHorizon => balance.went_well(&candidate.instance),
         // At a gateway it is the home that could not be reached, and another may stand in for it.
@@ -98,9 +116,12 @@
         horizon: plan.horizon,
         binding,
         target: plan.target,
+        patience: Duration::ZERO,
     };
     errand.inquiry.headers.remove(CALLER);
     let mut left = candidates(node, &plan, &errand.binding, now);
+    // Those that had no slot free, and could be waited for.
+    let mut full: Vec<Candidate> = Vec::new();
     let mut asked_in_vain = 0;
     let mut offered = 0;
     let mut may_have_run = None;
@@ -108,12 +129,23 @@
     let mut free_in = Duration::from_millis(60);
     node.budgets.borrow_mut().first_go(&plan.service, now, bounds.window);
     let bytes = HEAD_BYTES + errand.inquiry.body.len() as f64 + node.sizes.borrow().get(&errand.sort).unwrap_or(&0.0);
+    let span = now.until(plan.target);
     let far_cost = FAR_COST + FAR_COST_OF_A_BYTE * bytes;
+    if far_cost > span.as_micros() as f64 && left.iter().any(|candidate| candidate.same_zone) {
+        // Too much for the way: it is for its own zone to run it.
+        left.retain(|candidate| candidate.same_zone);
+    }
     loop {
         let now = clock::now();
         if errand.left(now).is_zero() {
             break;
         }
+        // Whoever is free is looked for first; only then is anybody's queue stood in.
+        let looks_for_free = asked_in_vain < LOOKS_FOR_FREE && !left.is_empty();
+        if !looks_for_free {
+            left.append(&mut full);
+        }
+        errand.patience = if looks_for_free { span.mul_f64(NO_WAIT) } else { span };
         let chosen = {
             let mut random = node.random.borrow_mut();
             node.balance.borrow().choose(left.iter(), now, far_cost, &mut random).cloned()
@@ -129,9 +161,10 @@
             Outcome::Answered(answer) => {
                 // An endpoint's own failure of a repeatable request may go better elsewhere.
                 let failed = answer.status >= 500 && repeats;
+                let length = answer.flow.as_ref().map(|flow| flow.length()).unwrap_or(answer.body.len() as u64) as f64;
                 let mut sizes = node.sizes.borrow_mut();
-                let size = sizes.entry(errand.sort).or_insert(answer.body.len() as f64);
-                *size = *size * 0.9 + answer.body.len() as f64 * 0.1;
+                let size = sizes.entry(errand.sort).or_insert(length);
+                *size = *size * 0.9 + length * 0.1;
                 drop(sizes);
                 offered += 1;
                 if !failed || offered >= plan.goes || left.is_empty() {
@@ -139,10 +172,12 @@
                 }
                 endpoint_said = Some(answer);
             }
-            Outcome::NotTaken { free_in: wait, .. } => {
+            Outcome::NotTaken { free_in: wait, why } => {
                 free_in = if asked_in_vain == 0 { wait } else { free_in.min(wait) };
                 asked_in_vain += 1;
-                if asked_in_vain >= ASKED_IN_VAIN {
+                if looks_for_free && why == Passed::Busy {
+                    full.push(candidate);
+                } else if asked_in_vain >= ASKED_IN_VAIN {
                     break;
                 }
             }
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -26,6 +26,8 @@
     pub binding: Binding,
     /// An answer by then earns its full worth.
     pub target: Moment,
+    /// How long it may stand in a queue, as far as that can be told beforehand.
+    pub patience: Duration,
 }
 
 impl Errand {
@@ -66,7 +68,7 @@
 /// That life is not here.
 pub fn gone() -> GoResult {
     let outcome = Outcome::NotTaken { why: Passed::Gone, free_in: Duration::from_millis(50) };
-    GoResult { outcome, occupancy: None }
+    GoResult { outcome, occupancy: None, spent: None }
 }
 
 /// What one go at one node brought, with how busy its endpoint is.
@@ -74,4 +76,6 @@
 pub struct GoResult {
     pub outcome: Outcome,
     pub occupancy: Option<Occupancy>,
+    /// How long the node beside the endpoint had it, where that node says so.
+    pub spent: Option<Duration>,
 }
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -17,13 +17,15 @@
 /// Between own nodes only.
 pub const PRIORITY: &str = "ferryhinge-line-priority";
 pub const TARGET: &str = "ferryhinge-line-target-ms";
+pub const PATIENCE: &str = "ferryhinge-line-patience-ms";
+pub const SPENT: &str = "ferryhinge-line-spent-us";
 pub const OUTCOME: &str = "ferryhinge-line-outcome";
 pub const OCCUPANCY: &str = "ferryhinge-line-occupancy";
 pub const REGIONS: &str = "ferryhinge-line-regions";
 pub const FREE_IN: &str = "ferryhinge-line-free-in-ms";
 
 /// What never goes to an endpoint or requester, whoever sent it.
-pub const LINE_HEADERS: [&str; 6] = [PRIORITY, TARGET, OUTCOME, OCCUPANCY, FREE_IN, REGIONS];
+pub const LINE_HEADERS: [&str; 8] = [PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
 
 /// Reads what a sibling node passes on.
 pub fn read_errand(inquiry: Inquiry, sort: u64, now: Moment) -> Option<Errand> {
@@ -33,8 +35,9 @@
     let caller = inquiry.header(CALLER).unwrap_or_default().to_owned();
     let priority = inquiry.header(PRIORITY)?.parse().ok()?;
     let (horizon, target) = (now + millis(DEADLINE)?, now + millis(TARGET)?);
+    let patience = millis(PATIENCE).unwrap_or(target.since(now));
     let binding = inquiry.header(REGIONS).map(Binding::read).unwrap_or_default();
-    Some(Errand { inquiry, attempt, instance, caller, priority, sort, horizon, target, binding })
+    Some(Errand { inquiry, attempt, instance, caller, priority, sort, horizon, target, patience, binding })
 }
 
 fn word_of(outcome: &Outcome) -> &'static str {
@@ -67,6 +70,9 @@
         answer.headers.remove(name);
     }
     let mut answer = answer.with_header(OUTCOME, word).with_header(ATTEMPT, attempt);
+    if let Some(spent) = result.spent {
+        answer = answer.with_header(SPENT, &spent.as_micros().to_string());
+    }
     if let Some(free_in) = free_in {
         answer = answer.with_header(FREE_IN, &free_in);
     }
@@ -84,6 +90,7 @@
     }
     let occupancy = header(OCCUPANCY).and_then(read_occupancy);
     let free_in = header(FREE_IN).and_then(|text| text.parse().ok()).map(Duration::from_millis).unwrap_or_default();
+    let spent = header(SPENT).and_then(|text| text.parse().ok()).map(Duration::from_micros);
     let not_taken = |why| Outcome::NotTaken { why, free_in };
     let outcome = match header(OUTCOME)? {
         "answered" => None,
@@ -100,7 +107,7 @@
         answer.headers.remove(name);
     }
     answer.closes = false;
-    Some(GoResult { outcome: outcome.unwrap_or(Outcome::Answered(answer)), occupancy })
+    Some(GoResult { outcome: outcome.unwrap_or(Outcome::Answered(answer)), occupancy, spent })
 }
 
 fn write_occupancy(occupancy: &Occupancy) -> String {
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -1,7 +1,7 @@
 //! A go at the node beside another endpoint.
 
 use super::errand::{Errand, GoResult, Outcome};
-use super::headers::{CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PRIORITY, REGIONS, TARGET, read_outcome};
+use super::headers::{CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PATIENCE, PRIORITY, REGIONS, TARGET, read_outcome};
 use super::pool::Pool;
 use http::Method;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
 const IDLE: Duration = Duration::from_secs(20);
 
 fn only(outcome: Outcome) -> GoResult {
-    GoResult { outcome, occupancy: None }
+    GoResult { outcome, occupancy: None, spent: None }
 }
 
 pub async fn deliver(pool: &Pool, beside: SocketAddr, errand: &Errand) -> GoResult {
@@ -42,12 +42,14 @@
     }
     let deadline = (left.as_millis().max(1)).to_string();
     let target = now.until(errand.target).as_millis().to_string();
+    let patience = errand.patience.as_millis().to_string();
     let priority = errand.priority.to_string();
     let regions = errand.binding.write();
     let mut replaced = vec![
         (EXPECTED, errand.instance.as_str()),
         (DEADLINE, deadline.as_str()),
         (TARGET, target.as_str()),
+        (PATIENCE, patience.as_str()),
         (PRIORITY, priority.as_str()),
     ];
     if !errand.caller.is_empty() {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -94,10 +94,12 @@
         if !permitted {
             return Some(write_outcome(tenancy::turned_away(), &errand.attempt));
         }
-        let result = match self.0.platform_of(&errand.instance) {
+        let begun = clock::now();
+        let mut result = match self.0.platform_of(&errand.instance) {
             Some(platform) => platform.run(&errand).await,
             None => gone(),
         };
+        result.spent = Some(clock::now().since(begun));
         Some(write_outcome(result, &errand.attempt))
     }
 }
--- a/crates/pointsman/src/node/tenancy.rs
+++ b/crates/pointsman/src/node/tenancy.rs
@@ -58,7 +58,7 @@
 
 pub fn turned_away() -> GoResult {
     let outcome = Outcome::NotTaken { why: Passed::Outside, free_in: Duration::from_millis(100) };
-    GoResult { outcome, occupancy: None }
+    GoResult { outcome, occupancy: None, spent: None }
 }
 
 /// A request was handled where its binding does not permit it. This must not be.
--- a/crates/pointsman/src/platform/admission.rs
+++ b/crates/pointsman/src/platform/admission.rs
@@ -119,7 +119,7 @@
         let place = (errand.priority, now + micros(expected * STANDS_BACK), order);
         let wait = self.wait_at(place);
         let full = self.queue.borrow().len() >= self.slots.get() as usize * QUEUE_FACTOR;
-        if full || now + wait + micros(expected) > errand.target {
+        if full || wait > errand.patience || now + wait + micros(expected) > errand.target {
             return Err(TurnedAway { late: false, free_in: wait });
         }
         let (sender, receiver) = oneshot::channel();
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -90,7 +90,7 @@
     }
 
     fn result(&self, outcome: Outcome) -> GoResult {
-        GoResult { outcome, occupancy: self.occupancy(clock::now()) }
+        GoResult { outcome, occupancy: self.occupancy(clock::now()), spent: None }
     }
 
     fn passed(&self, why: Passed, free_in: Duration) -> GoResult {
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -124,6 +124,7 @@
         horizon: now + Duration::from_secs(20),
         binding: Default::default(),
         target: now + Duration::from_secs(20),
+        patience: Duration::from_secs(20),
     }
 }
 
