--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -112,6 +112,7 @@
         instance: InstanceId::new(""),
         caller: own_service.map(|service| service.as_str().to_owned()).unwrap_or_default(),
         priority: plan.route.priority,
+        repeats,
         sort: stable_hash(&plan.route.name),
         horizon: plan.horizon,
         binding,
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -18,6 +18,8 @@
     /// The service on the machine where the request began.
     pub caller: String,
     pub priority: u8,
+    /// May run more than once.
+    pub repeats: bool,
     /// Names the route, for what is measured of it.
     pub sort: u64,
     /// Nobody waits for an answer after this.
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -16,6 +16,7 @@
 pub const CALLER: &str = "ferryhinge-caller-service";
 /// Between own nodes only.
 pub const PRIORITY: &str = "ferryhinge-line-priority";
+pub const REPEATS: &str = "ferryhinge-line-repeats";
 pub const TARGET: &str = "ferryhinge-line-target-ms";
 pub const PATIENCE: &str = "ferryhinge-line-patience-ms";
 pub const SPENT: &str = "ferryhinge-line-spent-us";
@@ -25,7 +26,7 @@
 pub const FREE_IN: &str = "ferryhinge-line-free-in-ms";
 
 /// What never goes to an endpoint or requester, whoever sent it.
-pub const LINE_HEADERS: [&str; 8] = [PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
+pub const LINE_HEADERS: [&str; 9] = [REPEATS, PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
 
 /// Reads what a sibling node passes on.
 pub fn read_errand(inquiry: Inquiry, sort: u64, now: Moment) -> Option<Errand> {
@@ -35,9 +36,10 @@
     let caller = inquiry.header(CALLER).unwrap_or_default().to_owned();
     let priority = inquiry.header(PRIORITY)?.parse().ok()?;
     let (horizon, target) = (now + millis(DEADLINE)?, now + millis(TARGET)?);
+    let repeats = inquiry.header(REPEATS).is_some();
     let patience = millis(PATIENCE).unwrap_or(target.since(now));
     let binding = inquiry.header(REGIONS).map(Binding::read).unwrap_or_default();
-    Some(Errand { inquiry, attempt, instance, caller, priority, sort, horizon, target, patience, binding })
+    Some(Errand { inquiry, attempt, instance, caller, priority, repeats, sort, horizon, target, patience, binding })
 }
 
 fn word_of(outcome: &Outcome) -> &'static str {
--- a/crates/pointsman/src/dispatch/pool.rs
+++ b/crates/pointsman/src/dispatch/pool.rs
@@ -20,13 +20,15 @@
 }
 
 impl Pool {
-    /// The line used last that is still fit: quiet, open, and not about to be closed over there.
-    pub fn take(&self, to: SocketAddr, now: Moment, longest_idle: Duration) -> Option<Line> {
+    /// The line used last that is still fit: quiet, open, and not about to be closed over there; with how
+    /// long it has rested. Those that have rested longer stay, for whom they will do.
+    pub fn take(&self, to: SocketAddr, now: Moment, longest_idle: Duration) -> Option<(Line, Duration)> {
         let mut kept = self.kept.borrow_mut();
         let lines = kept.get_mut(&to)?;
-        while let Some(Kept { line, since, until }) = lines.pop() {
-            if now < until && now.since(since) < longest_idle && line.is_quiet() {
-                return Some(line);
+        while lines.last().is_some_and(|kept| now.since(kept.since) < longest_idle) {
+            let Some(Kept { line, since, until }) = lines.pop() else { break };
+            if now < until && line.is_quiet() {
+                return Some((line, now.since(since)));
             }
         }
         None
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -1,7 +1,9 @@
 //! A go at the node beside another endpoint.
 
 use super::errand::{Errand, GoResult, Outcome};
-use super::headers::{CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PATIENCE, PRIORITY, REGIONS, TARGET, read_outcome};
+use super::headers::{
+    CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PATIENCE, PRIORITY, REGIONS, REPEATS, TARGET, read_outcome,
+};
 use super::pool::Pool;
 use http::Method;
 use std::net::SocketAddr;
@@ -25,7 +27,7 @@
 pub async fn deliver(pool: &Pool, beside: SocketAddr, errand: &Errand) -> GoResult {
     let now = clock::now();
     let line = match pool.take(beside, now, IDLE) {
-        Some(line) => Some(line),
+        Some((line, _)) => Some(line),
         None => {
             let limit = CONNECT_LIMIT.min(errand.left(now));
             connect(beside, limit).await.ok().map(Line::new)
@@ -52,6 +54,9 @@
         (PATIENCE, patience.as_str()),
         (PRIORITY, priority.as_str()),
     ];
+    if errand.repeats {
+        replaced.push((REPEATS, "1"));
+    }
     if !errand.caller.is_empty() {
         replaced.push((CALLER, &errand.caller));
     }
--- a/crates/pointsman/src/platform/admission.rs
+++ b/crates/pointsman/src/platform/admission.rs
@@ -3,7 +3,7 @@
 use crate::dispatch::Errand;
 use futures_channel::oneshot;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock::{self, Moment};
@@ -33,6 +33,10 @@
     next_order: Cell<u64>,
     /// Measured time of one request at the endpoint, over all routes and by route.
     service: Cell<f64>,
+    /// The same, of late: what is told to others, so that a slow one is soon known.
+    recent: Cell<f64>,
+    /// When those that run began. Invariant: as many as `running`.
+    begun: RefCell<VecDeque<(u64, Moment)>>,
     by_sort: RefCell<HashMap<u64, f64>>,
 }
 
@@ -44,17 +48,20 @@
             queue: RefCell::default(),
             next_order: Cell::new(0),
             service: Cell::new(FIRST_GUESS_MICROS),
+            recent: Cell::new(FIRST_GUESS_MICROS),
+            begun: RefCell::default(),
             by_sort: RefCell::default(),
         }
     }
 }
 
 /// The right to one of the endpoint's slots, given back on drop.
-pub struct Slot(Rc<Admission>);
+pub struct Slot(Rc<Admission>, u64);
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let admission = self.0.clone();
+        admission.begun.borrow_mut().retain(|(number, _)| *number != self.1);
         admission.running.set(admission.running.get() - 1);
         Admission::let_in(&admission);
     }
@@ -80,13 +87,21 @@
         (self.running.get(), self.queue.borrow().len() as u32)
     }
 
-    pub fn service_micros(&self) -> u32 {
-        self.service.get() as u32
+    /// What a request takes here, by those of late and by the one that has been at it longest.
+    pub fn service_micros(&self, now: Moment) -> u32 {
+        let longest = self.begun.borrow().front().map(|(_, begun)| now.since(*begun).as_micros() as f64);
+        self.recent.get().max(longest.unwrap_or(0.0) / 2.0).min(u32::MAX as f64) as u32
+    }
+
+    /// What a request of a kind usually takes here.
+    pub fn usual(&self, sort: u64) -> Duration {
+        micros(self.by_sort.borrow().get(&sort).copied().unwrap_or(self.service.get()).max(20_000.0))
     }
 
     pub fn measured(&self, sort: u64, span: Duration) {
         let micros = span.as_micros() as f64;
         self.service.set(self.service.get() * 0.95 + micros * 0.05);
+        self.recent.set(self.recent.get() * 0.85 + micros * 0.15);
         let mut by_sort = self.by_sort.borrow_mut();
         if by_sort.len() > 4096 {
             by_sort.clear();
@@ -137,7 +152,10 @@
 
     fn take_slot(self: &Rc<Self>) -> Slot {
         self.running.set(self.running.get() + 1);
-        Slot(self.clone())
+        let number = self.next_order.get();
+        self.next_order.set(number + 1);
+        self.begun.borrow_mut().push_back((number, clock::now()));
+        Slot(self.clone(), number)
     }
 
     /// Gives free slots to those who wait.
@@ -157,6 +175,7 @@
             // Whoever gave up meanwhile gives the slot back.
             let slot = admission.take_slot();
             if let Err(slot) = next.sender.send(slot) {
+                admission.begun.borrow_mut().retain(|(number, _)| *number != slot.1);
                 std::mem::forget(slot);
                 admission.running.set(admission.running.get() - 1);
             }
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -94,6 +94,7 @@
                 life.instance = beat.instance.clone();
             }
             _ => {
+                platform.health.start_anew();
                 let ordered = self.0.fleet.borrow().instance(&beat.instance.id).is_some_and(|known| known.draining);
                 beat.instance.draining |= ordered;
                 if let Some(last) = life.as_ref() {
@@ -110,7 +111,7 @@
             }
         }
         drop(life);
-        platform.unreachable_until.set(Default::default());
+        platform.health.spoke();
         platform.admission.set_slots(beat.instance.slots);
         true
     }
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -7,12 +7,19 @@
 use std::time::Duration;
 use trackbed::clock;
 use trackbed::http::{Line, Return, ReturnError, single, write_inquiry};
-use trackbed::net::connect;
+use trackbed::net::{SocketExt, connect};
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 const BODY_LIMIT: u64 = 64 << 20;
 /// An idle connection is not trusted for longer, whatever the endpoint says.
-const LONGEST_IDLE: Duration = Duration::from_secs(5);
+pub const LONGEST_IDLE: Duration = Duration::from_secs(5);
+/// In use so short a time ago that the endpoint can't have forgotten it.
+const YOUNG: Duration = Duration::from_millis(150);
+/// One that broke off shows how long is too long; each that did not gives some of the trust back.
+const LEAST_IDLE: Duration = Duration::from_millis(60);
+const TRUST_GROWS: Duration = Duration::from_millis(4);
+/// Bytes that an endpoint's machine does not acknowledge for so long never will be.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
 /// Where it says nothing.
 const USUAL_KEEP: Duration = Duration::from_secs(3);
 /// Left of the endpoint's own time, within which it may close at any moment.
@@ -23,14 +30,32 @@
         return Outcome::NotSent;
     };
     let now = clock::now();
-    let line = match platform.lines.take(address, now, LONGEST_IDLE) {
-        Some(line) => line,
+    // An endpoint may have forgotten an idle connection, and what is sent over it then is lost: what may
+    // not be sent again goes only over one that was in use just now.
+    let longest = match errand.repeats {
+        true => platform.trusted_idle.get(),
+        false => platform.trusted_idle.get().min(YOUNG),
+    };
+    let (line, rested) = match platform.lines.take(address, now, longest) {
+        Some((line, rested)) => (line, Some(rested)),
         None => match connect(address, CONNECT_LIMIT.min(errand.left(now))).await {
-            Ok(stream) => Line::new(stream),
+            Ok(stream) => {
+                stream.give_up_after(UNACKNOWLEDGED);
+                (Line::new(stream), None)
+            }
             Err(_) => return Outcome::NotSent,
         },
     };
-    exchange(platform, address, line, errand).await
+    let outcome = exchange(platform, address, line, errand).await;
+    if let Some(rested) = rested {
+        let trusted = platform.trusted_idle.get();
+        let next = match outcome {
+            Outcome::Failed(_) => trusted.min(rested.mul_f64(0.7)).max(LEAST_IDLE),
+            _ => (trusted + TRUST_GROWS).min(LONGEST_IDLE),
+        };
+        platform.trusted_idle.set(next);
+    }
+    outcome
 }
 
 async fn exchange(platform: &Platform, address: SocketAddr, mut line: Line, errand: &Errand) -> Outcome {
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -4,12 +4,14 @@
 mod admission;
 mod beats;
 mod exchange;
+mod health;
 mod homes;
 #[cfg(test)]
 mod tests;
 
 pub use admission::{Admission, TurnedAway};
 pub use beats::BeatsDoor;
+pub use health::{Health, Sign};
 pub use homes::{Gate, Homes, Seat};
 
 use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed, Pool};
@@ -42,8 +44,9 @@
     pub ended: RefCell<Vec<InstanceId>>,
     pub admission: Rc<Admission>,
     pub lines: Pool,
-    /// The endpoint could not be reached; it is tried again after this.
-    pub unreachable_until: Cell<Moment>,
+    pub health: Health,
+    /// For how long an idle connection to the endpoint is taken to be still good.
+    pub trusted_idle: Cell<Duration>,
     /// Bindings of what runs at the endpoint, or may still run there, each until when.
     pub bindings: RefCell<Vec<(u64, Moment, Binding)>>,
     next_binding: Cell<u64>,
@@ -59,7 +62,8 @@
             ended: RefCell::new(Vec::new()),
             admission: Rc::default(),
             lines: Pool::default(),
-            unreachable_until: Cell::default(),
+            health: Health::default(),
+            trusted_idle: Cell::new(exchange::LONGEST_IDLE),
             bindings: RefCell::default(),
             next_binding: Cell::new(0),
             closed: Cell::new(false),
@@ -77,8 +81,8 @@
             running,
             queued,
             slots: life.instance.slots,
-            service_micros: self.admission.service_micros() * cold,
-            closed: life.leaving || self.closed.get() || now < self.unreachable_until.get(),
+            service_micros: self.admission.service_micros(now).saturating_mul(cold),
+            closed: life.leaving || self.closed.get() || self.health.is_aside(now),
         })
     }
 
@@ -97,12 +101,17 @@
         self.result(Outcome::NotTaken { why, free_in })
     }
 
-    /// Whether the life that an errand names is here and takes errands.
-    fn takes(&self, errand: &Errand, now: Moment) -> bool {
+    /// Whether the life that an errand names is here and does not leave.
+    fn is_here(&self, errand: &Errand) -> bool {
         let life = self.life.borrow();
-        life.as_ref().is_some_and(|life| life.instance.id == errand.instance && !life.leaving)
-            && !self.closed.get()
-            && now >= self.unreachable_until.get()
+        life.as_ref().is_some_and(|life| life.instance.id == errand.instance && !life.leaving) && !self.closed.get()
+    }
+
+    /// Whether an errand for that life is taken now.
+    fn takes(&self, errand: &Errand, now: Moment) -> bool {
+        self.is_here(errand)
+            && !self.health.is_aside(now)
+            && !(self.health.is_on_trial() && self.admission.counts().0 > 0)
     }
 
     /// Takes an errand to the endpoint, if it can be run in time.
@@ -119,7 +128,7 @@
         };
         // The life may have gone, and the time run out, while the errand stood in the queue.
         let now = clock::now();
-        if !self.takes(errand, now) {
+        if !self.is_here(errand) || self.health.is_aside(now) {
             return self.passed(Passed::Gone, Duration::from_millis(20));
         }
         if errand.left(now) < Duration::from_millis(2) {
@@ -131,9 +140,12 @@
             Outcome::Answered(answer) if answer.is_success() => {
                 self.admission.measured(errand.sort, clock::now().since(now))
             }
-            Outcome::NotSent => self.unreachable_until.set(clock::now() + Duration::from_millis(250)),
             _ => {}
         }
+        let ended = clock::now();
+        if let Some(sign) = self.sign(errand, &outcome, ended.since(now)) {
+            self.health.shows(sign, ended);
+        }
         // After any other outcome the endpoint may go on until the horizon, and make its calls.
         if let (Some(bound), Outcome::Answered(_) | Outcome::NotExecuted | Outcome::NotSent) = (bound, &outcome) {
             self.bindings.borrow_mut().retain(|(number, _, _)| *number != bound);
@@ -145,6 +157,18 @@
         self.result(outcome)
     }
 
+    /// What an outcome tells of the endpoint's health; nothing where it may be the request's own fault.
+    fn sign(&self, errand: &Errand, outcome: &Outcome, span: Duration) -> Option<Sign> {
+        match outcome {
+            Outcome::Answered(answer) if answer.status < 500 => Some(Sign::Well),
+            Outcome::Answered(_) | Outcome::NotExecuted => Some(Sign::Declined),
+            Outcome::Failed(_) => Some(Sign::Broken),
+            Outcome::OverHorizon => (span > self.admission.usual(errand.sort) * 3).then_some(Sign::Broken),
+            Outcome::NotSent => Some(Sign::Unreachable),
+            Outcome::NotTaken { .. } => None,
+        }
+    }
+
     fn bind(&self, errand: &Errand) -> Option<u64> {
         if errand.binding.is_free() {
             return None;
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -120,6 +120,7 @@
         instance: InstanceId::new("i-1"),
         caller: "caller".into(),
         priority: 1,
+        repeats: true,
         sort: 1,
         horizon: now + Duration::from_secs(20),
         binding: Default::default(),
@@ -144,6 +145,8 @@
         let platform = platform(address);
         let (mut answered, mut failed, mut not_run) = (0, 0, 0);
         for number in 0..1500 {
+            // What it does next must not hang on what it did before.
+            platform.health.start_anew();
             let errand = errand(number);
             let result = platform.run(&errand).await;
             let ran = seen.ran.borrow().contains(&errand.attempt);
--- a/crates/trackbed/src/net/sockets.rs
+++ b/crates/trackbed/src/net/sockets.rs
@@ -13,6 +13,8 @@
 pub trait SocketExt {
     /// Sets what every stream of the system has: no delay, and a limit on unacknowledged bytes.
     fn prepare(&self);
+    /// Has the stream fail once bytes were not acknowledged for so long.
+    fn give_up_after(&self, span: Duration);
     /// True while nothing waits to be read and the other side has not closed: fit to be used again.
     fn is_quiet(&self) -> bool;
     /// Has the next close break off the connection at once, dropping what was not sent.
@@ -24,9 +26,12 @@
         if let Err(error) = self.set_nodelay(true) {
             log::debug!("no-delay could not be set: {error}");
         }
+        self.give_up_after(Duration::from_millis(2500));
+    }
+
+    fn give_up_after(&self, span: Duration) {
         with_socket(self, |socket| {
-            let outcome = socket.set_tcp_user_timeout(Some(Duration::from_millis(2500)));
-            if let Err(error) = outcome {
+            if let Err(error) = socket.set_tcp_user_timeout(Some(span)) {
                 log::debug!("user time-out could not be set: {error}");
             }
         });
