A home gives slots; the gateway where a request began takes it to the endpoint itself

Cause: passing requests on whole carried every byte over two gateways' 2 Mbit/s ways, and bodies to homes that declined: declines took 300 ms on full links. Now a home gives a permit (some 200 bytes with its release) and the request goes from the door straight to the endpoint; a door keeps one connection to each and turns to a usual few first; a new connection is looked at before what may not run twice is sent, as an endpoint with connections enough resets it.

--- a/crates/lineside/src/call/answering.rs
+++ b/crates/lineside/src/call/answering.rs
@@ -11,6 +11,8 @@
 pub trait Answering: 'static {
     /// A message of Zab, in order with those before it on the same stream.
     fn on_zab(&self, bytes: &[u8]);
+    /// A slot given out comes back.
+    fn on_release(&self, number: u64, sign: u8, span: Duration);
     fn answer(self: Rc<Self>, ask: Ask) -> impl Future<Output = Reply>;
 }
 
@@ -54,6 +56,9 @@
                     outbox.pump().await;
                 });
             }
+            SiblingMessage::Release { number, sign, span_micros } => {
+                answering.on_release(number, sign, Duration::from_micros(span_micros as u64))
+            }
             SiblingMessage::Reply { .. } => return,
         }
     }
--- a/crates/lineside/src/call/caller.rs
+++ b/crates/lineside/src/call/caller.rs
@@ -56,6 +56,30 @@
         self.call_with(to, ask, limit, 1).await
     }
 
+    /// For what takes back by itself whatever it did: a call that goes unanswered leaves the stream as it is.
+    pub async fn call_lightly(&self, to: SocketAddr, ask: Ask, limit: Duration) -> Result<Reply, CallError> {
+        let stream = self.stream(to);
+        let (number, receiver) = self.push_ask(&stream, ask);
+        Stream::pump(&stream, to);
+        match monoio::time::timeout(limit, receiver).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => Err(CallError::NoReply),
+            Err(_) => {
+                stream.waiting.borrow_mut().remove(&number);
+                Err(CallError::NoReply)
+            }
+        }
+    }
+
+    fn push_ask(&self, stream: &Stream, ask: Ask) -> (u64, oneshot::Receiver<Result<Reply, CallError>>) {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let (sender, receiver) = oneshot::channel();
+        stream.waiting.borrow_mut().insert(number, sender);
+        stream.push(encode_frame(&SiblingMessage::Ask { number, ask }));
+        (number, receiver)
+    }
+
     /// For what may be long: the limit is on silence, and all of it may take many times as long.
     pub async fn call_for_much(&self, to: SocketAddr, ask: Ask, limit: Duration) -> Result<Reply, CallError> {
         self.call_with(to, ask, limit, LONG_REPLIES).await
@@ -63,11 +87,7 @@
 
     async fn call_with(&self, to: SocketAddr, ask: Ask, limit: Duration, patience: u32) -> Result<Reply, CallError> {
         let stream = self.stream(to);
-        let number = self.next_number.get();
-        self.next_number.set(number + 1);
-        let (sender, mut receiver) = oneshot::channel();
-        stream.waiting.borrow_mut().insert(number, sender);
-        stream.push(encode_frame(&SiblingMessage::Ask { number, ask }));
+        let (_, mut receiver) = self.push_ask(&stream, ask);
         Stream::pump(&stream, to);
         for _ in 0..patience {
             let before = stream.received.borrow().get();
--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -1,5 +1,6 @@
 //! What is asked and answered.
 
+use crate::gossip::Occupancy;
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
 use timetable::fleet::{FleetNews, Instance};
@@ -42,6 +43,19 @@
     }
 }
 
+/// A slot of an endpoint that is at home at the asked node.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Permit {
+    pub instance: InstanceId,
+    pub priority: u8,
+    pub sort: u64,
+    pub horizon_millis: u32,
+    pub target_millis: u32,
+    pub patience_millis: u32,
+    /// Regions that may handle the request, where not all may.
+    pub regions: Option<String>,
+}
+
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Ask {
     /// What came after `since`; `assured` wants all that was acknowledged before the call.
@@ -51,6 +65,7 @@
     },
     /// Is anybody there?
     Knock,
+    Permit(Permit),
     /// How far the primary's committed state is, under its lease.
     Assure,
     Register(Instance),
@@ -74,6 +89,17 @@
     Done,
     /// All that was acknowledged is at or before this.
     Upto(Zxid),
+    /// The slot is the asker's until it releases it, or the horizon has passed.
+    Permitted {
+        number: u64,
+        occupancy: Option<Occupancy>,
+    },
+    /// No slot: that life is not taken on here, or there is none in time.
+    NotTaken {
+        gone: bool,
+        free_in_millis: u32,
+        occupancy: Option<Occupancy>,
+    },
     /// Nothing was done and nothing will be.
     NotNow(String),
     /// Whether it was done can't be told.
@@ -92,4 +118,10 @@
         number: u64,
         reply: Reply,
     },
+    /// The request that a slot was given for has ended, and what it showed.
+    Release {
+        number: u64,
+        sign: u8,
+        span_micros: u32,
+    },
 }
--- a/crates/lineside/src/call/mod.rs
+++ b/crates/lineside/src/call/mod.rs
@@ -6,4 +6,4 @@
 
 pub use answering::{Answering, serve_siblings};
 pub use caller::{CallError, Caller};
-pub use messages::{Ask, ControlCall, ControlReturn, Reply, SiblingMessage};
+pub use messages::{Ask, ControlCall, ControlReturn, Permit, Reply, SiblingMessage};
--- a/crates/pointsman/src/dispatch/candidates.rs
+++ b/crates/pointsman/src/dispatch/candidates.rs
@@ -14,8 +14,9 @@
 /// Up to so many endpoints of a service all are looked at; beyond, as many drawn by chance. A
 /// request's cost must not rise with the fleet.
 const LOOKED_AT: usize = 16;
-/// Of those drawn by a gateway, how many lie in its own zone, and how many anywhere.
-const DRAWN_NEAR: usize = 6;
+/// What a gateway looks at besides those at home with it and its usual few: some drawn in its own zone,
+/// and some anywhere.
+const DRAWN_NEAR: usize = 3;
 const DRAWN_ANYWHERE: usize = 2;
 
 pub fn candidates(node: &Pointsman, plan: &Plan, binding: &Binding, now: Moment) -> Vec<Candidate> {
@@ -79,12 +80,14 @@
             _ => &seat.home,
         };
         let known = found.iter().any(|known| known.instance == seat.instance.id);
-        if !known && permitted(&seat) && !at_home(&seat.home) {
+        let permits_home = binding.permits(config.zones.get(&gate.zone));
+        if !known && permitted(&seat) && permits_home && !at_home(&seat.home) {
             let is_local = at_home(gate);
-            let (node, beside) = (gate.name.clone(), gate.inbound);
+            let (node, beside) = (gate.name.clone(), gate.address);
             found.push(Candidate { node, beside, is_local, ..candidate(&config, &seat.instance) });
         }
     };
+    near.iter().filter(|seat| seat.is_usual).for_each(&mut take);
     let mut draw = |among: &[Seat], most: usize| {
         if among.len() <= most {
             among.iter().for_each(&mut take);
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -6,7 +6,7 @@
 use super::errand::{Errand, GoResult, Outcome, Passed};
 use super::headers::CALLER;
 use super::plan::Plan;
-use super::{BudgetBounds, remote};
+use super::{BudgetBounds, direct, remote};
 use crate::node::{Mode, Pointsman, tenancy};
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,7 +65,10 @@
             None => super::errand::gone(),
         }
     } else {
-        remote::deliver(&node.siblings, candidate.beside, errand).await
+        match node.mode {
+            Mode::Beside => remote::deliver(&node.siblings, candidate.beside, errand).await,
+            Mode::Gateway => direct::deliver(node, candidate, errand).await,
+        }
     };
     if matches!(result.outcome, Outcome::Answered(_))
         && !errand.binding.permits(node.live.get().zones.get(&candidate.zone))
--- /dev/null
+++ b/crates/pointsman/src/dispatch/direct.rs
@@ -0,0 +1,90 @@
+//! A go at an endpoint that is at home at another gateway: its home gives the slot, and the request
+//! goes to the endpoint from here.
+
+use super::balance::Candidate;
+use super::errand::{Errand, GoResult, Outcome, Passed, gone};
+use crate::node::Pointsman;
+use crate::platform::{Sign, at_endpoint, sign_of, word_of_sign};
+use lineside::call::{Ask, Permit, Reply, SiblingMessage};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use trackbed::clock;
+use trackbed::http::Return;
+
+/// Longest patience that still counts as a look.
+const SHORT_LOOK: Duration = Duration::from_millis(60);
+/// How long past the patience the home's own word is waited for.
+const LAST_WORD: Duration = Duration::from_millis(250);
+
+fn only(outcome: Outcome) -> GoResult {
+    GoResult { outcome, occupancy: None, spent: None }
+}
+
+/// A slot given to this gateway. Invariant: the home hears of its end exactly once.
+struct Held {
+    node: Rc<Pointsman>,
+    home: SocketAddr,
+    number: u64,
+    sign: Option<Sign>,
+    span: Duration,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let release = SiblingMessage::Release {
+            number: self.number,
+            sign: word_of_sign(self.sign),
+            span_micros: self.span.as_micros().min(u32::MAX as u128) as u32,
+        };
+        self.node.caller.tell(self.home, &release);
+    }
+}
+
+pub async fn deliver(node: &Rc<Pointsman>, candidate: &Candidate, errand: &Errand) -> GoResult {
+    let begun = clock::now();
+    let left = errand.left(begun);
+    let permit = Permit {
+        instance: errand.instance.clone(),
+        priority: errand.priority,
+        sort: errand.sort,
+        horizon_millis: left.as_millis() as u32,
+        target_millis: begun.until(errand.target).as_millis() as u32,
+        patience_millis: errand.patience.as_millis() as u32,
+        regions: errand.binding.write(),
+    };
+    let limit = left.min(errand.patience + LAST_WORD);
+    let (number, occupancy) = match node.caller.call_lightly(candidate.beside, Ask::Permit(permit), limit).await {
+        Ok(Reply::Permitted { number, occupancy }) => (number, occupancy),
+        Ok(Reply::NotTaken { gone, free_in_millis, occupancy }) => {
+            let why = if gone { Passed::Gone } else { Passed::Busy };
+            let outcome = Outcome::NotTaken { why, free_in: Duration::from_millis(free_in_millis as u64) };
+            // A short look tells how the way is; a wait in a queue does not.
+            let spent = (errand.patience < SHORT_LOOK).then_some(Duration::ZERO);
+            return GoResult { outcome, occupancy, spent };
+        }
+        // A slot given in an answer that comes too late comes back to the home with the horizon.
+        Ok(_) | Err(_) => return only(Outcome::NotSent),
+    };
+    let home = candidate.beside;
+    let mut held = Held { node: node.clone(), home, number, sign: None, span: Duration::ZERO };
+    // What was ordered meanwhile holds here too.
+    let address = {
+        let fleet = node.fleet.borrow();
+        fleet.instance(&errand.instance).filter(|instance| !instance.draining).map(|instance| instance.address)
+    };
+    let granted = clock::now();
+    let mut outcome = match address {
+        Some(address) => at_endpoint(address, &node.lines, errand).await,
+        None => gone().outcome,
+    };
+    held.span = clock::now().since(granted);
+    let usual = Duration::from_micros(occupancy.as_ref().map(|told| told.service_micros as u64).unwrap_or(100_000));
+    held.sign = sign_of(&outcome, held.span, usual);
+    let spent = (errand.patience < SHORT_LOOK).then_some(held.span);
+    if let Outcome::Answered(Return { flow: Some(flow), .. }) = &mut outcome {
+        // The endpoint is at it until the body has gone through.
+        flow.hold(Box::new(held));
+    }
+    GoResult { outcome, occupancy, spent }
+}
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -1,6 +1,7 @@
 //! One request on its way, and what may come of one go.
 
 use super::binding::Binding;
+use crate::platform::Claim;
 use lineside::gossip::Occupancy;
 use std::time::Duration;
 use trackbed::clock::Moment;
@@ -33,6 +34,11 @@
 }
 
 impl Errand {
+    pub fn claim(&self) -> Claim {
+        let Self { priority, sort, horizon, target, patience, .. } = *self;
+        Claim { priority, sort, horizon, target, patience }
+    }
+
     pub fn left(&self, now: Moment) -> Duration {
         now.until(self.horizon)
     }
--- a/crates/pointsman/src/dispatch/mod.rs
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod candidates;
 mod carry;
+mod direct;
 mod errand;
 mod headers;
 mod plan;
--- a/crates/pointsman/src/dispatch/pool.rs
+++ b/crates/pointsman/src/dispatch/pool.rs
@@ -14,12 +14,23 @@
 }
 
 /// Invariant: a line is here only after a whole, well-framed answer with nothing behind it.
-#[derive(Default)]
 pub struct Pool {
     kept: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+    /// Lines kept to one place at most.
+    most: usize,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::keeping(64)
+    }
 }
 
 impl Pool {
+    pub fn keeping(most: usize) -> Self {
+        Self { kept: RefCell::default(), most }
+    }
+
     /// The line used last that is still fit: quiet, open, and not about to be closed over there; with how
     /// long it has rested. Those that have rested longer stay, for whom they will do.
     pub fn take(&self, to: SocketAddr, now: Moment, longest_idle: Duration) -> Option<(Line, Duration)> {
@@ -41,9 +52,11 @@
         }
         let mut kept = self.kept.borrow_mut();
         let lines = kept.entry(to).or_default();
-        if lines.len() < 64 {
-            lines.push(Kept { line, since: now, until: now + span });
+        if lines.len() >= self.most {
+            // The one that has rested longest makes way.
+            lines.remove(0);
         }
+        lines.push(Kept { line, since: now, until: now + span });
     }
 
     /// Lets go of what has been idle too long.
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -1,7 +1,7 @@
 //! How this node comes to know the fleet: all of it at the start, then news from whoever is ahead.
 
 use super::{Mode, Pointsman, core_calls};
-use crate::platform::Life;
+use crate::platform::{Life, sign_of_word};
 use borsh::BorshDeserialize;
 use lineside::call::{Answering, Ask, Reply};
 use lineside::gossip::{Datagram, GossipAction, Sibling};
@@ -17,9 +17,14 @@
 impl Answering for Pointsman {
     fn on_zab(&self, _: &[u8]) {}
 
+    fn on_release(&self, number: u64, sign: u8, span: Duration) {
+        self.permits.release(number, sign_of_word(sign), span);
+    }
+
     async fn answer(self: Rc<Self>, ask: Ask) -> Reply {
         match ask {
             Ask::Knock => Reply::Done,
+            Ask::Permit(permit) => self.permits.ask(&self, permit).await,
             Ask::News { since, assured: false } => {
                 let fleet = self.fleet.borrow();
                 Reply::News { news: fleet.news_since(since), zxid: fleet.zxid() }
@@ -153,6 +158,7 @@
     let mut turns = 0u64;
     loop {
         let now = clock::now();
+        node.permits.tidy(now);
         let actions = {
             let mut roster = node.roster.borrow_mut();
             roster.set_occupancy(node.platform.occupancy(now));
@@ -163,7 +169,7 @@
                 );
                 node.siblings.tidy(now);
                 node.homes.tidy(&config.node_name, now);
-                node.platform.lines.tidy(now);
+                node.lines.tidy(now);
             }
             roster.tick(now)
         };
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -14,7 +14,7 @@
 pub use tenancy::TenantCounts;
 
 use crate::dispatch::{Balance, Budgets, Pool};
-use crate::platform::{Homes, Platform};
+use crate::platform::{Homes, Lines, Permits, Platform};
 use lineside::call::Caller;
 use lineside::gossip::Roster;
 use std::cell::{Cell, RefCell};
@@ -38,6 +38,10 @@
     pub caller: Caller,
     /// The endpoint beside this node. Invariant: has no life at a gateway.
     pub platform: Rc<Platform>,
+    /// Connections to endpoints.
+    pub lines: Rc<Lines>,
+    /// Slots given out to other gateways.
+    pub permits: Permits,
     /// Endpoints that have nobody beside them. Invariant: empty beside an endpoint.
     pub homes: Homes,
     pub balance: RefCell<Balance>,
@@ -68,7 +72,7 @@
     pub fn seat_endpoints(&self) {
         if self.mode == Mode::Gateway {
             let (fleet, roster) = (self.fleet.borrow(), self.roster.borrow());
-            self.homes.refresh(&fleet, &roster, self.live.get().home_port(), clock::now());
+            self.homes.refresh(&fleet, &roster, clock::now());
         }
     }
 }
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -3,7 +3,7 @@
 use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
 use super::{Mode, NodeError, Pointsman, learn};
 use crate::dispatch::{Balance, Budgets, Pool};
-use crate::platform::{BeatsDoor, Homes, Platform};
+use crate::platform::{BeatsDoor, Homes, Lines, Permits, Platform};
 use lineside::call::{Caller, serve_siblings};
 use lineside::gossip::{Roster, RosterTiming, Sibling};
 use std::cell::{Cell, RefCell};
@@ -44,6 +44,10 @@
     kernel::run(async {
         outcome = async {
             let live = Rc::new(LiveConfig::new(command.path, config.clone()));
+            let lines = Rc::new(match mode {
+                Mode::Beside => Lines::default(),
+                Mode::Gateway => Lines::among_many(),
+            });
             let node = Rc::new(Pointsman {
                 mode,
                 live: live.clone(),
@@ -51,8 +55,10 @@
                 roster: RefCell::new(roster),
                 datagrams: Datagrams::bind(address)?,
                 caller: Caller::default(),
-                platform: Rc::new(Platform::new(config.app_address)),
-                homes: Homes::default(),
+                platform: Rc::new(Platform::new(config.app_address, lines.clone())),
+                homes: Homes::new(lines.clone()),
+                lines,
+                permits: Permits::default(),
                 balance: RefCell::new(Balance::default()),
                 budgets: RefCell::new(Budgets::new(now)),
                 siblings: Pool::default(),
@@ -90,22 +96,20 @@
     // 200 descriptors are kept back, and as many for lines to siblings and the endpoint.
     let most = (config.limits.file_descriptors as usize).saturating_sub(500).max(64);
     open(find("listen_addresses.readiness", config.listen.readiness)?, 32, ReadinessDoor(node.clone()))?;
-    let (inbound, outbound) = match node.mode {
+    let outbound = match node.mode {
         Mode::Beside => {
             let beats = find("listen_addresses.control_plane", config.listen.control_plane)?;
             open(beats, 64, BeatsDoor(node.clone()))?;
-            let inbound = find("listen_addresses.inbound", config.listen.inbound)?;
-            (inbound, find("listen_addresses.outbound", config.listen.outbound)?)
-        }
-        Mode::Gateway => {
-            let inbound = SocketAddr::new(config.ip_address, config.home_port());
-            (inbound, find("listen_addresses.frontend", config.listen.frontend)?)
+            find("listen_addresses.outbound", config.listen.outbound)?
         }
+        Mode::Gateway => find("listen_addresses.frontend", config.listen.frontend)?,
+    };
+    // What siblings pass on comes only to nodes beside an endpoint.
+    let inbound = match (node.mode, config.listen.inbound) {
+        (Mode::Beside, Some(inbound)) => open(inbound, most / 3, InboundDoor(node.clone()))?,
+        _ => Rc::default(),
     };
-    Ok(Doors {
-        inbound: open(inbound, most / 3, InboundDoor(node.clone()))?,
-        outbound: open(outbound, most / 2, OutboundDoor(node.clone()))?,
-    })
+    Ok(Doors { inbound, outbound: open(outbound, most / 2, OutboundDoor(node.clone()))? })
 }
 
 /// Readiness off, serve on, finish, leave.
--- a/crates/pointsman/src/platform/admission.rs
+++ b/crates/pointsman/src/platform/admission.rs
@@ -1,6 +1,5 @@
 //! Who goes to the endpoint when: its slots, and a short queue by rank and length of work.
 
-use crate::dispatch::Errand;
 use futures_channel::oneshot;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -67,6 +66,18 @@
     }
 }
 
+/// What the right to a slot is asked by.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    pub priority: u8,
+    /// Names the route, for what is measured of it.
+    pub sort: u64,
+    pub horizon: Moment,
+    pub target: Moment,
+    /// How long it may stand in a queue, as far as that can be told beforehand.
+    pub patience: Duration,
+}
+
 pub struct TurnedAway {
     /// Its time ran out in the queue.
     pub late: bool,
@@ -124,23 +135,23 @@
     }
 
     /// A slot now, a slot after a wait that leaves time enough, or a word at once that there is none.
-    pub async fn admit(self: &Rc<Self>, errand: &Errand, now: Moment) -> Result<Slot, TurnedAway> {
+    pub async fn admit(self: &Rc<Self>, claim: &Claim, now: Moment) -> Result<Slot, TurnedAway> {
         if self.running.get() < self.slots.get() {
             return Ok(self.take_slot());
         }
-        let expected = self.expected(errand.sort);
+        let expected = self.expected(claim.sort);
         let order = self.next_order.get();
         self.next_order.set(order + 1);
-        let place = (errand.priority, now + micros(expected * STANDS_BACK), order);
+        let place = (claim.priority, now + micros(expected * STANDS_BACK), order);
         let wait = self.wait_at(place);
         let full = self.queue.borrow().len() >= self.slots.get() as usize * QUEUE_FACTOR;
-        if full || wait > errand.patience || now + wait + micros(expected) > errand.target {
+        if full || wait > claim.patience || now + wait + micros(expected) > claim.target {
             return Err(TurnedAway { late: false, free_in: wait });
         }
         let (sender, receiver) = oneshot::channel();
-        self.queue.borrow_mut().push(Waiter { place, expected, horizon: errand.horizon, sender });
+        self.queue.borrow_mut().push(Waiter { place, expected, horizon: claim.horizon, sender });
         // The last moment at which starting is still of use.
-        let last_start = errand.horizon - micros(expected).min(errand.left(now) / 2);
+        let last_start = claim.horizon - micros(expected).min(now.until(claim.horizon) / 2);
         match monoio::time::timeout(now.until(last_start), receiver).await {
             Ok(Ok(slot)) => Ok(slot),
             _ => {
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -1,23 +1,27 @@
 //! One request at the endpoint, and what its bytes back are worth.
 
-use super::Platform;
-use crate::dispatch::{ATTEMPT, CALLER, DEADLINE, EXPECTED, Errand, LINE_HEADERS, NOT_EXECUTED, Outcome, STAMP};
+use crate::dispatch::{ATTEMPT, CALLER, DEADLINE, EXPECTED, Errand, LINE_HEADERS, NOT_EXECUTED, Outcome, Pool, STAMP};
 use http::Method;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
-use trackbed::clock;
+use trackbed::clock::{self, Moment};
 use trackbed::http::{Line, Return, ReturnError, single, write_inquiry};
 use trackbed::net::{SocketExt, connect};
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 const BODY_LIMIT: u64 = 64 << 20;
 /// An idle connection is not trusted for longer, whatever the endpoint says.
-pub const LONGEST_IDLE: Duration = Duration::from_secs(5);
+const LONGEST_IDLE: Duration = Duration::from_secs(5);
 /// In use so short a time ago that the endpoint can't have forgotten it.
 const YOUNG: Duration = Duration::from_millis(150);
 /// One that broke off shows how long is too long; each that did not gives some of the trust back.
 const LEAST_IDLE: Duration = Duration::from_millis(60);
 const TRUST_GROWS: Duration = Duration::from_millis(4);
+const KEPT_AMONG_MANY: Duration = Duration::from_millis(2500);
+/// How long a new connection is looked at before something that may not run twice is sent over it.
+const SHORTEST_LOOK: Duration = Duration::from_micros(1500);
+const LONGEST_LOOK: Duration = Duration::from_millis(6);
 /// Bytes that an endpoint's machine does not acknowledge for so long never will be.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
 /// Where it says nothing.
@@ -25,40 +29,93 @@
 /// Left of the endpoint's own time, within which it may close at any moment.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
 
-pub async fn at_endpoint(platform: &Platform, errand: &Errand) -> Outcome {
-    let Some(address) = platform.address else {
-        return Outcome::NotSent;
-    };
+/// Connections to endpoints, kept for further use.
+pub struct Lines {
+    pool: Pool,
+    /// For how long an idle connection is taken to be still good.
+    trusted_idle: Cell<Duration>,
+    /// For how long an idle one is kept at most.
+    keeps: Duration,
+    /// Opened so far, and used again so far.
+    pub opened: Cell<u64>,
+    pub reused: Cell<u64>,
+}
+
+impl Default for Lines {
+    fn default() -> Self {
+        Self::new(64, LONGEST_IDLE)
+    }
+}
+
+impl Lines {
+    pub fn new(most_to_one: usize, keeps: Duration) -> Self {
+        Self {
+            pool: Pool::keeping(most_to_one),
+            keeps,
+            trusted_idle: Cell::new(LONGEST_IDLE),
+            opened: Cell::new(0),
+            reused: Cell::new(0),
+        }
+    }
+
+    /// Where many may open connections to one endpoint, which takes only so many: each keeps one, and
+    /// not for long.
+    pub fn among_many() -> Self {
+        Self::new(1, KEPT_AMONG_MANY)
+    }
+
+    pub fn tidy(&self, now: Moment) {
+        self.pool.tidy(now);
+    }
+
+    pub fn clear(&self, to: SocketAddr) {
+        self.pool.clear(to);
+    }
+}
+
+pub async fn at_endpoint(address: SocketAddr, lines: &Lines, errand: &Errand) -> Outcome {
     let now = clock::now();
     // An endpoint may have forgotten an idle connection, and what is sent over it then is lost: what may
     // not be sent again goes only over one that was in use just now.
     let longest = match errand.repeats {
-        true => platform.trusted_idle.get(),
-        false => platform.trusted_idle.get().min(YOUNG),
+        true => lines.trusted_idle.get(),
+        false => lines.trusted_idle.get().min(YOUNG),
     };
-    let (line, rested) = match platform.lines.take(address, now, longest) {
-        Some((line, rested)) => (line, Some(rested)),
+    let (line, rested) = match lines.pool.take(address, now, longest) {
+        Some((line, rested)) => {
+            lines.reused.set(lines.reused.get() + 1);
+            (line, Some(rested))
+        }
         None => match connect(address, CONNECT_LIMIT.min(errand.left(now))).await {
             Ok(stream) => {
+                lines.opened.set(lines.opened.get() + 1);
                 stream.give_up_after(UNACKNOWLEDGED);
+                if !errand.repeats {
+                    // An endpoint that has connections enough takes one more and resets it: that shows at
+                    // once, and before anything was sent it is sure that nothing ran.
+                    monoio::time::sleep(clock::now().since(now).clamp(SHORTEST_LOOK, LONGEST_LOOK)).await;
+                    if !stream.is_quiet() {
+                        return Outcome::NotSent;
+                    }
+                }
                 (Line::new(stream), None)
             }
             Err(_) => return Outcome::NotSent,
         },
     };
-    let outcome = exchange(platform, address, line, errand).await;
+    let outcome = exchange(lines, address, line, errand).await;
     if let Some(rested) = rested {
-        let trusted = platform.trusted_idle.get();
+        let trusted = lines.trusted_idle.get();
         let next = match outcome {
             Outcome::Failed(_) => trusted.min(rested.mul_f64(0.7)).max(LEAST_IDLE),
             _ => (trusted + TRUST_GROWS).min(LONGEST_IDLE),
         };
-        platform.trusted_idle.set(next);
+        lines.trusted_idle.set(next);
     }
     outcome
 }
 
-async fn exchange(platform: &Platform, address: SocketAddr, mut line: Line, errand: &Errand) -> Outcome {
+async fn exchange(lines: &Lines, address: SocketAddr, mut line: Line, errand: &Errand) -> Outcome {
     let left = errand.left(clock::now());
     if left < Duration::from_millis(1) {
         return Outcome::NotSent;
@@ -101,7 +158,7 @@
                         Some(seconds) => Duration::from_secs(seconds).saturating_sub(KEEP_MARGIN),
                         None => USUAL_KEEP,
                     };
-                    platform.lines.keep(address, line, clock::now(), keep);
+                    lines.pool.keep(address, line, clock::now(), keep.min(lines.keeps));
                 }
                 Some(line) => line.break_off(),
                 None => {}
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -6,15 +6,18 @@
 mod exchange;
 mod health;
 mod homes;
+mod permits;
 #[cfg(test)]
 mod tests;
 
-pub use admission::{Admission, TurnedAway};
+pub use admission::{Admission, Claim, Slot, TurnedAway};
 pub use beats::BeatsDoor;
+pub use exchange::{Lines, at_endpoint};
 pub use health::{Health, Sign};
 pub use homes::{Gate, Homes, Seat};
+pub use permits::{Permits, sign_of_word, word_of_sign};
 
-use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed, Pool};
+use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed};
 use lineside::gossip::Occupancy;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -25,6 +28,18 @@
 use trackbed::http::Return;
 use trackbed::ids::InstanceId;
 
+/// What an outcome tells of the endpoint's health; nothing where it may be the request's own fault.
+pub fn sign_of(outcome: &Outcome, span: Duration, usual: Duration) -> Option<Sign> {
+    match outcome {
+        Outcome::Answered(answer) if answer.status < 500 => Some(Sign::Well),
+        Outcome::Answered(_) | Outcome::NotExecuted => Some(Sign::Declined),
+        Outcome::Failed(_) => Some(Sign::Broken),
+        Outcome::OverHorizon => (span > usual * 3).then_some(Sign::Broken),
+        Outcome::NotSent => Some(Sign::Unreachable),
+        Outcome::NotTaken { .. } => None,
+    }
+}
+
 /// One life of the endpoint, as this node knows it.
 #[derive(Clone, Debug)]
 pub struct Life {
@@ -43,10 +58,8 @@
     /// Lives that signed off, so that a late beat revives none.
     pub ended: RefCell<Vec<InstanceId>>,
     pub admission: Rc<Admission>,
-    pub lines: Pool,
+    pub lines: Rc<Lines>,
     pub health: Health,
-    /// For how long an idle connection to the endpoint is taken to be still good.
-    pub trusted_idle: Cell<Duration>,
     /// Bindings of what runs at the endpoint, or may still run there, each until when.
     pub bindings: RefCell<Vec<(u64, Moment, Binding)>>,
     next_binding: Cell<u64>,
@@ -55,15 +68,14 @@
 }
 
 impl Platform {
-    pub fn new(address: Option<SocketAddr>) -> Self {
+    pub fn new(address: Option<SocketAddr>, lines: Rc<Lines>) -> Self {
         Self {
             address,
             life: RefCell::new(None),
             ended: RefCell::new(Vec::new()),
             admission: Rc::default(),
-            lines: Pool::default(),
+            lines,
             health: Health::default(),
-            trusted_idle: Cell::new(exchange::LONGEST_IDLE),
             bindings: RefCell::default(),
             next_binding: Cell::new(0),
             closed: Cell::new(false),
@@ -102,14 +114,19 @@
     }
 
     /// Whether the life that an errand names is here and does not leave.
-    fn is_here(&self, errand: &Errand) -> bool {
+    fn is_here(&self, instance: &InstanceId) -> bool {
         let life = self.life.borrow();
-        life.as_ref().is_some_and(|life| life.instance.id == errand.instance && !life.leaving) && !self.closed.get()
+        life.as_ref().is_some_and(|life| life.instance.id == *instance && !life.leaving) && !self.closed.get()
+    }
+
+    /// Whether an errand for that life, let in already, may go to it.
+    pub fn takes_on(&self, instance: &InstanceId, now: Moment) -> bool {
+        self.is_here(instance) && !self.health.is_aside(now)
     }
 
     /// Whether an errand for that life is taken now.
-    fn takes(&self, errand: &Errand, now: Moment) -> bool {
-        self.is_here(errand)
+    pub fn takes(&self, instance: &InstanceId, now: Moment) -> bool {
+        self.is_here(instance)
             && !self.health.is_aside(now)
             && !(self.health.is_on_trial() && self.admission.counts().0 > 0)
     }
@@ -117,10 +134,10 @@
     /// Takes an errand to the endpoint, if it can be run in time.
     pub async fn run(&self, errand: &Errand) -> GoResult {
         let now = clock::now();
-        if !self.takes(errand, now) {
+        if !self.takes(&errand.instance, now) {
             return self.passed(Passed::Gone, Duration::from_millis(50));
         }
-        let slot = match self.admission.admit(errand, now).await {
+        let slot = match self.admission.admit(&errand.claim(), now).await {
             Ok(slot) => slot,
             Err(TurnedAway { late, free_in }) => {
                 return self.passed(if late { Passed::Late } else { Passed::Busy }, free_in);
@@ -128,24 +145,21 @@
         };
         // The life may have gone, and the time run out, while the errand stood in the queue.
         let now = clock::now();
-        if !self.is_here(errand) || self.health.is_aside(now) {
+        if !self.takes_on(&errand.instance, now) {
             return self.passed(Passed::Gone, Duration::from_millis(20));
         }
         if errand.left(now) < Duration::from_millis(2) {
             return self.passed(Passed::Late, Duration::from_millis(50));
         }
         let bound = self.bind(errand);
-        let mut outcome = exchange::at_endpoint(self, errand).await;
-        match &outcome {
-            Outcome::Answered(answer) if answer.is_success() => {
-                self.admission.measured(errand.sort, clock::now().since(now))
-            }
-            _ => {}
-        }
+        let mut outcome = match self.address {
+            Some(address) => exchange::at_endpoint(address, &self.lines, errand).await,
+            None => Outcome::NotSent,
+        };
         let ended = clock::now();
-        if let Some(sign) = self.sign(errand, &outcome, ended.since(now)) {
-            self.health.shows(sign, ended);
-        }
+        let span = ended.since(now);
+        let usual = self.admission.usual(errand.sort);
+        self.learn(errand.sort, sign_of(&outcome, span, usual), span, ended);
         // After any other outcome the endpoint may go on until the horizon, and make its calls.
         if let (Some(bound), Outcome::Answered(_) | Outcome::NotExecuted | Outcome::NotSent) = (bound, &outcome) {
             self.bindings.borrow_mut().retain(|(number, _, _)| *number != bound);
@@ -157,15 +171,13 @@
         self.result(outcome)
     }
 
-    /// What an outcome tells of the endpoint's health; nothing where it may be the request's own fault.
-    fn sign(&self, errand: &Errand, outcome: &Outcome, span: Duration) -> Option<Sign> {
-        match outcome {
-            Outcome::Answered(answer) if answer.status < 500 => Some(Sign::Well),
-            Outcome::Answered(_) | Outcome::NotExecuted => Some(Sign::Declined),
-            Outcome::Failed(_) => Some(Sign::Broken),
-            Outcome::OverHorizon => (span > self.admission.usual(errand.sort) * 3).then_some(Sign::Broken),
-            Outcome::NotSent => Some(Sign::Unreachable),
-            Outcome::NotTaken { .. } => None,
+    /// Takes in what a request showed.
+    pub fn learn(&self, sort: u64, sign: Option<Sign>, span: Duration, now: Moment) {
+        if let Some(sign) = sign {
+            self.health.shows(sign, now);
+        }
+        if sign == Some(Sign::Well) {
+            self.admission.measured(sort, span);
         }
     }
 
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/siblings.rs
@@ -20,6 +20,8 @@
         }
     }
 
+    fn on_release(&self, _: u64, _: u8, _: Duration) {}
+
     async fn answer(self: Rc<Self>, ask: Ask) -> Reply {
         match ask {
             Ask::News { since, assured: false } => {
@@ -28,6 +30,7 @@
             }
             Ask::News { since, assured: true } => primary::assured_news(&self, since).await,
             Ask::Knock => Reply::Done,
+            Ask::Permit(_) => Reply::NotNow("no endpoint is at home at a core node".into()),
             Ask::Assure => primary::assure(&self),
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
             Ask::Register(instance) => primary::register(&self, instance).await,
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -210,11 +210,6 @@
         self.internal_ports.0 + 1
     }
 
-    /// Where a gateway takes requests that its siblings pass on, on any machine.
-    pub fn home_port(&self) -> u16 {
-        self.internal_ports.0 + 2
-    }
-
     pub fn serves(&self, word: &str) -> bool {
         self.serves.iter().any(|served| served == word)
     }
