--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -4,7 +4,7 @@
 use crate::platform::{Life, sign_of_word};
 use borsh::BorshDeserialize;
 use lineside::call::{Answering, Ask, Reply};
-use lineside::gossip::{Datagram, GossipAction, Sibling};
+use lineside::gossip::{Datagram, GossipAction, Role, Sibling};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use trackbed::clock;
 use trackbed::ids::Zxid;
 
+const PULL_EVERY: Duration = Duration::from_millis(700);
 const KNOCK_LIMIT: Duration = Duration::from_millis(900);
 
 impl Answering for Pointsman {
@@ -154,6 +155,31 @@
     }
 }
 
+/// Asks a sibling of this zone now and then whether there is news. Datagrams are the first to be lost
+/// where a way is full, and a node that none reaches must not stay behind.
+pub async fn pull(node: Rc<Pointsman>) {
+    loop {
+        monoio::time::sleep(PULL_EVERY).await;
+        let sibling = {
+            let roster = node.roster.borrow();
+            let zone = node.live.get().zone.clone();
+            let near: Vec<&Sibling> = [Role::Core, node.mode.role()]
+                .into_iter()
+                .flat_map(|role| roster.alive(role))
+                .filter(|sibling| sibling.zone == zone)
+                .collect();
+            let any = |role| roster.alive(role).next().cloned();
+            match near.len() {
+                0 => any(Role::Core).or_else(|| any(node.mode.role())),
+                count => Some(near[node.random.borrow_mut().below(count as u64) as usize].clone()),
+            }
+        };
+        if let Some(sibling) = sibling {
+            fetch(&node, sibling);
+        }
+    }
+}
+
 pub async fn keep_time(node: Rc<Pointsman>) {
     let mut turns = 0u64;
     loop {
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -69,11 +69,13 @@
                 leaving: Cell::new(false),
                 fetching: Cell::new(false),
             });
+            node.platform.link.set(config.limits.link_bytes);
             monoio::spawn(serve_siblings(bind_tcp(address)?, node.clone()));
             let doors = open_doors(&node, &config)?;
             monoio::spawn(learn::listen(node.clone()));
             monoio::spawn(learn::keep_time(node.clone()));
             monoio::spawn(learn::learn_all(node.clone()));
+            monoio::spawn(learn::pull(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             leave(&node, &doors).await;
             Ok::<(), NodeError>(())
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod permits;
 #[cfg(test)]
 mod tests;
+mod way_out;
 
 pub use admission::{Admission, Claim, Slot, TurnedAway};
 pub use beats::BeatsDoor;
@@ -16,6 +17,7 @@
 pub use health::{Health, Sign};
 pub use homes::{Gate, Homes, Seat};
 pub use permits::{Permits, sign_of_word, word_of_sign};
+pub use way_out::WayOut;
 
 use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed};
 use lineside::gossip::Occupancy;
@@ -25,7 +27,7 @@
 use std::time::Duration;
 use timetable::fleet::Instance;
 use trackbed::clock::{self, Moment};
-use trackbed::http::Return;
+use trackbed::http::{Guard, Return};
 use trackbed::ids::InstanceId;
 
 /// What an outcome tells of the endpoint's health; nothing where it may be the request's own fault.
@@ -60,6 +62,9 @@
     pub admission: Rc<Admission>,
     pub lines: Rc<Lines>,
     pub health: Health,
+    pub way_out: WayOut,
+    /// What the machine's link carries in a second, in bytes, where that is known.
+    pub link: Cell<Option<f64>>,
     /// Bindings of what runs at the endpoint, or may still run there, each until when.
     pub bindings: RefCell<Vec<(u64, Moment, Binding)>>,
     next_binding: Cell<u64>,
@@ -76,6 +81,8 @@
             admission: Rc::default(),
             lines,
             health: Health::default(),
+            way_out: WayOut::default(),
+            link: Cell::new(None),
             bindings: RefCell::default(),
             next_binding: Cell::new(0),
             closed: Cell::new(false),
@@ -137,6 +144,10 @@
         if !self.takes(&errand.instance, now) {
             return self.passed(Passed::Gone, Duration::from_millis(50));
         }
+        let promised = match self.way_out.promise(errand.sort, self.link.get(), now.until(errand.target)) {
+            Ok(promised) => promised,
+            Err(free_in) => return self.passed(Passed::Busy, free_in),
+        };
         let slot = match self.admission.admit(&errand.claim(), now).await {
             Ok(slot) => slot,
             Err(TurnedAway { late, free_in }) => {
@@ -164,6 +175,11 @@
         if let (Some(bound), Outcome::Answered(_) | Outcome::NotExecuted | Outcome::NotSent) = (bound, &outcome) {
             self.bindings.borrow_mut().retain(|(number, _, _)| *number != bound);
         }
+        if let Outcome::Answered(answer) = &mut outcome {
+            let length = answer.flow.as_ref().map(|flow| flow.length()).unwrap_or(answer.body.len() as u64);
+            self.way_out.measured(errand.sort, length);
+            answer.guard = promised.map(|promised| Guard(Box::new(promised)));
+        }
         if let Outcome::Answered(Return { flow: Some(flow), .. }) = &mut outcome {
             // The endpoint is at it until the body has gone through.
             flow.hold(Box::new(slot));
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -35,6 +35,8 @@
 pub struct Limits {
     pub memory_mb: u64,
     pub file_descriptors: u64,
+    /// What the machine's link carries in a second, in bytes, where that is known.
+    pub link_bytes: Option<f64>,
 }
 
 #[derive(Clone, Debug)]
@@ -187,6 +189,9 @@
             limits: Limits {
                 memory_mb: fields.number(&["limits", "memory_mb"], 256.0)? as u64,
                 file_descriptors: fields.number(&["limits", "file_descriptors"], 1024.0)? as u64,
+                link_bytes: Some(fields.number(&["limits", "link_mbps"], 0.0)?)
+                    .filter(|mbps| *mbps > 0.0)
+                    .map(|mbps| mbps * 1e6 / 8.0),
             },
             machine_losses: fields.number(&["fault_tolerance", "machine_losses"], 1.0)? as u64,
             bounds,
--- a/crates/trackbed/src/http/mod.rs
+++ b/crates/trackbed/src/http/mod.rs
@@ -18,5 +18,5 @@
 pub use head::{Inquiry, connection_closes, is_hop_header, single};
 pub use json::JsonReturn;
 pub use line::Line;
-pub use returns::{Return, ReturnError, write_inquiry};
+pub use returns::{Guard, Return, ReturnError, write_inquiry};
 pub use serve::{Handler, Serving, serve_listener};
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -9,6 +9,15 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use std::io::Write;
 
+/// Something held until it is dropped.
+pub struct Guard(pub Box<dyn std::any::Any>);
+
+impl std::fmt::Debug for Guard {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Guard")
+    }
+}
+
 #[derive(Debug)]
 pub struct Return {
     pub status: u16,
@@ -17,6 +26,8 @@
     pub body: Bytes,
     /// The body, where it is too long to be held. Invariant: `body` is empty then.
     pub flow: Option<Box<Flow>>,
+    /// Given back when the answer has been written.
+    pub guard: Option<Guard>,
     /// The connection ends after this answer.
     pub closes: bool,
     /// For how long the other side keeps the idle connection, where it says so.
@@ -38,7 +49,15 @@
 
 impl Return {
     pub fn new(status: u16) -> Self {
-        Self { status, headers: HeaderMap::new(), body: Bytes::new(), flow: None, closes: false, keep_alive: None }
+        Self {
+            status,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            flow: None,
+            guard: None,
+            closes: false,
+            keep_alive: None,
+        }
     }
 
     pub fn text(status: u16, text: &str) -> Self {
