--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -66,7 +66,7 @@
         }
     } else {
         match node.mode {
-            Mode::Beside => remote::deliver(&node.siblings, candidate.beside, errand).await,
+            Mode::Beside => remote::deliver(&node.siblings, &node.pacer, candidate.beside, errand).await,
             Mode::Gateway => direct::deliver(node, candidate, errand).await,
         }
     };
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::clock;
-use trackbed::http::{Line, Return, ReturnError, write_inquiry};
+use trackbed::http::{Line, Pacer, Return, ReturnError, write_inquiry};
 use trackbed::net::connect;
 
 /// How long a sibling may take to accept a connection.
@@ -24,7 +24,7 @@
     GoResult { outcome, occupancy: None, spent: None }
 }
 
-pub async fn deliver(pool: &Pool, beside: SocketAddr, errand: &Errand) -> GoResult {
+pub async fn deliver(pool: &Pool, pacer: &Pacer, beside: SocketAddr, errand: &Errand) -> GoResult {
     let now = clock::now();
     let line = match pool.take(beside, now, IDLE) {
         Some((line, _)) => Some(line),
@@ -66,7 +66,7 @@
     let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
     let bodyless = errand.inquiry.method == Method::HEAD;
     let exchange = async move {
-        line.write(bytes).await.map_err(|_| ReturnError::Silent)?;
+        pacer.write(&mut line, bytes).await.map_err(|_| ReturnError::Silent)?;
         line.read_return_or_flow(bodyless, BODY_LIMIT).await
     };
     match monoio::time::timeout(left + LAST_WORD, exchange).await {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock;
-use trackbed::http::{DoorLimits, Handler, Inquiry, Return};
+use trackbed::http::{DoorLimits, Handler, Inquiry, Pacer, Return};
 use trackbed::random::stable_hash;
 
 /// Requests begin here.
@@ -37,6 +37,10 @@
         }
     }
 
+    fn pacer(&self) -> Option<&Pacer> {
+        Some(&self.0.pacer)
+    }
+
     fn turned_away(&self, status: u16, reason: &'static str) -> Return {
         match status {
             503 => dispatch::come_back(&self.0, Duration::from_millis(200), reason),
@@ -79,6 +83,10 @@
         }
     }
 
+    fn pacer(&self) -> Option<&Pacer> {
+        Some(&self.0.pacer)
+    }
+
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
         let routes = self.0.fleet.borrow().routes().cloned();
         let route = inquiry
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -22,6 +22,7 @@
 use std::rc::Rc;
 use timetable::fleet::FleetState;
 use trackbed::clock;
+use trackbed::http::Pacer;
 use trackbed::ids::InstanceId;
 use trackbed::kernel::LiveConfig;
 use trackbed::net::Datagrams;
@@ -38,6 +39,8 @@
     pub caller: Caller,
     /// The endpoint beside this node. Invariant: has no life at a gateway.
     pub platform: Rc<Platform>,
+    /// Long bodies go out by it, answers and requests alike.
+    pub pacer: Pacer,
     /// Connections to endpoints.
     pub lines: Rc<Lines>,
     /// Slots given out to other gateways.
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -13,7 +13,7 @@
 use timetable::fleet::FleetState;
 use trackbed::clock;
 use trackbed::config::{Command, LocalConfig};
-use trackbed::http::{Handler, Serving, serve_listener};
+use trackbed::http::{Handler, Pacer, Serving, serve_listener};
 use trackbed::ids::Incarnation;
 use trackbed::kernel::{self, LiveConfig, Signals};
 use trackbed::net::{Datagrams, bind_tcp};
@@ -59,6 +59,7 @@
                 homes: Homes::new(lines.clone()),
                 lines,
                 permits: Permits::default(),
+                pacer: Pacer::default(),
                 balance: RefCell::new(Balance::default()),
                 budgets: RefCell::new(Budgets::new(now)),
                 siblings: Pool::default(),
@@ -70,6 +71,7 @@
                 fetching: Cell::new(false),
             });
             node.platform.link.set(config.limits.link_bytes);
+            node.pacer.set_link(config.limits.link_bytes);
             monoio::spawn(serve_siblings(bind_tcp(address)?, node.clone()));
             let doors = open_doors(&node, &config)?;
             monoio::spawn(learn::listen(node.clone()));
--- a/crates/trackbed/src/http/mod.rs
+++ b/crates/trackbed/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod head;
 mod json;
 mod line;
+mod pace;
 mod returns;
 mod serve;
 #[cfg(test)]
@@ -18,5 +19,6 @@
 pub use head::{Inquiry, connection_closes, is_hop_header, single};
 pub use json::JsonReturn;
 pub use line::Line;
+pub use pace::Pacer;
 pub use returns::{Guard, Return, ReturnError, write_inquiry};
 pub use serve::{Handler, Serving, serve_listener};
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -4,6 +4,7 @@
 use super::flow::Flow;
 use super::head::Inquiry;
 use super::line::Line;
+use super::pace::Pacer;
 use super::returns::Return;
 use crate::net::SocketExt;
 use http::Method;
@@ -17,6 +18,10 @@
     fn limits(&self) -> DoorLimits;
     /// `None` breaks the connection off: no answer can be given that says what happened.
     fn handle(self: Rc<Self>, inquiry: Inquiry) -> impl Future<Output = Option<Return>>;
+    /// How long answers go out.
+    fn pacer(&self) -> Option<&Pacer> {
+        None
+    }
     /// What to say of a request that could not be read.
     fn turned_away(&self, status: u16, reason: &'static str) -> Return {
         Return::text(status, reason)
@@ -74,12 +79,19 @@
     }
 }
 
+async fn write(pacer: Option<&Pacer>, line: &mut Line, bytes: Vec<u8>) -> std::io::Result<()> {
+    match pacer {
+        Some(pacer) => pacer.write(line, bytes).await,
+        None => line.write(bytes).await,
+    }
+}
+
 /// Passes a body on as fast as it is taken; false when it broke off.
-async fn pass_on(flow: &mut Flow, line: &mut Line) -> bool {
+async fn pass_on(flow: &mut Flow, line: &mut Line, pacer: Option<&Pacer>) -> bool {
     loop {
         match flow.next().await {
             Some(bytes) if bytes.is_empty() => return true,
-            Some(bytes) if line.write(bytes.to_vec()).await.is_ok() => {}
+            Some(bytes) if write(pacer, line, bytes.to_vec()).await.is_ok() => {}
             _ => return false,
         }
     }
@@ -120,11 +132,11 @@
         };
         answer.closes |= !keeps || serving.leaving.get();
         let closes = answer.closes;
-        if line.write(answer.encode(bodyless)).await.is_err() {
+        if write(handler.pacer(), &mut line, answer.encode(bodyless)).await.is_err() {
             return;
         }
         if let Some(flow) = answer.flow.as_mut().filter(|_| !bodyless)
-            && !pass_on(flow, &mut line).await
+            && !pass_on(flow, &mut line, handler.pacer()).await
         {
             // What ends early must not look complete.
             line.break_off();
