--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -1,8 +1,10 @@
 //! What is asked and answered.
 
 use crate::gossip::Occupancy;
+use crate::inspection::{DriftRecord, RoutesReport};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
+use timetable::configuration::{Entry, PlannedBy};
 use timetable::fleet::{FleetNews, Instance};
 use trackbed::ids::{InstanceId, Zxid};
 
@@ -52,6 +54,10 @@
     pub horizon_millis: u32,
     pub target_millis: u32,
     pub patience_millis: u32,
+    /// The route that it was planned by, and where that stands.
+    pub planned: PlannedBy,
+    pub hostname: String,
+    pub prefix: String,
     /// Regions that may handle the request, where not all may.
     pub regions: Option<String>,
 }
@@ -66,6 +72,19 @@
     /// Is anybody there?
     Knock,
     Permit(Permit),
+    /// The whole state, all that was acknowledged in it, for a node whose own is in doubt.
+    Whole,
+    /// What a proxy's table comes to.
+    Routes(RoutesReport),
+    /// The same as other core nodes heard it, each with how many milliseconds ago.
+    RoutesHeard(Vec<(RoutesReport, u32)>),
+    /// What stands in the table with that root where it differs from these leaves.
+    RoutesDetail {
+        root: u64,
+        leaves: Vec<u64>,
+    },
+    /// What the primary makes of all proxies, as JSON.
+    RoutesVerdicts,
     /// How far the primary's committed state is, under its lease.
     Assure,
     Register(Instance),
@@ -89,6 +108,11 @@
     Done,
     /// All that was acknowledged is at or before this.
     Upto(Zxid),
+    /// The table is not what was meant: fetch the whole anew.
+    OutOfStep,
+    Drifts(Vec<DriftRecord>),
+    RoutesDetail(Vec<Entry>),
+    Text(String),
     /// The slot is the asker's until it releases it, or the horizon has passed.
     Permitted {
         number: u64,
@@ -97,6 +121,7 @@
     /// No slot: that life is not taken on here, or there is none in time.
     NotTaken {
         gone: bool,
+        stale: bool,
         free_in_millis: u32,
         occupancy: Option<Occupancy>,
     },
--- a/crates/lineside/src/lib.rs
+++ b/crates/lineside/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod call;
 pub mod gossip;
+pub mod inspection;
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -7,9 +7,10 @@
 use super::headers::CALLER;
 use super::plan::Plan;
 use super::{BudgetBounds, direct, remote};
-use crate::node::{Mode, Pointsman, tenancy};
+use crate::node::{Mode, Pointsman, learn, tenancy};
 use std::rc::Rc;
 use std::time::Duration;
+use timetable::configuration::Route;
 use trackbed::clock;
 use trackbed::http::{Inquiry, Return};
 use trackbed::ids::InstanceId;
@@ -29,6 +30,8 @@
 /// What tells how the way to a node is.
 const SHORT_ANSWER: usize = 12 << 10;
 const SHUN_UNREACHABLE: Duration = Duration::from_millis(600);
+/// Plans made anew for one request.
+const STALE_AT_MOST: u32 = 3;
 const SHUN_NODE: Duration = Duration::from_millis(1500);
 const SHUN_GONE: Duration = Duration::from_millis(300);
 const SHUN_FAILING: Duration = Duration::from_millis(150);
@@ -56,7 +59,7 @@
     !matches!(outcome, Outcome::Answered(answer) if answer.flow.is_some() || answer.body.len() > SHORT_ANSWER)
 }
 
-async fn go(node: &Rc<Pointsman>, candidate: &Candidate, errand: &Errand) -> GoResult {
+async fn go(node: &Rc<Pointsman>, candidate: &Candidate, route: &Route, errand: &Errand) -> GoResult {
     let begun = clock::now();
     node.balance.borrow_mut().begin(&candidate.instance);
     let result = if candidate.is_local {
@@ -67,7 +70,7 @@
     } else {
         match node.mode {
             Mode::Beside => remote::deliver(&node.siblings, &node.pacer, candidate.beside, errand).await,
-            Mode::Gateway => direct::deliver(node, candidate, errand).await,
+            Mode::Gateway => direct::deliver(node, candidate, route, errand).await,
         }
     };
     if matches!(result.outcome, Outcome::Answered(_))
@@ -103,8 +106,14 @@
     result
 }
 
+/// Where the node that was asked takes calls.
+fn sibling_of(node: &Pointsman, candidate: &Candidate) -> Option<std::net::SocketAddr> {
+    let roster = node.roster.borrow();
+    roster.cards().find(|card| card.sibling.name == candidate.node).map(|card| card.sibling.address)
+}
+
 /// Sees a request through to its answer.
-pub async fn carry_out(node: &Rc<Pointsman>, plan: Plan, inquiry: Inquiry, binding: Binding) -> Return {
+pub async fn carry_out(node: &Rc<Pointsman>, mut plan: Plan, inquiry: Inquiry, binding: Binding) -> Return {
     let now = clock::now();
     let repeats = plan.route.kind.repeats();
     let bounds = budget(node);
@@ -116,6 +125,7 @@
         caller: own_service.map(|service| service.as_str().to_owned()).unwrap_or_default(),
         priority: plan.route.priority,
         repeats,
+        planned: plan.planned.clone(),
         sort: stable_hash(&plan.route.name),
         horizon: plan.horizon,
         binding,
@@ -127,6 +137,7 @@
     // Those that had no slot free, and could be waited for.
     let mut full: Vec<Candidate> = Vec::new();
     let mut asked_in_vain = 0;
+    let mut stale = 0;
     let mut offered = 0;
     let mut may_have_run = None;
     let mut endpoint_said = None;
@@ -161,7 +172,7 @@
         }
         errand.instance = candidate.instance.clone();
         left.retain(|other| other.instance != candidate.instance);
-        match go(node, &candidate, &errand).await.outcome {
+        match go(node, &candidate, &plan.route, &errand).await.outcome {
             Outcome::Answered(answer) => {
                 // An endpoint's own failure of a repeatable request may go better elsewhere.
                 let failed = answer.status >= 500 && repeats;
@@ -176,6 +187,29 @@
                 }
                 endpoint_said = Some(answer);
             }
+            Outcome::NotTaken { why: Passed::Stale, .. } => {
+                // One of the two tables is behind, or wrong. What is newer is fetched, and the plan made anew.
+                stale += 1;
+                if stale > STALE_AT_MOST {
+                    break;
+                }
+                if let Some(sibling) = sibling_of(node, &candidate) {
+                    learn::catch_up(node, sibling).await;
+                }
+                let routes = node.fleet.borrow().routes().cloned();
+                match Plan::make(&errand.inquiry, routes.as_ref(), now) {
+                    Ok(next) if next.planned == plan.planned => node.routes_check.doubt(),
+                    Ok(next) if offered == 0 => {
+                        plan = Plan { horizon: plan.horizon, target: plan.target, ..next };
+                        errand.planned = plan.planned.clone();
+                        left = candidates(node, &plan, &errand.binding, now);
+                        full.clear();
+                    }
+                    Ok(_) => {}
+                    Err(_) if offered == 0 => return Return::text(404, "no route leads there"),
+                    Err(_) => break,
+                }
+            }
             Outcome::NotTaken { free_in: wait, why } => {
                 free_in = if asked_in_vain == 0 { wait } else { free_in.min(wait) };
                 asked_in_vain += 1;
--- a/crates/pointsman/src/dispatch/direct.rs
+++ b/crates/pointsman/src/dispatch/direct.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use timetable::configuration::Route;
 use trackbed::clock;
 use trackbed::http::Return;
 
@@ -41,7 +42,7 @@
     }
 }
 
-pub async fn deliver(node: &Rc<Pointsman>, candidate: &Candidate, errand: &Errand) -> GoResult {
+pub async fn deliver(node: &Rc<Pointsman>, candidate: &Candidate, route: &Route, errand: &Errand) -> GoResult {
     let begun = clock::now();
     let left = errand.left(begun);
     let permit = Permit {
@@ -51,13 +52,20 @@
         horizon_millis: left.as_millis() as u32,
         target_millis: begun.until(errand.target).as_millis() as u32,
         patience_millis: errand.patience.as_millis() as u32,
+        planned: errand.planned.clone(),
+        hostname: route.hostname.clone(),
+        prefix: route.prefix.clone(),
         regions: errand.binding.write(),
     };
     let limit = left.min(errand.patience + LAST_WORD);
     let (number, occupancy) = match node.caller.call_lightly(candidate.beside, Ask::Permit(permit), limit).await {
         Ok(Reply::Permitted { number, occupancy }) => (number, occupancy),
-        Ok(Reply::NotTaken { gone, free_in_millis, occupancy }) => {
-            let why = if gone { Passed::Gone } else { Passed::Busy };
+        Ok(Reply::NotTaken { gone, stale, free_in_millis, occupancy }) => {
+            let why = match (stale, gone) {
+                (true, _) => Passed::Stale,
+                (_, true) => Passed::Gone,
+                _ => Passed::Busy,
+            };
             let outcome = Outcome::NotTaken { why, free_in: Duration::from_millis(free_in_millis as u64) };
             // A short look tells how the way is; a wait in a queue does not.
             let spent = (errand.patience < SHORT_LOOK).then_some(Duration::ZERO);
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -4,6 +4,7 @@
 use crate::platform::Claim;
 use lineside::gossip::Occupancy;
 use std::time::Duration;
+use timetable::configuration::PlannedBy;
 use trackbed::clock::Moment;
 use trackbed::http::{Inquiry, Return};
 use trackbed::ids::InstanceId;
@@ -21,6 +22,8 @@
     pub priority: u8,
     /// May run more than once.
     pub repeats: bool,
+    /// The route that it was planned by.
+    pub planned: PlannedBy,
     /// Names the route, for what is measured of it.
     pub sort: u64,
     /// Nobody waits for an answer after this.
@@ -55,6 +58,8 @@
     Outside,
     /// Its horizon passed in the queue.
     Late,
+    /// The node's table contradicts the route that it was planned by.
+    Stale,
 }
 
 #[derive(Debug)]
@@ -73,6 +78,12 @@
     OverHorizon,
 }
 
+/// The route that it was planned by is not in force here.
+pub fn stale() -> GoResult {
+    let outcome = Outcome::NotTaken { why: Passed::Stale, free_in: Duration::from_millis(20) };
+    GoResult { outcome, occupancy: None, spent: None }
+}
+
 /// That life is not here.
 pub fn gone() -> GoResult {
     let outcome = Outcome::NotTaken { why: Passed::Gone, free_in: Duration::from_millis(50) };
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -4,6 +4,7 @@
 use super::errand::{Errand, GoResult, Outcome, Passed};
 use lineside::gossip::Occupancy;
 use std::time::Duration;
+use timetable::configuration::PlannedBy;
 use trackbed::clock::Moment;
 use trackbed::http::{Inquiry, Return};
 use trackbed::ids::InstanceId;
@@ -20,13 +21,15 @@
 pub const TARGET: &str = "ferryhinge-line-target-ms";
 pub const PATIENCE: &str = "ferryhinge-line-patience-ms";
 pub const SPENT: &str = "ferryhinge-line-spent-us";
+pub const PLANNED: &str = "ferryhinge-line-planned-by";
 pub const OUTCOME: &str = "ferryhinge-line-outcome";
 pub const OCCUPANCY: &str = "ferryhinge-line-occupancy";
 pub const REGIONS: &str = "ferryhinge-line-regions";
 pub const FREE_IN: &str = "ferryhinge-line-free-in-ms";
 
 /// What never goes to an endpoint or requester, whoever sent it.
-pub const LINE_HEADERS: [&str; 9] = [REPEATS, PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
+pub const LINE_HEADERS: [&str; 10] =
+    [PLANNED, REPEATS, PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
 
 /// Reads what a sibling node passes on.
 pub fn read_errand(inquiry: Inquiry, sort: u64, now: Moment) -> Option<Errand> {
@@ -37,9 +40,23 @@
     let priority = inquiry.header(PRIORITY)?.parse().ok()?;
     let (horizon, target) = (now + millis(DEADLINE)?, now + millis(TARGET)?);
     let repeats = inquiry.header(REPEATS).is_some();
+    let planned = inquiry.header(PLANNED).and_then(PlannedBy::read).unwrap_or_default();
     let patience = millis(PATIENCE).unwrap_or(target.since(now));
     let binding = inquiry.header(REGIONS).map(Binding::read).unwrap_or_default();
-    Some(Errand { inquiry, attempt, instance, caller, priority, repeats, sort, horizon, target, patience, binding })
+    Some(Errand {
+        inquiry,
+        attempt,
+        instance,
+        caller,
+        priority,
+        repeats,
+        planned,
+        sort,
+        horizon,
+        target,
+        patience,
+        binding,
+    })
 }
 
 fn word_of(outcome: &Outcome) -> &'static str {
@@ -49,6 +66,7 @@
         Outcome::NotTaken { why: Passed::Busy, .. } => "busy",
         Outcome::NotTaken { why: Passed::Late, .. } => "late",
         Outcome::NotTaken { why: Passed::Outside, .. } => "outside",
+        Outcome::NotTaken { why: Passed::Stale, .. } => "stale",
         Outcome::NotExecuted => "not-executed",
         Outcome::NotSent => "not-sent",
         Outcome::Failed(_) => "failed",
@@ -100,6 +118,7 @@
         "busy" => Some(not_taken(Passed::Busy)),
         "late" => Some(not_taken(Passed::Late)),
         "outside" => Some(not_taken(Passed::Outside)),
+        "stale" => Some(not_taken(Passed::Stale)),
         "not-executed" => Some(Outcome::NotExecuted),
         "not-sent" => Some(Outcome::NotSent),
         "over-horizon" => Some(Outcome::OverHorizon),
--- a/crates/pointsman/src/dispatch/mod.rs
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -19,7 +19,9 @@
 pub use budget::{BudgetBounds, Budgets};
 pub use carry::carry_out;
 pub use carry::come_back;
-pub use errand::{Errand, GoResult, Outcome, Passed, gone};
-pub use headers::{ATTEMPT, CALLER, DEADLINE, EXPECTED, LINE_HEADERS, NOT_EXECUTED, STAMP, read_errand, write_outcome};
+pub use errand::{Errand, GoResult, Outcome, Passed, gone, stale};
+pub use headers::{
+    ATTEMPT, CALLER, DEADLINE, EXPECTED, LINE_HEADERS, NOT_EXECUTED, PLANNED, STAMP, read_errand, write_outcome,
+};
 pub use plan::{Plan, Unplanned};
 pub use pool::Pool;
--- a/crates/pointsman/src/dispatch/plan.rs
+++ b/crates/pointsman/src/dispatch/plan.rs
@@ -3,7 +3,7 @@
 use super::headers::{ATTEMPT, DEADLINE};
 use std::rc::Rc;
 use std::time::Duration;
-use timetable::configuration::{Route, Routes};
+use timetable::configuration::{PlannedBy, Route, Routes};
 use trackbed::clock::Moment;
 use trackbed::http::Inquiry;
 use trackbed::ids::ServiceName;
@@ -13,6 +13,7 @@
 pub struct Plan {
     pub attempt: String,
     pub route: Rc<Route>,
+    pub planned: PlannedBy,
     pub service: ServiceName,
     pub horizon: Moment,
     pub target: Moment,
@@ -42,7 +43,8 @@
             }
         };
         let host = inquiry.header("host").ok_or(Unplanned::Malformed("Host is missing"))?;
-        let route = routes.ok_or(Unplanned::NothingKnown)?.find(host, inquiry.path()).ok_or(Unplanned::NoRoute)?;
+        let routes = routes.ok_or(Unplanned::NothingKnown)?;
+        let route = routes.find(host, inquiry.path()).ok_or(Unplanned::NoRoute)?;
         let span = deadline.map(|deadline| deadline.min(route.timeout)).unwrap_or(route.timeout);
         Ok(Self {
             attempt: attempt.to_owned(),
@@ -50,6 +52,7 @@
             horizon: now + span,
             target: now + route.target.min(span),
             goes: route.max_goes,
+            planned: PlannedBy::of(routes, route),
             route: route.clone(),
         })
     }
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -2,7 +2,7 @@
 
 use super::errand::{Errand, GoResult, Outcome};
 use super::headers::{
-    CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PATIENCE, PRIORITY, REGIONS, REPEATS, TARGET, read_outcome,
+    CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PATIENCE, PLANNED, PRIORITY, REGIONS, REPEATS, TARGET, read_outcome,
 };
 use super::pool::Pool;
 use http::Method;
@@ -54,6 +54,8 @@
         (PATIENCE, patience.as_str()),
         (PRIORITY, priority.as_str()),
     ];
+    let planned = errand.planned.write();
+    replaced.push((PLANNED, &planned));
     if errand.repeats {
         replaced.push((REPEATS, "1"));
     }
--- a/crates/pointsman/src/node/core_calls.rs
+++ b/crates/pointsman/src/node/core_calls.rs
@@ -11,7 +11,7 @@
 const ONE_LIMIT: Duration = Duration::from_millis(420);
 
 /// Core nodes, the nearest first, then the seeds.
-fn cores(node: &Pointsman) -> Vec<SocketAddr> {
+pub fn cores(node: &Pointsman) -> Vec<SocketAddr> {
     let config = node.live.get();
     let roster = node.roster.borrow();
     let mut alive: Vec<(bool, SocketAddr)> =
@@ -38,7 +38,7 @@
             }
             let one = ONE_LIMIT.min(left);
             let reply = match &ask {
-                Ask::News { .. } => node.caller.call_for_much(core, ask.clone(), one).await,
+                Ask::News { .. } | Ask::Whole => node.caller.call_for_much(core, ask.clone(), one).await,
                 _ => node.caller.call(core, ask.clone(), one).await,
             };
             match reply {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -1,9 +1,10 @@
 //! The doors: requesters and the endpoint's own calls, sibling nodes, and the platform's probes.
 
 use super::{Pointsman, tenancy};
-use crate::dispatch::{self, Binding, Plan, Unplanned, gone, read_errand, write_outcome};
+use crate::dispatch::{self, Binding, PLANNED, Plan, Unplanned, gone, read_errand, write_outcome};
 use std::rc::Rc;
 use std::time::Duration;
+use timetable::configuration::{PlannedBy, Route, Routes};
 use trackbed::clock;
 use trackbed::http::{DoorLimits, Handler, Inquiry, Pacer, Return};
 use trackbed::random::stable_hash;
@@ -93,11 +94,15 @@
             .header("host")
             .zip(routes.clone())
             .and_then(|(host, routes)| routes.find(host, inquiry.path()).cloned());
-        let sort = route.map(|route| stable_hash(&route.name)).unwrap_or_default();
+        let sort = route.as_ref().map(|route| stable_hash(&route.name)).unwrap_or_default();
+        let contradicted = route_contradicts(&self.0, &inquiry, routes.as_deref(), route.as_deref());
         let own = routes.as_deref().map(|routes| Binding::of(&inquiry, routes)).unwrap_or(Ok(Binding::default()));
         let Some(mut errand) = read_errand(inquiry, sort, clock::now()) else {
             return Some(Return::text(400, "only sibling nodes pass requests on here").closing());
         };
+        if contradicted {
+            return Some(write_outcome(dispatch::stale(), &errand.attempt));
+        }
         let permitted = tenancy::accept(&self.0, &mut errand, own);
         if !permitted {
             return Some(write_outcome(tenancy::turned_away(), &errand.attempt));
@@ -112,6 +117,15 @@
     }
 }
 
+/// Whether this node's table contradicts the route by which a sibling planned a request. Where both are of
+/// the same epoch one of the two is wrong: both tell the core at once, and the core's word counts.
+fn route_contradicts(node: &Pointsman, inquiry: &Inquiry, routes: Option<&Routes>, route: Option<&Route>) -> bool {
+    let planned = inquiry.header(PLANNED).and_then(PlannedBy::read);
+    let service = node.platform.life.borrow().as_ref().map(|life| life.instance.service.clone());
+    let (Some(planned), Some(routes), Some(service)) = (planned, routes, service) else { return false };
+    node.contradicts(&planned, routes, route, &service)
+}
+
 impl Handler for ReadinessDoor {
     fn limits(&self) -> DoorLimits {
         DoorLimits::default()
@@ -123,6 +137,9 @@
             return Some(Return::text(404, "ask for /v1/readiness"));
         }
         let knows = node.assured.get() && node.fleet.borrow().routes().is_some();
+        if node.routes_check.is_mistrusted() && !node.leaving.get() {
+            return Some(Return::text(503, "the routes here are not those meant, and fetching them anew did not help"));
+        }
         Some(match (knows, node.leaving.get()) {
             (true, false) => Return::text(200, "ready"),
             (_, true) => Return::text(503, "leaving"),
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -13,6 +13,7 @@
 use trackbed::ids::Zxid;
 
 const PULL_EVERY: Duration = Duration::from_millis(700);
+const CATCH_UP: Duration = Duration::from_millis(250);
 const KNOCK_LIMIT: Duration = Duration::from_millis(900);
 
 impl Answering for Pointsman {
@@ -25,6 +26,7 @@
     async fn answer(self: Rc<Self>, ask: Ask) -> Reply {
         match ask {
             Ask::Knock => Reply::Done,
+            Ask::RoutesDetail { root, leaves } => self.routes_check.detail(root, &leaves),
             Ask::Permit(permit) => self.permits.ask(&self, permit).await,
             Ask::News { since, assured: false } => {
                 let fleet = self.fleet.borrow();
@@ -53,11 +55,31 @@
     }
 }
 
+/// Takes the whole state in place of what is here.
+pub fn replace(node: &Rc<Pointsman>, whole: FleetNews) {
+    let replaced = node.fleet.borrow_mut().replace(whole);
+    if replaced {
+        moved_on(node);
+    }
+}
+
+/// Fetches what a sibling has and this node lacks, and waits for it a moment.
+pub async fn catch_up(node: &Rc<Pointsman>, sibling: SocketAddr) {
+    let since = node.fleet.borrow().zxid();
+    let ask = Ask::News { since, assured: false };
+    if let Ok(Reply::News { news, .. }) = node.caller.call_lightly(sibling, ask, CATCH_UP).await {
+        take(node, since, news);
+    }
+}
+
 fn take(node: &Rc<Pointsman>, since: Zxid, news: Option<FleetNews>) {
     let Some(news) = news else { return };
-    if !node.fleet.borrow_mut().take(since, news) {
-        return;
+    if node.fleet.borrow_mut().take(since, news) {
+        moved_on(node);
     }
+}
+
+fn moved_on(node: &Rc<Pointsman>) {
     adopt_life(node);
     node.seat_endpoints();
     let fleet = node.fleet.borrow();
@@ -185,6 +207,7 @@
     loop {
         let now = clock::now();
         node.permits.tidy(now);
+        node.routes_check.step(node.fleet.borrow().routes());
         let actions = {
             let mut roster = node.roster.borrow_mut();
             roster.set_occupancy(node.platform.occupancy(now));
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -3,13 +3,15 @@
 pub mod core_calls;
 mod doors;
 mod error;
-mod learn;
+pub mod learn;
 mod mode;
+mod routes_check;
 mod start;
 pub mod tenancy;
 
 pub use error::NodeError;
 pub use mode::Mode;
+pub use routes_check::RoutesCheck;
 pub use start::run;
 pub use tenancy::TenantCounts;
 
@@ -20,10 +22,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use timetable::configuration::{PlannedBy, Route, Routes};
 use timetable::fleet::FleetState;
 use trackbed::clock;
 use trackbed::http::Pacer;
-use trackbed::ids::InstanceId;
+use trackbed::ids::{InstanceId, ServiceName};
 use trackbed::kernel::LiveConfig;
 use trackbed::net::Datagrams;
 use trackbed::random::Random;
@@ -43,6 +46,9 @@
     pub pacer: Pacer,
     /// Connections to endpoints.
     pub lines: Rc<Lines>,
+    /// One life of this process.
+    pub life: u64,
+    pub routes_check: RoutesCheck,
     /// Slots given out to other gateways.
     pub permits: Permits,
     /// Endpoints that have nobody beside them. Invariant: empty beside an endpoint.
@@ -71,6 +77,23 @@
         }
     }
 
+    /// Whether this node's table contradicts a plan made elsewhere. Where both are of the same epoch one of
+    /// the two is wrong: both tell the core at once, whose word counts.
+    pub fn contradicts(
+        &self,
+        planned: &PlannedBy,
+        routes: &Routes,
+        found: Option<&Route>,
+        service: &ServiceName,
+    ) -> bool {
+        let contradicted = planned.is_contradicted(routes, found, service);
+        if contradicted && planned.epoch == routes.epoch {
+            self.routes_check.doubt();
+        }
+        // A table that was found wrong and could not be mended turns nobody away.
+        contradicted && !self.routes_check.is_mistrusted()
+    }
+
     /// Seats the endpoints anew where fleet or roster moved on.
     pub fn seat_endpoints(&self) {
         if self.mode == Mode::Gateway {
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -1,7 +1,7 @@
 //! From settings to a running node, and to its end.
 
 use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
-use super::{Mode, NodeError, Pointsman, learn};
+use super::{Mode, NodeError, Pointsman, RoutesCheck, learn, routes_check};
 use crate::dispatch::{Balance, Budgets, Pool};
 use crate::platform::{BeatsDoor, Homes, Lines, Permits, Platform};
 use lineside::call::{Caller, serve_siblings};
@@ -58,6 +58,8 @@
                 platform: Rc::new(Platform::new(config.app_address, lines.clone())),
                 homes: Homes::new(lines.clone()),
                 lines,
+                life: Random::from_system().draw(),
+                routes_check: RoutesCheck::default(),
                 permits: Permits::default(),
                 pacer: Pacer::default(),
                 balance: RefCell::new(Balance::default()),
@@ -78,6 +80,7 @@
             monoio::spawn(learn::keep_time(node.clone()));
             monoio::spawn(learn::learn_all(node.clone()));
             monoio::spawn(learn::pull(node.clone()));
+            monoio::spawn(routes_check::keep(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             leave(&node, &doors).await;
             Ok::<(), NodeError>(())
--- a/crates/pointsman/src/platform/permits.rs
+++ b/crates/pointsman/src/platform/permits.rs
@@ -35,6 +35,7 @@
         let now = clock::now();
         let not_taken = |gone: bool, free_in: Duration, occupancy: Option<Occupancy>| Reply::NotTaken {
             gone,
+            stale: false,
             free_in_millis: free_in.as_millis() as u32,
             occupancy,
         };
@@ -45,6 +46,14 @@
         let Some(platform) = node.platform_of(&permit.instance) else {
             return not_taken(true, Duration::from_millis(50), None);
         };
+        let routes = node.fleet.borrow().routes().cloned();
+        let service = platform.life.borrow().as_ref().map(|life| life.instance.service.clone());
+        if let (Some(routes), Some(service)) = (routes, service) {
+            let found = routes.find(&permit.hostname, &permit.prefix);
+            if node.contradicts(&permit.planned, &routes, found.map(|route| &**route), &service) {
+                return Reply::NotTaken { gone: false, stale: true, free_in_millis: 20, occupancy: None };
+            }
+        }
         if !platform.takes(&permit.instance, now) {
             return not_taken(true, Duration::from_millis(50), platform.occupancy(now));
         }
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -121,6 +121,7 @@
         caller: "caller".into(),
         priority: 1,
         repeats: true,
+        planned: Default::default(),
         sort: 1,
         horizon: now + Duration::from_secs(20),
         binding: Default::default(),
--- a/crates/signalbox/src/node/doors.rs
+++ b/crates/signalbox/src/node/doors.rs
@@ -1,6 +1,6 @@
 //! The door for operators and applications.
 
-use super::{Signalbox, beats, fleet_view, primary};
+use super::{Signalbox, beats, fleet_view, inspection, primary};
 use lineside::call::ControlCall;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,7 +30,10 @@
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
         if inquiry.path() == fleet_view::PATH {
             return Some(match inquiry.method {
-                http::Method::GET => Return::json(200, fleet_view::write(&self.0)),
+                http::Method::GET => {
+                    let verdicts = inspection::verdicts_anywhere(&self.0).await;
+                    Return::json(200, fleet_view::write(&self.0, verdicts))
+                }
                 _ => Return::fault(405, "the fleet can only be read here"),
             });
         }
--- a/crates/signalbox/src/node/fleet_view.rs
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -28,7 +28,8 @@
     format!("[{}]", items.collect::<Vec<_>>().join(","))
 }
 
-pub fn write(node: &Signalbox) -> String {
+/// `verdicts`: what the primary makes of proxies' tables, where a majority stands behind it.
+pub fn write(node: &Signalbox, verdicts: Option<String>) -> String {
     let (zab, roster, settled) = (node.zab.borrow(), node.roster.borrow(), node.settled.borrow());
     let fleet = &settled.fleet;
     let primary = zab.primary().map(|primary| format!("\"{}\"", primary.address)).unwrap_or_else(|| "null".into());
@@ -70,9 +71,10 @@
         text
     }));
     format!(
-        "{{\"primary\":{primary},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints}}}",
+        "{{\"primary\":{primary},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints},\"proxies\":{}}}",
         zab.epoch(),
         fleet.zxid(),
         fleet.epoch(),
+        verdicts.as_deref().unwrap_or("null"),
     )
 }
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod doors;
 mod error;
 mod fleet_view;
+mod inspection;
 mod members;
 mod primary;
 mod siblings;
@@ -20,11 +21,13 @@
 use interlocking::zab::Zab;
 use lineside::call::Caller;
 use lineside::gossip::{Roster, Sibling};
+use lineside::inspection::{Inspector, RoutesReport};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc;
+use timetable::configuration::TableDigest;
 use trackbed::clock::Moment;
 use trackbed::ids::Zxid;
 use trackbed::kernel::LiveConfig;
@@ -54,6 +57,12 @@
     pub heard: RefCell<beats::Heard>,
     /// Where siblings call this node.
     pub own_address: SocketAddr,
+    /// Judges proxies' tables. At nodes other than the primary it holds what the primary knows.
+    pub inspector: RefCell<Inspector>,
+    /// What the table in force comes to.
+    pub meant: RefCell<Option<TableDigest>>,
+    /// Proxies' reports that the primary has not been told of yet.
+    pub reports: RefCell<Vec<(RoutesReport, Moment)>>,
     /// Silent siblings to be asked over a stream.
     pub to_knock: RefCell<Vec<Sibling>>,
     pub next_members: Cell<Moment>,
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 use lineside::call::{Ask, CallError, ControlCall, ControlReturn, Reply};
 use std::time::Duration;
-use timetable::fleet::{FleetChange, Instance};
+use timetable::fleet::{FleetChange, FleetNews, FleetState, Instance};
 use timetable::packed::Packed;
 use trackbed::clock;
 use trackbed::ids::{InstanceId, RegionName, Zxid};
@@ -95,7 +95,7 @@
     }
 }
 
-fn lease_holds(node: &Signalbox) -> bool {
+pub fn lease_holds(node: &Signalbox) -> bool {
     node.zab.borrow().lease_holds(clock::now())
 }
 
@@ -157,6 +157,15 @@
 /// All that was acknowledged before the call, out of what this node holds: the primary only says how
 /// far that is, so that it need not bring the state to every node of the fleet itself.
 pub async fn assured_news(node: &Signalbox, since: Zxid) -> Reply {
+    news_when_assured(node, |fleet| fleet.news_since(since)).await
+}
+
+/// The whole state, for a node whose own is in doubt.
+pub async fn assured_whole(node: &Signalbox) -> Reply {
+    news_when_assured(node, |fleet| Some(fleet.whole())).await
+}
+
+async fn news_when_assured(node: &Signalbox, news: impl Fn(&FleetState) -> Option<FleetNews>) -> Reply {
     let Some(primary) = node.zab.borrow().primary() else {
         return Reply::NotNow("no primary just now".into());
     };
@@ -173,7 +182,7 @@
     for _ in 0..10 {
         let settled = node.settled.borrow();
         if settled.fleet.zxid() >= upto {
-            return Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() };
+            return Reply::News { news: news(&settled.fleet), zxid: settled.fleet.zxid() };
         }
         drop(settled);
         monoio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/siblings.rs
@@ -1,6 +1,6 @@
 //! What other nodes send: Zab's messages, calls, and gossip.
 
-use super::{Signalbox, primary, turn};
+use super::{Signalbox, inspection, primary, turn};
 use borsh::BorshDeserialize;
 use interlocking::zab::Envelope;
 use lineside::call::{Answering, Ask, Reply};
@@ -30,6 +30,14 @@
             }
             Ask::News { since, assured: true } => primary::assured_news(&self, since).await,
             Ask::Knock => Reply::Done,
+            Ask::Whole => primary::assured_whole(&self).await,
+            Ask::Routes(report) => inspection::heard(&self, report),
+            Ask::RoutesHeard(reports) => inspection::heard_elsewhere(&self, reports),
+            Ask::RoutesVerdicts => match inspection::verdicts(&self) {
+                Some(text) => Reply::Text(text),
+                None => Reply::NotNow("this node is not the primary".into()),
+            },
+            Ask::RoutesDetail { .. } => Reply::NotNow("a core node routes nothing".into()),
             Ask::Permit(_) => Reply::NotNow("no endpoint is at home at a core node".into()),
             Ask::Assure => primary::assure(&self),
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -1,15 +1,17 @@
 //! From settings and disk to a running node.
 
-use super::{NodeError, Signalbox, beats, disk, doors, siblings, turn};
+use super::{NodeError, Signalbox, beats, disk, doors, inspection, siblings, turn};
 use crate::ledger::Ledger;
 use futures_channel::mpsc::unbounded;
 use interlocking::storage::{FileDisk, Recovered, Storage};
 use interlocking::zab::{Image, Timing, Voter, Zab};
 use lineside::call::{Caller, serve_siblings};
 use lineside::gossip::{Role, Roster, RosterTiming, Sibling};
+use lineside::inspection::{Inspector, InspectorTiming};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use trackbed::clock;
 use trackbed::config::{Command, LocalConfig};
 use trackbed::ids::{Incarnation, MemberId};
@@ -80,6 +82,11 @@
     };
     let seeds = config.seeds.iter().map(|seed| core_address(&config, *seed)).collect();
     let roster = Roster::new(sibling, seeds, RosterTiming::default(), random, now);
+    let timing = InspectorTiming {
+        apply: config.bounds.config_apply(),
+        fresh: Duration::from_secs(7),
+        memory: Duration::from_secs(60),
+    };
     let (done, completions) = unbounded();
     let disk = disk::start(storage, done)?;
     let mut outcome = Ok(());
@@ -101,6 +108,9 @@
                 imaged_weight: Cell::new(0),
                 heard: RefCell::default(),
                 own_address: address,
+                inspector: RefCell::new(Inspector::new(timing)),
+                meant: RefCell::default(),
+                reports: RefCell::default(),
                 to_knock: RefCell::default(),
                 next_members: Cell::new(now),
                 leaving: Cell::new(false),
@@ -111,6 +121,8 @@
             monoio::spawn(turn::keep_time(node.clone()));
             monoio::spawn(siblings::listen(node.clone()));
             monoio::spawn(beats::keep_watch(node.clone()));
+            inspection::adopt(&node);
+            monoio::spawn(inspection::keep(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             turn::leave(&node, &serving).await;
             Ok::<(), NodeError>(())
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -2,7 +2,7 @@
 
 use super::disk::Write;
 use super::start::core_address;
-use super::{Signalbox, members, siblings};
+use super::{Signalbox, inspection, members, siblings};
 use crate::ledger::{Change, Ledger};
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_core::Stream;
@@ -14,6 +14,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use timetable::fleet::FleetChange;
 use timetable::packed::Packed;
 use trackbed::clock::{self, Moment};
 use trackbed::http::Serving;
@@ -97,6 +98,7 @@
                     Ok(ledger) => *node.settled.borrow_mut() = ledger,
                     Err(error) => log::error!("the frame at {zxid} can't be read ({error}): upgrade this node"),
                 }
+                inspection::adopt(node);
                 tell_fleet(node);
             }
             Action::Ready { epoch } => {
@@ -142,6 +144,7 @@
         _ => None,
     };
     let is_fleet = matches!(change, Change::Fleet(_));
+    let is_configuration = matches!(change, Change::Fleet(FleetChange::Configure { .. }));
     node.settled.borrow_mut().apply(zxid, change, now);
     if let Some(group) = group
         && let Some(watchers) = node.watchers.borrow_mut().remove(&group)
@@ -150,6 +153,9 @@
             let _ = watcher.send(());
         }
     }
+    if is_configuration {
+        inspection::adopt(node);
+    }
     if is_fleet {
         tell_fleet(node);
     }
--- /dev/null
+++ b/crates/timetable/src/configuration/digest.rs
@@ -0,0 +1,326 @@
+//! What a table of routes comes to, worked out from the table that lookups use. Two tables with the same
+//! digest send every request the same way.
+
+use super::route::{Route, RouteKind};
+use super::table::Routes;
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use trackbed::ids::{ConfigEpoch, ServiceName};
+
+/// Routes are digested in so many parts, and one more holds limits and tenants.
+pub const LEAVES: usize = 64;
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct TableDigest {
+    pub epoch: ConfigEpoch,
+    /// Invariant: `LEAVES` + 1 of them.
+    pub leaves: Vec<u64>,
+}
+
+impl TableDigest {
+    pub fn root(&self) -> u64 {
+        self.leaves.iter().fold(Mixer::default(), |mixer, leaf| mixer.number(*leaf)).0
+    }
+
+    /// The leaves in which another table differs.
+    pub fn differing(&self, other: &[u64]) -> Vec<u32> {
+        (0..self.leaves.len())
+            .filter(|leaf| other.get(*leaf) != self.leaves.get(*leaf))
+            .map(|leaf| leaf as u32)
+            .collect()
+    }
+}
+
+/// The route that a request was planned by, as it goes between nodes.
+#[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct PlannedBy {
+    pub epoch: ConfigEpoch,
+    pub digest: u64,
+    pub repeats: bool,
+}
+
+impl PlannedBy {
+    pub fn of(routes: &Routes, route: &Route) -> Self {
+        Self { epoch: routes.epoch, digest: route.digest(), repeats: route.kind.repeats() }
+    }
+
+    /// Whether a table contradicts the plan. `found` is the route that it has for the request. A table
+    /// older than the plan has nothing to say; one of the same epoch must say the very same; a newer one
+    /// must still let the request go to that service.
+    pub fn is_contradicted(&self, routes: &Routes, found: Option<&Route>, service: &ServiceName) -> bool {
+        match self.epoch.cmp(&routes.epoch) {
+            std::cmp::Ordering::Greater => false,
+            std::cmp::Ordering::Equal => found.is_none_or(|route| route.digest() != self.digest),
+            std::cmp::Ordering::Less => !found.is_some_and(|route| route.allows(self.repeats, service)),
+        }
+    }
+
+    pub fn write(&self) -> String {
+        format!("{},{:x},{}", self.epoch.0, self.digest, self.repeats as u8)
+    }
+
+    pub fn read(text: &str) -> Option<Self> {
+        let mut parts = text.split(',');
+        let epoch = ConfigEpoch(parts.next()?.parse().ok()?);
+        let digest = u64::from_str_radix(parts.next()?, 16).ok()?;
+        Some(Self { epoch, digest, repeats: parts.next()? == "1" })
+    }
+}
+
+/// One entry of a table, as found in it.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Entry {
+    /// Host and prefix under which lookups find it; what else a table holds has a name in brackets.
+    pub place: String,
+    pub digest: u64,
+    /// What it says, for people.
+    pub says: String,
+}
+
+/// An entry that is not as it was meant to be.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct EntryDrift {
+    pub place: String,
+    pub meant: Option<String>,
+    pub found: Option<String>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Mixer(u64);
+
+impl Mixer {
+    fn number(self, number: u64) -> Self {
+        let mut mixed = (self.0 ^ number).wrapping_add(0x9e37_79b9_7f4a_7c15).rotate_left(17);
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        Self(mixed ^ (mixed >> 31))
+    }
+
+    fn text(self, text: &str) -> Self {
+        let chunks = text.as_bytes().chunks(8).map(|chunk| {
+            let mut word = [0u8; 8];
+            word[..chunk.len()].copy_from_slice(chunk);
+            u64::from_le_bytes(word)
+        });
+        chunks.fold(self.number(text.len() as u64), Self::number)
+    }
+}
+
+fn kind_number(kind: RouteKind) -> u64 {
+    match kind {
+        RouteKind::Idempotent => 1,
+        RouteKind::NonIdempotent => 2,
+        RouteKind::Upload => 3,
+        RouteKind::Download => 4,
+    }
+}
+
+fn leaf_of(host: &str, prefix: &str) -> usize {
+    (Mixer::default().text(host).text(prefix).0 % LEAVES as u64) as usize
+}
+
+impl Route {
+    /// What this route says, as a number.
+    pub fn digest(&self) -> u64 {
+        let mixer = Mixer::default().text(&self.name).text(&self.hostname).text(&self.prefix);
+        let mixer = mixer.number(kind_number(self.kind)).number(self.timeout.as_nanos() as u64);
+        let mixer = mixer.number(self.target.as_nanos() as u64).number(self.priority as u64);
+        let mixer = mixer.number(self.max_goes as u64);
+        self.split.iter().fold(mixer, |mixer, (service, weight)| mixer.text(service.as_str()).number(*weight)).0
+    }
+
+    /// Whether a request of a kind may go to a service by this route.
+    pub fn allows(&self, repeats: bool, service: &ServiceName) -> bool {
+        self.kind.repeats() == repeats && self.split.iter().any(|(known, weight)| known == service && *weight > 0)
+    }
+
+    pub fn says(&self) -> String {
+        let split: Vec<String> = self.split.iter().map(|(service, weight)| format!("{service}:{weight}")).collect();
+        format!(
+            "{} {:?} to {} within {:?}, target {:?}, priority {}, {} goes",
+            self.name,
+            self.kind,
+            split.join("+"),
+            self.timeout,
+            self.target,
+            self.priority,
+            self.max_goes
+        )
+    }
+}
+
+impl Routes {
+    /// Limits and tenants, as a number.
+    fn rest_digest(&self) -> u64 {
+        let limits = &self.limits;
+        let mixer = Mixer::default().number(limits.header_bytes).number(limits.body_bytes);
+        let mixer = mixer.number(limits.header_time.as_nanos() as u64).number(limits.idle_time.as_nanos() as u64);
+        let tenants = self.tenants.all().fold(mixer, |mixer, tenant| {
+            let mixer = mixer.text(&tenant.name);
+            tenant.regions.iter().fold(mixer, |mixer, region| mixer.text(region.as_str()))
+        });
+        let services = self.services();
+        services.fold(tenants, |mixer, (name, _)| mixer.text(name)).0
+    }
+
+    /// The digest, worked out whole.
+    pub fn digest(self: &Rc<Self>) -> TableDigest {
+        let mut pass = DigestPass::begin(self.clone());
+        loop {
+            if let Some(digest) = pass.step(usize::MAX) {
+                return digest;
+            }
+        }
+    }
+
+    /// What stands in some leaves.
+    pub fn entries(&self, leaves: &[u32]) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for (host, prefix, route) in self.places() {
+            if leaves.contains(&(leaf_of(host, prefix) as u32)) {
+                let digest = Mixer::default().text(host).text(prefix).number(route.digest()).0;
+                entries.push(Entry { place: format!("{host}{prefix}"), digest, says: route.says() });
+            }
+        }
+        if leaves.contains(&(LEAVES as u32)) {
+            let says = format!("{:?}, {} tenants", self.limits, self.tenants.all().count());
+            entries.push(Entry { place: "(limits, services and tenants)".into(), digest: self.rest_digest(), says });
+        }
+        entries
+    }
+}
+
+/// Where two sets of entries differ.
+pub fn entry_drifts(meant: &[Entry], found: &[Entry]) -> Vec<EntryDrift> {
+    let mut places: BTreeMap<&str, (Option<&Entry>, Option<&Entry>)> = BTreeMap::new();
+    meant.iter().for_each(|entry| places.entry(&entry.place).or_default().0 = Some(entry));
+    found.iter().for_each(|entry| places.entry(&entry.place).or_default().1 = Some(entry));
+    let differs =
+        |(meant, found): &(Option<&Entry>, Option<&Entry>)| meant.map(|it| it.digest) != found.map(|it| it.digest);
+    let drifted = places.into_iter().filter(|(_, both)| differs(both));
+    drifted
+        .map(|(place, (meant, found))| EntryDrift {
+            place: place.to_owned(),
+            meant: meant.map(|entry| entry.says.clone()),
+            found: found.map(|entry| entry.says.clone()),
+        })
+        .collect()
+}
+
+/// Works a table's digest out a few routes at a time. Invariant: of one table from beginning to end.
+pub struct DigestPass {
+    routes: Rc<Routes>,
+    hosts: Vec<String>,
+    at: usize,
+    leaves: Vec<u64>,
+}
+
+impl DigestPass {
+    pub fn begin(routes: Rc<Routes>) -> Self {
+        let hosts = routes.host_names();
+        Self { routes, hosts, at: 0, leaves: vec![0; LEAVES + 1] }
+    }
+
+    /// Whether this pass is of that very table.
+    pub fn is_of(&self, routes: &Rc<Routes>) -> bool {
+        Rc::ptr_eq(&self.routes, routes)
+    }
+
+    pub fn table(&self) -> &Rc<Routes> {
+        &self.routes
+    }
+
+    /// Goes on by hosts until so many routes were looked at; the digest at the end.
+    pub fn step(&mut self, most: usize) -> Option<TableDigest> {
+        let mut looked_at = 0;
+        while let Some(host) = self.hosts.get(self.at) {
+            for (prefix, route) in self.routes.places_of(host) {
+                let entry = Mixer::default().text(host).text(prefix).number(route.digest()).0;
+                self.leaves[leaf_of(host, prefix)] ^= entry;
+                looked_at += 1;
+            }
+            self.at += 1;
+            if looked_at >= most {
+                return None;
+            }
+        }
+        self.leaves[LEAVES] = self.routes.rest_digest();
+        Some(TableDigest { epoch: self.routes.epoch, leaves: std::mem::take(&mut self.leaves) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::configuration::Configuration;
+
+    fn table(routes: &[(&str, &str, &str)]) -> Rc<Routes> {
+        let route = |(name, prefix, service): &(&str, &str, &str)| {
+            format!(
+                r#""{name}":{{"hostname":"h","path_prefix":"{prefix}","route_type":"idempotent","timeout_s":1,"service_name":"{service}"}}"#
+            )
+        };
+        let routes: Vec<String> = routes.iter().map(route).collect();
+        let text = format!(r#"{{"version":"r3","routes":{{{}}},"services":{{"s":{{}},"t":{{}}}}}}"#, routes.join(","));
+        Rc::new(Configuration::parse(text.as_bytes()).unwrap().typed().unwrap())
+    }
+
+    #[test]
+    fn only_what_differs_is_found_and_all_of_it() {
+        let meant = table(&[("a", "/a/", "s"), ("b", "/b/", "s"), ("c", "/c/", "t")]);
+        assert_eq!(meant.digest(), table(&[("c", "/c/", "t"), ("a", "/a/", "s"), ("b", "/b/", "s")]).digest());
+        let found = table(&[("a", "/a/", "t"), ("c", "/c/", "t"), ("d", "/d/", "s")]);
+        let (meant_digest, found_digest) = (meant.digest(), found.digest());
+        assert_ne!(meant_digest.root(), found_digest.root());
+        let leaves = meant_digest.differing(&found_digest.leaves);
+        let drifts = entry_drifts(&meant.entries(&leaves), &found.entries(&leaves));
+        let places: Vec<&str> = drifts.iter().map(|drift| drift.place.as_str()).collect();
+        assert_eq!(places, ["h/a/", "h/b/", "h/d/"]);
+        assert!(drifts[0].meant.as_ref().unwrap().contains("s:") && drifts[0].found.as_ref().unwrap().contains("t:"));
+        assert!(drifts[1].found.is_none() && drifts[2].meant.is_none());
+    }
+
+    #[test]
+    fn a_plan_is_contradicted_by_tables_of_its_epoch_or_newer_only() {
+        let old = table(&[("a", "/a/", "s")]);
+        let mut newer = (*table(&[("a", "/a/", "t")])).clone();
+        let found = |routes: &Routes| routes.find("h", "/a/1").cloned();
+        let planned = PlannedBy::of(&old, &found(&old).unwrap());
+        assert_eq!(PlannedBy::read(&planned.write()), Some(planned.clone()));
+        let s = ServiceName::new("s");
+        assert!(!planned.is_contradicted(&old, found(&old).as_deref(), &s));
+        assert!(planned.is_contradicted(&newer, found(&newer).as_deref(), &s), "same epoch, other contents");
+        newer.epoch = ConfigEpoch(2);
+        assert!(!planned.is_contradicted(&newer, found(&newer).as_deref(), &s), "an older table says nothing");
+        newer.epoch = ConfigEpoch(4);
+        assert!(planned.is_contradicted(&newer, found(&newer).as_deref(), &s), "shifted to another service");
+        assert!(planned.is_contradicted(&newer, None, &s), "removed");
+        let mut same = (*old).clone();
+        same.epoch = ConfigEpoch(9);
+        assert!(!planned.is_contradicted(&same, found(&same).as_deref(), &s), "newer, and it still goes there");
+    }
+
+    #[test]
+    fn a_pass_takes_as_many_steps_as_it_is_long_and_no_step_more_than_its_part() {
+        let names: Vec<String> = (0..600).map(|index| format!("h{index}")).collect();
+        let routes: Vec<String> = names
+            .iter()
+            .map(|name| {
+                format!(r#""{name}":{{"hostname":"{name}","path_prefix":"/","route_type":"upload","timeout_s":1,"service_name":"s"}}"#)
+            })
+            .collect();
+        let text = format!(r#"{{"version":"r3","routes":{{{}}},"services":{{"s":{{}}}}}}"#, routes.join(","));
+        let table = Rc::new(Configuration::parse(text.as_bytes()).unwrap().typed().unwrap());
+        let mut pass = DigestPass::begin(table.clone());
+        let mut steps = 1;
+        let digest = loop {
+            match pass.step(50) {
+                Some(digest) => break digest,
+                None => steps += 1,
+            }
+        };
+        assert_eq!(digest, table.digest());
+        assert!((12..=13).contains(&steps), "{steps}");
+    }
+}
--- a/crates/timetable/src/configuration/mod.rs
+++ b/crates/timetable/src/configuration/mod.rs
@@ -1,12 +1,14 @@
 //! The operator's configuration: read by pointers, checked, changed, and turned into routes.
 
 mod checks;
+mod digest;
 mod document;
 mod route;
 mod table;
 mod tenant;
 
 pub use checks::Fault;
+pub use digest::{DigestPass, Entry, EntryDrift, LEAVES, PlannedBy, TableDigest, entry_drifts};
 pub use document::{Configuration, Patch};
 pub use route::{Limits, Route, RouteKind, Service};
 pub use table::Routes;
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -78,6 +78,26 @@
         self.services.iter()
     }
 
+    pub(super) fn host_names(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.hosts.keys().cloned().collect();
+        names.sort();
+        names
+    }
+
+    /// What lookups find at a host: prefix and route.
+    pub(super) fn places_of(&self, host: &str) -> impl Iterator<Item = (&str, &Rc<Route>)> {
+        let host = self.hosts.get(host);
+        host.into_iter().flat_map(|host| {
+            let whole = host.whole.iter().map(|(prefix, route)| (prefix.as_str(), route));
+            whole.chain(host.open.iter().map(|route| (route.prefix.as_str(), route)))
+        })
+    }
+
+    pub(super) fn places(&self) -> impl Iterator<Item = (&str, &str, &Rc<Route>)> {
+        let hosts = self.hosts.keys();
+        hosts.flat_map(|host| self.places_of(host).map(move |(prefix, route)| (host.as_str(), prefix, route)))
+    }
+
     /// Every route, by name.
     pub fn all(&self) -> Vec<Rc<Route>> {
         let hosts = self.hosts.values();
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -203,6 +203,18 @@
         Some(FleetNews::Changes(changes.cloned().collect()))
     }
 
+    /// The whole state, for a node whose own is in doubt.
+    pub fn whole(&self) -> FleetNews {
+        FleetNews::Whole { zxid: self.frame.zxid, frame: Packed::pack(&self.frame) }
+    }
+
+    /// Takes the whole state in place of its own, though it may be no newer; true when it did.
+    pub fn replace(&mut self, news: FleetNews) -> bool {
+        let FleetNews::Whole { zxid, frame } = news else { return false };
+        let whole = frame.unpack::<FleetFrame>().ok().filter(|_| zxid >= self.frame.zxid);
+        whole.map(|whole| *self = Self::from_frame(whole)).is_some()
+    }
+
     /// Takes news asked for at `since`; true when this state moved on.
     pub fn take(&mut self, since: Zxid, news: FleetNews) -> bool {
         let before = self.frame.zxid;
--- a/crates/trackbed/src/config/bounds.rs
+++ b/crates/trackbed/src/config/bounds.rs
@@ -39,6 +39,9 @@
     pub fn history(&self) -> Duration {
         self.seconds("history_s", 20.0)
     }
+    pub fn config_apply(&self) -> Duration {
+        self.seconds("config_apply_s", 2.0)
+    }
     pub fn address_reuse(&self) -> Duration {
         self.seconds("address_reuse_s", 2.0)
     }
