--- a/crates/pointsman/src/dispatch/balance.rs
+++ b/crates/pointsman/src/dispatch/balance.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::clock::Moment;
-use trackbed::ids::{InstanceId, NodeName, ZoneName};
+use trackbed::ids::{InstanceId, NodeName, ServiceName, ZoneName};
 use trackbed::random::Random;
 
 /// One endpoint that a request may go to.
@@ -44,6 +44,8 @@
 pub struct Balance {
     watched: HashMap<InstanceId, Watched>,
     nodes: HashMap<NodeName, Way>,
+    /// By service: how often of late a look for a free slot found none.
+    full: HashMap<ServiceName, f64>,
 }
 
 /// The way to a node.
@@ -119,6 +121,22 @@
         self.nodes.get(node).is_some_and(|way| now < way.shunned_until)
     }
 
+    /// Whether a look for a free slot found one.
+    pub fn looked(&mut self, service: &ServiceName, free: bool) {
+        let full = self.full.entry(service.clone()).or_insert(0.0);
+        *full = *full * 0.95 + if free { 0.0 } else { 0.05 };
+    }
+
+    /// How many looks are worth their way: none where nearly all find nothing, but one now and then, so
+    /// that it is noticed when that ends.
+    pub fn looks_worth_it(&self, service: &ServiceName, most: u32) -> u32 {
+        match self.full.get(service).copied().unwrap_or(0.0) {
+            full if full < 0.35 => most,
+            full if full < 0.6 => 1,
+            _ => 0,
+        }
+    }
+
     fn way(&mut self, node: &NodeName) -> &mut Way {
         if !self.nodes.contains_key(node) {
             if self.nodes.len() > MOST_WAYS {
--- a/crates/pointsman/src/dispatch/candidates.rs
+++ b/crates/pointsman/src/dispatch/candidates.rs
@@ -6,7 +6,6 @@
 use crate::node::{Mode, Pointsman};
 use crate::platform::{Gate, Seat};
 use lineside::gossip::Standing;
-use std::rc::Rc;
 use timetable::fleet::Instance;
 use trackbed::clock::Moment;
 use trackbed::config::LocalConfig;
@@ -14,6 +13,8 @@
 /// Up to so many endpoints of a service all are looked at; beyond, as many drawn by chance. A
 /// request's cost must not rise with the fleet.
 const LOOKED_AT: usize = 16;
+const NEAR_OF_MANY: usize = 8;
+const FAR_OF_MANY: usize = 5;
 /// What a gateway looks at besides those at home with it and its usual few: some drawn in its own zone,
 /// and some anywhere.
 const DRAWN_NEAR: usize = 3;
@@ -44,14 +45,43 @@
     let fleet = node.fleet.borrow();
     let roster = node.roster.borrow();
     let serving = fleet.serving(&plan.service);
-    let fit = |instance: &&Rc<Instance>| {
+    let fit = |instance: &Instance| {
         !instance.draining
             && instance.has_node_beside()
             && binding.permits(config.zones.get(&instance.zone))
             && (instance.node == config.node_name
                 || roster.standing(&instance.node).is_none_or(|is| is <= Standing::Suspect))
     };
-    serving.iter().filter(fit).map(|instance| candidate(&config, instance)).collect()
+    if serving.len() <= LOOKED_AT {
+        return serving.iter().filter(|instance| fit(instance)).map(|instance| candidate(&config, instance)).collect();
+    }
+    // From a place by chance round the whole list, until there are enough of the own zone and of others.
+    let mut random = node.random.borrow_mut();
+    let start = random.below(serving.len() as u64) as usize;
+    let (mut near, mut far) = (0, 0);
+    let mut found = Vec::with_capacity(LOOKED_AT);
+    let mut passed_over = 0;
+    for instance in serving[start..].iter().chain(&serving[..start]) {
+        let enough = match instance.zone == config.zone {
+            true => near >= NEAR_OF_MANY,
+            false => far >= FAR_OF_MANY,
+        };
+        // Neighbours in the list are not always drawn together.
+        let skipped = passed_over < serving.len() - LOOKED_AT && random.chance(0.3);
+        if enough || skipped || !fit(instance) {
+            passed_over += 1;
+            continue;
+        }
+        match instance.zone == config.zone {
+            true => near += 1,
+            false => far += 1,
+        }
+        found.push(candidate(&config, instance));
+        if near >= NEAR_OF_MANY && far >= FAR_OF_MANY {
+            break;
+        }
+    }
+    found
 }
 
 /// Those at home here, and a few at home elsewhere.
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -145,6 +145,10 @@
     node.budgets.borrow_mut().first_go(&plan.service, now, bounds.window);
     let bytes = HEAD_BYTES + errand.inquiry.body.len() as f64 + node.sizes.borrow().get(&errand.sort).unwrap_or(&0.0);
     let span = now.until(plan.target);
+    let mut looks = node.balance.borrow().looks_worth_it(&plan.service, LOOKS_FOR_FREE);
+    if looks == 0 && node.random.borrow_mut().chance(0.1) {
+        looks = 1;
+    }
     let far_cost = FAR_COST + FAR_COST_OF_A_BYTE * bytes;
     if far_cost > span.as_micros() as f64 && left.iter().any(|candidate| candidate.same_zone) {
         // Too much for the way: it is for its own zone to run it.
@@ -156,7 +160,7 @@
             break;
         }
         // Whoever is free is looked for first; only then is anybody's queue stood in.
-        let looks_for_free = asked_in_vain < LOOKS_FOR_FREE && !left.is_empty();
+        let looks_for_free = asked_in_vain < looks && !left.is_empty();
         if !looks_for_free {
             left.append(&mut full);
         }
@@ -172,7 +176,12 @@
         }
         errand.instance = candidate.instance.clone();
         left.retain(|other| other.instance != candidate.instance);
-        match go(node, &candidate, &plan.route, &errand).await.outcome {
+        let outcome = go(node, &candidate, &plan.route, &errand).await.outcome;
+        if looks_for_free && !candidate.is_local {
+            let free = !matches!(outcome, Outcome::NotTaken { why: Passed::Busy, .. });
+            node.balance.borrow_mut().looked(&plan.service, free);
+        }
+        match outcome {
             Outcome::Answered(answer) => {
                 // An endpoint's own failure of a repeatable request may go better elsewhere.
                 let failed = answer.status >= 500 && repeats;
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -58,6 +58,9 @@
                 Ok(binding) => {
                     let tenant = binding.tenant.clone();
                     let answer = dispatch::carry_out(node, plan, inquiry, binding).await;
+                    if answer.status >= 500 {
+                        node.platform.begun_failed.set(clock::now());
+                    }
                     tenancy::count(node, tenant.as_deref(), &answer);
                     answer
                 }
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -30,6 +30,9 @@
 use trackbed::http::{Guard, Return};
 use trackbed::ids::InstanceId;
 
+/// For how long a failed call excuses the endpoint's own failures.
+const EXCUSED: Duration = Duration::from_millis(700);
+
 /// What an outcome tells of the endpoint's health; nothing where it may be the request's own fault.
 pub fn sign_of(outcome: &Outcome, span: Duration, usual: Duration) -> Option<Sign> {
     match outcome {
@@ -63,6 +66,9 @@
     pub lines: Rc<Lines>,
     pub health: Health,
     pub way_out: WayOut,
+    /// When a request that began at this node last failed. What the endpoint calls while it runs a request
+    /// begins here too: its own failure may be another's then.
+    pub begun_failed: Cell<Moment>,
     /// What the machine's link carries in a second, in bytes, where that is known.
     pub link: Cell<Option<f64>>,
     /// Bindings of what runs at the endpoint, or may still run there, each until when.
@@ -82,6 +88,7 @@
             lines,
             health: Health::default(),
             way_out: WayOut::default(),
+            begun_failed: Cell::default(),
             link: Cell::new(None),
             bindings: RefCell::default(),
             next_binding: Cell::new(0),
@@ -189,6 +196,8 @@
 
     /// Takes in what a request showed.
     pub fn learn(&self, sort: u64, sign: Option<Sign>, span: Duration, now: Moment) {
+        let excused = sign == Some(Sign::Declined) && now.since(self.begun_failed.get()) < EXCUSED;
+        let sign = sign.filter(|_| !excused);
         if let Some(sign) = sign {
             self.health.shows(sign, now);
         }
