--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -1,5 +1,6 @@
 //! What is asked and answered.
 
+use crate::council::{Fact, Fence, Grant, GrantAsk, Order};
 use crate::gossip::Occupancy;
 use crate::inspection::{DriftRecord, RoutesReport};
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -74,6 +75,12 @@
     Permit(Permit),
     /// The whole state, all that was acknowledged in it, for a node whose own is in doubt.
     Whole,
+    /// Asks a member of the region's council for a lease.
+    Grant(GrantAsk),
+    /// A coordinator's order.
+    Order(Order),
+    /// For the coordinator: what the core could not be told.
+    Fact(Fact),
     /// What a proxy's table comes to.
     Routes(RoutesReport),
     /// The same as other core nodes heard it, each with how many milliseconds ago.
@@ -108,6 +115,9 @@
     Done,
     /// All that was acknowledged is at or before this.
     Upto(Zxid),
+    Grant(Grant),
+    /// An order was not taken: a higher right is known.
+    Refused(Fence),
     /// The table is not what was meant: fetch the whole anew.
     OutOfStep,
     Drifts(Vec<DriftRecord>),
--- a/crates/lineside/src/inspection/inspector.rs
+++ b/crates/lineside/src/inspection/inspector.rs
@@ -144,6 +144,12 @@
         self.proxies.insert(report.node.clone(), Proxy { report, at, last_right, drift });
     }
 
+    /// What those told last that were heard of late.
+    pub fn fresh(&self, now: Moment) -> impl Iterator<Item = &RoutesReport> {
+        let fresh = self.timing.fresh;
+        self.proxies.values().filter(move |proxy| now.since(proxy.at) <= fresh).map(|proxy| &proxy.report)
+    }
+
     /// Who is to be asked what differs.
     pub fn wants(&mut self, now: Moment) -> Vec<Want> {
         let mut wants = Vec::new();
--- a/crates/lineside/src/inspection/messages.rs
+++ b/crates/lineside/src/inspection/messages.rs
@@ -3,7 +3,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
 use timetable::configuration::EntryDrift;
-use trackbed::ids::{ConfigEpoch, NodeName};
+use trackbed::ids::{ConfigEpoch, NodeName, Zxid};
 
 /// What one proxy's table came to, worked out from the table that its lookups use.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -15,6 +15,8 @@
     pub address: SocketAddr,
     pub epoch: ConfigEpoch,
     pub root: u64,
+    /// How far the ordered state is there.
+    pub fleet: Zxid,
 }
 
 /// A drift as one core node tells another. Times are spans back from when it was told, as clocks differ.
--- a/crates/lineside/src/inspection/tests.rs
+++ b/crates/lineside/src/inspection/tests.rs
@@ -153,6 +153,7 @@
                     address: SocketAddr::from(([10, 0, 0, index as u8], 1)),
                     epoch: proxy.routes.epoch,
                     root: proxy.routes.digest().root(),
+                    fleet: Default::default(),
                 };
                 flying.push((now + Duration::from_millis(random.below(1200)), now, report));
             }
@@ -275,6 +276,7 @@
         address: ([10, 0, 0, 1], 1).into(),
         epoch: ConfigEpoch(epoch),
         root,
+        fleet: Default::default(),
     };
     inspector.take(report(1, 3, 33), now);
     inspector.take(report(2, 4, 44), now);
--- a/crates/pointsman/src/dispatch/candidates.rs
+++ b/crates/pointsman/src/dispatch/candidates.rs
@@ -3,9 +3,10 @@
 use super::balance::Candidate;
 use super::binding::Binding;
 use super::plan::Plan;
-use crate::node::{Mode, Pointsman};
+use crate::node::{Mode, Pointsman, coordination};
 use crate::platform::{Gate, Seat};
 use lineside::gossip::Standing;
+use std::rc::Rc;
 use timetable::fleet::Instance;
 use trackbed::clock::Moment;
 use trackbed::config::LocalConfig;
@@ -52,9 +53,28 @@
             && (instance.node == config.node_name
                 || roster.standing(&instance.node).is_none_or(|is| is <= Standing::Suspect))
     };
-    if serving.len() <= LOOKED_AT {
-        return serving.iter().filter(|instance| fit(instance)).map(|instance| candidate(&config, instance)).collect();
+    let mut found = match serving.len() <= LOOKED_AT {
+        true => serving.iter().filter(|instance| fit(instance)).map(|instance| candidate(&config, instance)).collect(),
+        false => drawn(node, &config, serving, fit),
+    };
+    let (seen, leaving) = coordination::provisional(node);
+    found.retain(|known: &Candidate| !leaving.contains(&known.instance));
+    // Seen while the core is away: the node beside it knows better than anybody whether it is there.
+    for instance in seen.iter().filter(|seen| seen.service == plan.service && fit(seen)) {
+        if !found.iter().any(|known| known.instance == instance.id) {
+            found.push(candidate(&config, instance));
+        }
     }
+    found
+}
+
+/// Some of many.
+fn drawn(
+    node: &Pointsman,
+    config: &LocalConfig,
+    serving: &[Rc<Instance>],
+    fit: impl Fn(&Instance) -> bool,
+) -> Vec<Candidate> {
     // From a place by chance round the whole list, until there are enough of the own zone and of others.
     let mut random = node.random.borrow_mut();
     let start = random.below(serving.len() as u64) as usize;
@@ -76,7 +96,7 @@
             true => near += 1,
             false => far += 1,
         }
-        found.push(candidate(&config, instance));
+        found.push(candidate(config, instance));
         if near >= NEAR_OF_MANY && far >= FAR_OF_MANY {
             break;
         }
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -46,11 +46,13 @@
 fn budget(node: &Pointsman) -> BudgetBounds {
     let config = node.live.get();
     let beside = node.roster.borrow().cards().filter(|card| card.sibling.role != lineside::gossip::Role::Core).count();
+    // While the core is away, never more than it would have allotted, nor than the coordinator does.
+    let ordered = node.book.borrow().in_force().map(|order| order.nodes).unwrap_or(0);
     BudgetBounds {
         ratio: config.bounds.retry_budget_ratio(),
         slack: config.bounds.retry_slack(),
         window: config.bounds.budget_window(),
-        nodes: beside + 1,
+        nodes: (beside + 1).max(ordered as usize),
     }
 }
 
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -1,12 +1,12 @@
 //! The doors: requesters and the endpoint's own calls, sibling nodes, and the platform's probes.
 
-use super::{Pointsman, tenancy};
+use super::{Pointsman, coordination, tenancy};
 use crate::dispatch::{self, Binding, PLANNED, Plan, Unplanned, gone, read_errand, write_outcome};
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::configuration::{PlannedBy, Route, Routes};
 use trackbed::clock;
-use trackbed::http::{DoorLimits, Handler, Inquiry, Pacer, Return};
+use trackbed::http::{DoorLimits, Handler, Inquiry, JsonReturn, Pacer, Return};
 use trackbed::random::stable_hash;
 
 /// Requests begin here.
@@ -136,6 +136,9 @@
 
     async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
         let node = &self.0;
+        if inquiry.path() == "/v1/fleet" {
+            return Some(Return::json(200, coordination::view(node)));
+        }
         if inquiry.path() != "/v1/readiness" {
             return Some(Return::text(404, "ask for /v1/readiness"));
         }
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -1,6 +1,6 @@
 //! How this node comes to know the fleet: all of it at the start, then news from whoever is ahead.
 
-use super::{Mode, Pointsman, core_calls};
+use super::{Mode, Pointsman, coordination, core_calls};
 use crate::platform::{Life, sign_of_word};
 use borsh::BorshDeserialize;
 use lineside::call::{Answering, Ask, Reply};
@@ -27,6 +27,15 @@
         match ask {
             Ask::Knock => Reply::Done,
             Ask::RoutesDetail { root, leaves } => self.routes_check.detail(root, &leaves),
+            Ask::Grant(ask) => Reply::Grant(self.council.borrow_mut().asked(&ask, clock::now())),
+            Ask::Order(order) => match coordination::take_order(&self, order, clock::now()) {
+                Ok(()) => Reply::Done,
+                Err(fence) => Reply::Refused(fence),
+            },
+            Ask::Fact(fact) => {
+                coordination::take_fact(&self, fact);
+                Reply::Done
+            }
             Ask::Permit(permit) => self.permits.ask(&self, permit).await,
             Ask::News { since, assured: false } => {
                 let fleet = self.fleet.borrow();
@@ -44,6 +53,7 @@
         let ask = Ask::News { since, assured: true };
         if let Some(Reply::News { news, .. }) = core_calls::ask_core(&node, ask, Duration::from_secs(2)).await {
             take(&node, since, news);
+            coordination::core_spoke(&node);
             if !node.assured.replace(true) {
                 log::info!("the fleet's state is known up to {}", node.fleet.borrow().zxid());
             }
@@ -80,6 +90,10 @@
 }
 
 fn moved_on(node: &Rc<Pointsman>) {
+    let region = node.live.get().region.clone();
+    if let Some(charter) = node.fleet.borrow().charter(&region) {
+        node.council.borrow_mut().take_charter(charter);
+    }
     adopt_life(node);
     node.seat_endpoints();
     let fleet = node.fleet.borrow();
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One node of the data plane: the loop, and the state that is passed down it.
 
+pub mod coordination;
 pub mod core_calls;
 mod doors;
 mod error;
@@ -17,7 +18,9 @@
 
 use crate::dispatch::{Balance, Budgets, Pool};
 use crate::platform::{Homes, Lines, Permits, Platform};
+use coordination::Coordination;
 use lineside::call::Caller;
+use lineside::council::{Council, OrderBook};
 use lineside::gossip::Roster;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -49,6 +52,10 @@
     /// One life of this process.
     pub life: u64,
     pub routes_check: RoutesCheck,
+    pub council: RefCell<Council>,
+    /// A coordinator's orders. Invariant: in force only while the core is not heard.
+    pub book: RefCell<OrderBook>,
+    pub coordination: Coordination,
     /// Slots given out to other gateways.
     pub permits: Permits,
     /// Endpoints that have nobody beside them. Invariant: empty beside an endpoint.
@@ -98,7 +105,9 @@
     pub fn seat_endpoints(&self) {
         if self.mode == Mode::Gateway {
             let (fleet, roster) = (self.fleet.borrow(), self.roster.borrow());
-            self.homes.refresh(&fleet, &roster, clock::now());
+            let book = self.book.borrow();
+            let gone = book.in_force().map(|order| order.gone.as_slice());
+            self.homes.refresh(&fleet, &roster, gone, clock::now());
         }
     }
 }
--- a/crates/pointsman/src/node/routes_check.rs
+++ b/crates/pointsman/src/node/routes_check.rs
@@ -1,7 +1,7 @@
 //! This node's own table, looked at over and over and told to the core.
 
-use super::{Pointsman, core_calls, learn};
-use lineside::call::{Ask, Reply};
+use super::{Pointsman, coordination, core_calls, learn};
+use lineside::call::{Ask, CallError, Reply};
 use lineside::inspection::RoutesReport;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -12,6 +12,8 @@
 /// Routes looked at in one turn of the loop.
 const LOOKED_AT: usize = 64;
 const TELL_EVERY: Duration = Duration::from_secs(2);
+/// Core nodes told in turn until one takes it.
+const ASKED: usize = 3;
 const ASK_LIMIT: Duration = Duration::from_millis(500);
 /// A second drift within this time shows that fetching anew does not help.
 const SOON_AGAIN: Duration = Duration::from_secs(30);
@@ -88,15 +90,20 @@
         node.routes_check.doubted.set(false);
         let address = node.roster.borrow().me().address;
         let name = node.live.get().node_name.clone();
-        let report = RoutesReport { node: name, life: node.life, address, epoch, root };
-        let core = core_calls::cores(&node).into_iter().next();
-        let Some(core) = core else { continue };
-        match node.caller.call_lightly(core, Ask::Routes(report), ASK_LIMIT).await {
+        let fleet = node.fleet.borrow().zxid();
+        let report = RoutesReport { node: name, life: node.life, address, epoch, root, fleet };
+        let mut reply = Err(CallError::NotSent);
+        for core in core_calls::cores(&node).into_iter().take(ASKED) {
+            reply = node.caller.call_lightly(core, Ask::Routes(report.clone()), ASK_LIMIT).await;
+            if matches!(reply, Ok(Reply::Done | Reply::OutOfStep)) {
+                coordination::core_spoke(&node);
+                break;
+            }
+        }
+        match reply {
             Ok(Reply::OutOfStep) => mend(&node, root).await,
-            Ok(Reply::Done) => {
-                if node.routes_check.mistrusted.replace(false) {
-                    log::warn!("routes are in step again: this node takes work");
-                }
+            Ok(Reply::Done) if node.routes_check.mistrusted.replace(false) => {
+                log::warn!("routes are in step again: this node takes work");
             }
             _ => {}
         }
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -1,16 +1,18 @@
 //! From settings to a running node, and to its end.
 
+use super::coordination::{self, Coordination};
 use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
 use super::{Mode, NodeError, Pointsman, RoutesCheck, learn, routes_check};
 use crate::dispatch::{Balance, Budgets, Pool};
 use crate::platform::{BeatsDoor, Homes, Lines, Permits, Platform};
 use lineside::call::{Caller, serve_siblings};
+use lineside::council::{Council, CouncilTiming};
 use lineside::gossip::{Roster, RosterTiming, Sibling};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use timetable::fleet::FleetState;
+use timetable::fleet::{FleetState, Member};
 use trackbed::clock;
 use trackbed::config::{Command, LocalConfig};
 use trackbed::http::{Handler, Pacer, Serving, serve_listener};
@@ -44,6 +46,8 @@
     kernel::run(async {
         outcome = async {
             let live = Rc::new(LiveConfig::new(command.path, config.clone()));
+            let life = Random::from_system().draw();
+            let me = Member { node: config.node_name.clone(), life, address };
             let lines = Rc::new(match mode {
                 Mode::Beside => Lines::default(),
                 Mode::Gateway => Lines::among_many(),
@@ -58,8 +62,11 @@
                 platform: Rc::new(Platform::new(config.app_address, lines.clone())),
                 homes: Homes::new(lines.clone()),
                 lines,
-                life: Random::from_system().draw(),
+                life,
                 routes_check: RoutesCheck::default(),
+                council: RefCell::new(Council::new(me, CouncilTiming::default(), now)),
+                book: RefCell::default(),
+                coordination: Coordination::default(),
                 permits: Permits::default(),
                 pacer: Pacer::default(),
                 balance: RefCell::new(Balance::default()),
@@ -81,6 +88,7 @@
             monoio::spawn(learn::learn_all(node.clone()));
             monoio::spawn(learn::pull(node.clone()));
             monoio::spawn(routes_check::keep(node.clone()));
+            monoio::spawn(coordination::keep(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             leave(&node, &doors).await;
             Ok::<(), NodeError>(())
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -1,8 +1,9 @@
 //! The endpoint's beats and its sign-off, on its own machine.
 
 use super::Life;
-use crate::node::{Pointsman, core_calls};
+use crate::node::{Pointsman, coordination, core_calls};
 use lineside::call::{Ask, Reply};
+use lineside::council::Fact;
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::{Beat, Post};
@@ -66,9 +67,16 @@
         if ordered {
             return acknowledged();
         }
+        let fact = match beat.instance.draining {
+            true => Fact::Leaving(beat.instance.id.clone()),
+            false => Fact::Seen(beat.instance.clone()),
+        };
         match core_calls::ask_core(&self.0, Ask::Register(beat.instance), ACKNOWLEDGE_LIMIT).await {
             Some(Reply::Done) => acknowledged(),
-            _ => not_now(),
+            _ => {
+                coordination::tell_fact(&self.0, fact);
+                not_now()
+            }
         }
     }
 
@@ -130,9 +138,13 @@
             let surplus = ended.len().saturating_sub(64);
             ended.drain(..surplus);
         }
+        let fact = Fact::Leaving(id.clone());
         match core_calls::ask_core(&self.0, Ask::SignOff(id), ACKNOWLEDGE_LIMIT).await {
             Some(Reply::Done) => acknowledged(),
-            _ => not_now(),
+            _ => {
+                coordination::tell_fact(&self.0, fact);
+                not_now()
+            }
         }
     }
 }
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -49,7 +49,7 @@
 
 pub struct Homes {
     lines: Rc<Lines>,
-    made_for: Cell<Option<(Zxid, u64)>>,
+    made_for: Cell<Option<(Zxid, u64, u64)>>,
     by_service: RefCell<HashMap<ServiceName, Rc<Seating>>>,
     /// Invariant: by life; a platform here has a life.
     platforms: RefCell<BTreeMap<InstanceId, (Rc<Platform>, Moment)>>,
@@ -126,8 +126,10 @@
     }
 
     /// Works the seating out anew where fleet or roster moved on.
-    pub fn refresh(&self, fleet: &FleetState, roster: &Roster, now: Moment) {
-        let key = (fleet.zxid(), roster.revision());
+    /// `gone`: whom a coordinator counts as gone, in place of what the roster says.
+    pub fn refresh(&self, fleet: &FleetState, roster: &Roster, gone: Option<&[NodeName]>, now: Moment) {
+        let ordered = gone.map(|gone| gone.iter().fold(1, |sum, name| mix(sum, stable_hash(name.as_str()))));
+        let key = (fleet.zxid(), roster.revision(), ordered.unwrap_or_default());
         if self.made_for.replace(Some(key)) == Some(key) {
             return;
         }
@@ -137,7 +139,11 @@
         };
         let mut gates: Vec<Rc<Gate>> = roster
             .cards()
-            .filter(|card| card.sibling.role == Role::Gate && card.standing == Standing::Alive)
+            .filter(|card| card.sibling.role == Role::Gate)
+            .filter(|card| match gone {
+                Some(gone) => !gone.contains(&card.sibling.name),
+                None => card.standing == Standing::Alive,
+            })
             .map(|card| gate(&card.sibling.name, card.sibling.address, &card.sibling.zone))
             .collect();
         if !roster.is_leaving() {
--- a/crates/signalbox/src/ledger/state.rs
+++ b/crates/signalbox/src/ledger/state.rs
@@ -5,7 +5,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use timetable::fleet::{FleetFrame, FleetState};
+use timetable::fleet::{FleetFrame, FleetFrameBefore, FleetState};
 use trackbed::clock::Moment;
 use trackbed::ids::Zxid;
 
@@ -26,6 +26,26 @@
     groups: BTreeMap<String, CellGroup>,
 }
 
+/// As it stood on disks before there were councils.
+#[derive(BorshDeserialize)]
+struct LedgerFrameBefore {
+    fleet: FleetFrameBefore,
+    locks: BTreeMap<String, LockRecord>,
+    last_fence: u64,
+    numbers: BTreeMap<String, u64>,
+    groups: BTreeMap<String, CellGroup>,
+}
+
+impl LedgerFrame {
+    fn read(state: &[u8]) -> borsh::io::Result<Self> {
+        Self::try_from_slice(state).or_else(|error| {
+            let before = LedgerFrameBefore::try_from_slice(state).map_err(|_| error)?;
+            let LedgerFrameBefore { fleet, locks, last_fence, numbers, groups } = before;
+            Ok(Self { fleet: fleet.into(), locks, last_fence, numbers, groups })
+        })
+    }
+}
+
 /// Invariant: the same changes in the same order make the same ledger on every node.
 #[derive(Clone, Default)]
 pub struct Ledger {
@@ -60,7 +80,7 @@
         if state.is_empty() {
             return Ok(ledger);
         }
-        let frame = LedgerFrame::try_from_slice(state)?;
+        let frame = LedgerFrame::read(state)?;
         ledger.fleet = FleetState::from_frame(frame.fleet);
         ledger.locks = frame.locks;
         ledger.last_fence = frame.last_fence;
--- a/crates/signalbox/src/node/beats.rs
+++ b/crates/signalbox/src/node/beats.rs
@@ -209,7 +209,7 @@
             // later all endpoints are silent at once.
             let cut = (20..40).contains(&second);
             let dark = second >= 45;
-            let speaking = (0..10).filter(|index| !dark && !(*index == 3 && second >= 10)).map(name).collect();
+            let speaking = (0..10).filter(|index| !dark && (*index != 3 || second < 10)).map(name).collect();
             heard.reported(core(0), speaking, now);
             if !cut {
                 heard.reported(core(1), Vec::new(), now);
--- a/crates/signalbox/src/node/inspection.rs
+++ b/crates/signalbox/src/node/inspection.rs
@@ -26,6 +26,11 @@
 
 /// A proxy's own word.
 pub fn heard(node: &Signalbox, report: RoutesReport) -> Reply {
+    // Whoever tells is told whether a majority stands behind this node.
+    let backed = {
+        let zab = node.zab.borrow();
+        zab.primary().is_some() && (!zab.is_primary() || primary::lease_holds(node))
+    };
     let now = clock::now();
     let mut inspector = node.inspector.borrow_mut();
     let wrong = inspector.is_drift(&report) == Some(true);
@@ -33,7 +38,11 @@
     if !node.zab.borrow().is_primary() {
         node.reports.borrow_mut().push((report, now));
     }
-    if wrong { Reply::OutOfStep } else { Reply::Done }
+    match (backed, wrong) {
+        (false, _) => Reply::NotNow("no majority stands behind this node".into()),
+        (_, true) => Reply::OutOfStep,
+        _ => Reply::Done,
+    }
 }
 
 /// What another core node heard.
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! One core node: the loop, and the state that is passed down it.
 
 mod beats;
+mod councils;
 mod disk;
 mod doors;
 mod error;
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -180,11 +180,11 @@
         Err(error) => return Reply::NotNow(error.to_string()),
     };
     for _ in 0..10 {
-        let settled = node.settled.borrow();
-        if settled.fleet.zxid() >= upto {
+        let behind = node.settled.borrow().fleet.zxid() < upto;
+        if !behind {
+            let settled = node.settled.borrow();
             return Reply::News { news: news(&settled.fleet), zxid: settled.fleet.zxid() };
         }
-        drop(settled);
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
     Reply::NotNow("this node is behind: ask another".into())
@@ -197,7 +197,7 @@
         let mut instance = instance.clone();
         instance.draining |= fleet.instance(&instance.id).is_some_and(|known| known.draining);
         let known = fleet.has_ended(&instance.id) || fleet.instance(&instance.id) == Some(&instance);
-        (!known).then(|| FleetChange::Register(instance))
+        (!known).then_some(FleetChange::Register(instance))
     })
     .await
 }
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/siblings.rs
@@ -37,6 +37,7 @@
                 Some(text) => Reply::Text(text),
                 None => Reply::NotNow("this node is not the primary".into()),
             },
+            Ask::Grant(_) | Ask::Order(_) | Ask::Fact(_) => Reply::NotNow("a core node sits in no council".into()),
             Ask::RoutesDetail { .. } => Reply::NotNow("a core node routes nothing".into()),
             Ask::Permit(_) => Reply::NotNow("no endpoint is at home at a core node".into()),
             Ask::Assure => primary::assure(&self),
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -1,6 +1,6 @@
 //! From settings and disk to a running node.
 
-use super::{NodeError, Signalbox, beats, disk, doors, inspection, siblings, turn};
+use super::{NodeError, Signalbox, beats, councils, disk, doors, inspection, siblings, turn};
 use crate::ledger::Ledger;
 use futures_channel::mpsc::unbounded;
 use interlocking::storage::{FileDisk, Recovered, Storage};
@@ -123,6 +123,7 @@
             monoio::spawn(beats::keep_watch(node.clone()));
             inspection::adopt(&node);
             monoio::spawn(inspection::keep(node.clone()));
+            monoio::spawn(councils::keep(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             turn::leave(&node, &serving).await;
             Ok::<(), NodeError>(())
--- a/crates/timetable/src/fleet/changes.rs
+++ b/crates/timetable/src/fleet/changes.rs
@@ -3,7 +3,7 @@
 use crate::configuration::{Configuration, Patch};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
-use trackbed::ids::{InstanceId, NodeName, ServiceName, ZoneName};
+use trackbed::ids::{InstanceId, NodeName, RegionName, ServiceName, ZoneName, Zxid};
 
 /// One life of an endpoint.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -21,6 +21,26 @@
     pub draining: bool,
 }
 
+/// One life of a node in a council.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Member {
+    pub node: NodeName,
+    /// Invariant: drawn anew at each start. A life that is over is never again in a council.
+    pub life: u64,
+    pub address: SocketAddr,
+}
+
+/// A region's council, as the core ordered it.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Charter {
+    pub region: RegionName,
+    /// Where in the order it stands.
+    pub zxid: Zxid,
+    pub members: Vec<Member>,
+    /// The council before this one.
+    pub before: Vec<Member>,
+}
+
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum ConfigChange {
     Whole(Configuration),
@@ -38,6 +58,11 @@
     End(InstanceId),
     /// Silent for so long that it counts as gone. Invariant: a life that speaks again is taken back.
     Lost(InstanceId),
+    /// A region's council, one member more or one less than before.
+    Council {
+        region: RegionName,
+        members: Vec<Member>,
+    },
 }
 
 impl Instance {
--- a/crates/timetable/src/fleet/mod.rs
+++ b/crates/timetable/src/fleet/mod.rs
@@ -5,5 +5,5 @@
 mod state;
 
 pub use beat::{Beat, Post};
-pub use changes::{ConfigChange, FleetChange, Instance};
-pub use state::{FleetFrame, FleetNews, FleetState};
+pub use changes::{Charter, ConfigChange, FleetChange, Instance, Member};
+pub use state::{FleetFrame, FleetFrameBefore, FleetNews, FleetState};
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -1,13 +1,13 @@
 //! The fleet's state, with a short memory of how it came about for those a little behind.
 
-use super::changes::{ConfigChange, FleetChange, Instance};
+use super::changes::{Charter, ConfigChange, FleetChange, Instance};
 use crate::configuration::{Configuration, Routes};
 use crate::packed::Packed;
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
-use trackbed::ids::{ConfigEpoch, InstanceId, ServiceName, Zxid};
+use trackbed::ids::{ConfigEpoch, InstanceId, RegionName, ServiceName, Zxid};
 
 /// How many ended lives and taken calls are remembered.
 const REMEMBERED: usize = 1024;
@@ -21,6 +21,24 @@
     instances: BTreeMap<InstanceId, Instance>,
     ended: VecDeque<InstanceId>,
     taken: VecDeque<(ConfigEpoch, u128)>,
+    charters: BTreeMap<RegionName, Charter>,
+}
+
+/// As it stood on disks before there were councils.
+#[derive(BorshDeserialize)]
+pub struct FleetFrameBefore {
+    zxid: Zxid,
+    configuration: Option<Configuration>,
+    instances: BTreeMap<InstanceId, Instance>,
+    ended: VecDeque<InstanceId>,
+    taken: VecDeque<(ConfigEpoch, u128)>,
+}
+
+impl From<FleetFrameBefore> for FleetFrame {
+    fn from(before: FleetFrameBefore) -> Self {
+        let FleetFrameBefore { zxid, configuration, instances, ended, taken } = before;
+        Self { zxid, configuration, instances, ended, taken, charters: BTreeMap::new() }
+    }
 }
 
 /// What one node gives another that is behind.
@@ -86,6 +104,12 @@
     pub fn has_taken(&self, digest: u128) -> bool {
         self.frame.taken.iter().any(|(_, taken)| *taken == digest)
     }
+    pub fn charter(&self, region: &RegionName) -> Option<&Charter> {
+        self.frame.charters.get(region)
+    }
+    pub fn charters(&self) -> impl Iterator<Item = &Charter> {
+        self.frame.charters.values()
+    }
     /// Every service that has endpoints, with them.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Rc<Instance>])> {
         self.by_service.iter().map(|(service, instances)| (service, instances.as_slice()))
@@ -144,6 +168,11 @@
             }
             FleetChange::End(id) => self.end(id),
             FleetChange::Lost(id) => self.remove(id),
+            FleetChange::Council { region, members } => {
+                let before = self.frame.charters.remove(region).map(|charter| charter.members).unwrap_or_default();
+                let charter = Charter { region: region.clone(), zxid, members: members.clone(), before };
+                self.frame.charters.insert(region.clone(), charter);
+            }
         }
         self.tail_bytes += packed.length();
         self.tail.push_back((zxid, packed));
--- a/crates/timetable/src/packed.rs
+++ b/crates/timetable/src/packed.rs
@@ -10,10 +10,13 @@
 const WORTH_PACKING: usize = 1 << 10;
 /// Longest value unpacked.
 const LONGEST: u64 = 96 << 20;
-const PLAIN: u8 = 0;
-const DEFLATED: u8 = 1;
+/// Neither begins a value of the kinds that are packed, so that what was written before there was
+/// packing can still be read.
+const PLAIN: u8 = 0xf0;
+const DEFLATED: u8 = 0xf1;
 
-/// A value in its borsh encoding, deflated where that is worth it. Invariant: the first byte says which.
+/// A value in its borsh encoding, deflated where that is worth it. Invariant: the first byte says which; bytes
+/// without it are a value's own.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Packed(Rc<Vec<u8>>);
 
@@ -45,7 +48,7 @@
                 DeflateDecoder::new(packed).take(LONGEST).read_to_end(&mut plain)?;
                 T::try_from_slice(&plain)
             }
-            _ => Err(io::Error::new(io::ErrorKind::InvalidData, "neither plain nor packed: upgrade this node")),
+            _ => T::try_from_slice(bytes),
         }
     }
 
@@ -76,5 +79,6 @@
         }
         assert!(Packed::read::<u64>(&[]).is_err());
         assert!(Packed::read::<u64>(&[DEFLATED, 1, 2]).is_err());
+        assert_eq!(Packed::read::<u64>(&7u64.to_le_bytes()).unwrap(), 7, "written before there was packing");
     }
 }
