--- a/crates/gauge/src/ask.rs
+++ b/crates/gauge/src/ask.rs
@@ -18,6 +18,12 @@
     NoAnswer { address: SocketAddr, path: &'static str },
     #[display("the fleet's answer can't be read: use a gauge of the same version as signalbox")]
     Unreadable,
+    #[display("the fleet tells nothing of its proxies' routes: upgrade signalbox, or ask another core node")]
+    TellsNoDigest,
+    #[display("no majority stands behind an answer just now: ask again when the core has a primary")]
+    NoMajority,
+    #[display("that node says nothing of its region: name the readiness address of a pointsman")]
+    NotAProxy,
 }
 
 pub struct Endpoint {
@@ -77,6 +83,19 @@
     line.read_return(false, 64 << 20).await.map_err(|_| no_answer())
 }
 
+/// The body of one answer.
+pub fn get_now(address: SocketAddr, path: &'static str) -> Result<Vec<u8>, AskError> {
+    let mut outcome = Err(AskError::NoAnswer { address, path });
+    let run = trackbed::kernel::run(async {
+        outcome = get(address, path).await.and_then(|answer| match answer.status {
+            200 => Ok(answer.body.to_vec()),
+            _ => Err(AskError::NoAnswer { address, path }),
+        });
+    });
+    run.map_err(|_| AskError::NoAnswer { address, path })?;
+    outcome
+}
+
 pub fn fleet_now(address: SocketAddr) -> Result<FleetNow, AskError> {
     let mut outcome = Err(AskError::Unreadable);
     let run = trackbed::kernel::run(async {
--- a/crates/gauge/src/main.rs
+++ b/crates/gauge/src/main.rs
@@ -3,6 +3,7 @@
 mod against;
 mod ask;
 mod finding;
+mod routes;
 
 use finding::{Finding, Level};
 use getopts::Options;
@@ -10,10 +11,18 @@
 use timetable::configuration::{Configuration, Fault, Patch};
 
 const USAGE: &str = "Usage: gauge check FILE [--fleet ADDRESS] [--json] [--strict]
+       gauge routes --fleet ADDRESS [--json]
+       gauge region --fleet ADDRESS
 
 Reads a configuration, or a change to one (with upserts or removals), and checks it as signalbox does.
 With --fleet it also asks a core node's control_plane address what is in place, and compares.
-Status: 0 good; 1 faults, or warnings with --strict; 2 wrong usage, unreadable file, no answer.";
+Status: 0 good; 1 faults, or warnings with --strict; 2 wrong usage, unreadable file, no answer.
+
+routes: whether every proxy's routes are those meant for it, by the primary behind a core node's control_plane
+address. Status: 0 all in step; 1 drift or late; 2 unheard proxies, wrong usage, no answer, no majority.
+
+region: what a pointsman (at its readiness address) says of its region: in touch with the core or cut off,
+coordinator, term, council, provisional facts.";
 
 fn main() {
     std::process::exit(run(std::env::args().skip(1).collect()));
@@ -38,15 +47,19 @@
         println!("gauge {}", env!("CARGO_PKG_VERSION"));
         return 0;
     }
-    let [command, file] = matches.free.as_slice() else { return usage("give a command and a file") };
-    if command != "check" {
-        return usage("the only command is check");
-    }
     let fleet = match matches.opt_str("fleet").map(|text| text.parse::<SocketAddr>()) {
         None => None,
         Some(Ok(address)) => Some(address),
         Some(Err(_)) => return usage("--fleet wants an address like 10.0.0.1:8080"),
     };
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    let file = match (words.as_slice(), fleet) {
+        (["check", file], _) => *file,
+        (["routes"], Some(address)) => return routes::routes(address, matches.opt_present("json")),
+        (["region"], Some(address)) => return routes::region(address),
+        (["routes" | "region"], None) => return usage("say whom to ask with --fleet ADDRESS"),
+        _ => return usage("give check and a file, or routes, or region"),
+    };
     let body = match std::fs::read(file) {
         Ok(body) => body,
         Err(error) => {
@@ -158,6 +171,8 @@
     #[test]
     fn wrong_usage_is_told_by_its_own_status() {
         assert_eq!(run(vec!["check".into()]), 2);
+        assert_eq!(run(vec!["routes".into()]), 2);
+        assert_eq!(run(vec!["region".into(), "more".into()]), 2);
         assert_eq!(run(vec!["check".into(), "/no/such/file".into()]), 2);
         assert_eq!(run(vec!["check".into(), "x".into(), "--fleet".into(), "nowhere".into()]), 2);
     }
