--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -17,9 +17,10 @@
 use trackbed::random::stable_hash;
 
 /// Nodes asked in vain before a request is given up.
-const ASKED_IN_VAIN: u32 = 4;
+const ASKED_IN_VAIN: u32 = 5;
 /// Nodes asked whether a slot is free before any queue is stood in.
 const LOOKS_FOR_FREE: u32 = 2;
+const LOOKS_OF_A_GATEWAY: u32 = 3;
 /// What counts as no wait, of the time to the target.
 const NO_WAIT: f64 = 0.03;
 /// What a go in another zone must save to be worth its way and its bytes, in microseconds.
@@ -147,7 +148,11 @@
     node.budgets.borrow_mut().first_go(&plan.service, now, bounds.window);
     let bytes = HEAD_BYTES + errand.inquiry.body.len() as f64 + node.sizes.borrow().get(&errand.sort).unwrap_or(&0.0);
     let span = now.until(plan.target);
-    let mut looks = node.balance.borrow().looks_worth_it(&plan.service, LOOKS_FOR_FREE);
+    // At a gateway a look is a few bytes; elsewhere the whole request goes along.
+    let mut looks = match node.mode {
+        Mode::Gateway => LOOKS_OF_A_GATEWAY,
+        Mode::Beside => node.balance.borrow().looks_worth_it(&plan.service, LOOKS_FOR_FREE),
+    };
     if looks == 0 && node.random.borrow_mut().chance(0.1) {
         looks = 1;
     }
