One piece for answers' length, bare outcomes, siblings' addresses and older ledgers; dead branches gone

Read over, nothing else changed: Return::length, GoResult::only and not_taken, Roster::address_of and a ledger frame generic over the fleet's take the place of copies; a filter that kept everything and a second setting of the same moment are gone.

--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -181,6 +181,9 @@
     pub fn standing(&self, name: &NodeName) -> Option<Standing> {
         self.known.get(name).map(|known| known.card.standing)
     }
+    pub fn address_of(&self, name: &NodeName) -> Option<SocketAddr> {
+        self.known.get(name).map(|known| known.card.sibling.address)
+    }
     pub fn occupancy_of(&self, name: &NodeName) -> Option<&(Occupancy, Moment)> {
         self.known.get(name)?.occupancy.as_ref()
     }
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -111,8 +111,7 @@
 
 /// Where the node that was asked takes calls.
 fn sibling_of(node: &Pointsman, candidate: &Candidate) -> Option<std::net::SocketAddr> {
-    let roster = node.roster.borrow();
-    roster.cards().find(|card| card.sibling.name == candidate.node).map(|card| card.sibling.address)
+    node.roster.borrow().address_of(&candidate.node)
 }
 
 /// Sees a request through to its answer.
@@ -192,7 +191,7 @@
             Outcome::Answered(answer) => {
                 // An endpoint's own failure of a repeatable request may go better elsewhere.
                 let failed = answer.status >= 500 && repeats;
-                let length = answer.flow.as_ref().map(|flow| flow.length()).unwrap_or(answer.body.len() as u64) as f64;
+                let length = answer.length() as f64;
                 let mut sizes = node.sizes.borrow_mut();
                 let size = sizes.entry(errand.sort).or_insert(length);
                 *size = *size * 0.9 + length * 0.1;
--- a/crates/pointsman/src/dispatch/direct.rs
+++ b/crates/pointsman/src/dispatch/direct.rs
@@ -18,10 +18,6 @@
 /// How long past the patience the home's own word is waited for.
 const LAST_WORD: Duration = Duration::from_millis(250);
 
-fn only(outcome: Outcome) -> GoResult {
-    GoResult { outcome, occupancy: None, spent: None }
-}
-
 /// A slot given to this gateway. Invariant: the home hears of its end exactly once.
 struct Held {
     node: Rc<Pointsman>,
@@ -72,7 +68,7 @@
             return GoResult { outcome, occupancy, spent };
         }
         // A slot given in an answer that comes too late comes back to the home with the horizon.
-        Ok(_) | Err(_) => return only(Outcome::NotSent),
+        Ok(_) | Err(_) => return GoResult::only(Outcome::NotSent),
     };
     let home = candidate.beside;
     let mut held = Held { node: node.clone(), home, number, sign: None, span: Duration::ZERO };
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -80,14 +80,12 @@
 
 /// The route that it was planned by is not in force here.
 pub fn stale() -> GoResult {
-    let outcome = Outcome::NotTaken { why: Passed::Stale, free_in: Duration::from_millis(20) };
-    GoResult { outcome, occupancy: None, spent: None }
+    GoResult::not_taken(Passed::Stale, Duration::from_millis(20))
 }
 
 /// That life is not here.
 pub fn gone() -> GoResult {
-    let outcome = Outcome::NotTaken { why: Passed::Gone, free_in: Duration::from_millis(50) };
-    GoResult { outcome, occupancy: None, spent: None }
+    GoResult::not_taken(Passed::Gone, Duration::from_millis(50))
 }
 
 /// What one go at one node brought, with how busy its endpoint is.
@@ -98,3 +96,14 @@
     /// How long the node beside the endpoint had it, where that node says so.
     pub spent: Option<Duration>,
 }
+
+impl GoResult {
+    /// An outcome that says nothing of the endpoint.
+    pub fn only(outcome: Outcome) -> Self {
+        Self { outcome, occupancy: None, spent: None }
+    }
+
+    pub fn not_taken(why: Passed, free_in: Duration) -> Self {
+        Self::only(Outcome::NotTaken { why, free_in })
+    }
+}
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -20,10 +20,6 @@
 pub const BODY_LIMIT: u64 = 64 << 20;
 const IDLE: Duration = Duration::from_secs(20);
 
-fn only(outcome: Outcome) -> GoResult {
-    GoResult { outcome, occupancy: None, spent: None }
-}
-
 pub async fn deliver(pool: &Pool, pacer: &Pacer, beside: SocketAddr, errand: &Errand) -> GoResult {
     let now = clock::now();
     let line = match pool.take(beside, now, IDLE) {
@@ -35,12 +31,12 @@
     };
     let Some(mut line) = line else {
         pool.clear(beside);
-        return only(Outcome::NotSent);
+        return GoResult::only(Outcome::NotSent);
     };
     let now = clock::now();
     let left = errand.left(now);
     if left.is_zero() {
-        return only(Outcome::NotSent);
+        return GoResult::only(Outcome::NotSent);
     }
     let deadline = (left.as_millis().max(1)).to_string();
     let target = now.until(errand.target).as_millis().to_string();
@@ -88,15 +84,15 @@
                     if let Some(line) = line {
                         line.break_off();
                     }
-                    only(Outcome::Failed("the sibling's answer belongs to another request"))
+                    GoResult::only(Outcome::Failed("the sibling's answer belongs to another request"))
                 }
             }
         }
         Ok(Err(_)) => {
             pool.clear(beside);
-            only(Outcome::Failed("the sibling's connection broke off"))
+            GoResult::only(Outcome::Failed("the sibling's connection broke off"))
         }
         // The line went with the exchange, and is closed.
-        Err(_) => only(Outcome::OverHorizon),
+        Err(_) => GoResult::only(Outcome::OverHorizon),
     }
 }
--- a/crates/pointsman/src/node/coordination.rs
+++ b/crates/pointsman/src/node/coordination.rs
@@ -7,12 +7,11 @@
 use lineside::gossip::{Role, Sibling, Standing};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::Instance;
 use trackbed::clock::{self, Moment};
-use trackbed::ids::{InstanceId, NodeName};
+use trackbed::ids::InstanceId;
 use trackbed::logs::escape;
 
 const EVERY: Duration = Duration::from_millis(250);
@@ -180,7 +179,7 @@
         take_fact(node, fact);
         return;
     }
-    let address = address_of(node, &coordinator);
+    let address = node.roster.borrow().address_of(&coordinator);
     if let Some(address) = address {
         let node = node.clone();
         monoio::spawn(async move {
@@ -189,10 +188,6 @@
     }
 }
 
-fn address_of(node: &Pointsman, name: &NodeName) -> Option<SocketAddr> {
-    node.roster.borrow().cards().find(|card| card.sibling.name == *name).map(|card| card.sibling.address)
-}
-
 /// Endpoints that a coordinator holds as seen, and whether one of them leaves.
 pub fn provisional(node: &Pointsman) -> (Vec<Instance>, Vec<InstanceId>) {
     match node.book.borrow().in_force() {
--- a/crates/pointsman/src/node/tenancy.rs
+++ b/crates/pointsman/src/node/tenancy.rs
@@ -1,7 +1,7 @@
 //! Tenants kept to their regions at this node: at the door, and beside the endpoint.
 
 use super::Pointsman;
-use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed};
+use crate::dispatch::{Binding, Errand, GoResult, Passed};
 use std::time::Duration;
 use timetable::configuration::{Routes, TenantDoubt};
 use trackbed::clock;
@@ -57,8 +57,7 @@
 }
 
 pub fn turned_away() -> GoResult {
-    let outcome = Outcome::NotTaken { why: Passed::Outside, free_in: Duration::from_millis(100) };
-    GoResult { outcome, occupancy: None, spent: None }
+    GoResult::not_taken(Passed::Outside, Duration::from_millis(100))
 }
 
 /// A request was handled where its binding does not permit it. This must not be.
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -161,15 +161,10 @@
         for instance in &here {
             self.hold(instance, now);
         }
-        let mut platforms = self.platforms.borrow_mut();
-        for (id, (platform, held)) in platforms.iter_mut() {
+        let platforms = self.platforms.borrow();
+        for (id, (platform, _)) in platforms.iter() {
             match fleet.instance(id) {
-                Some(instance) if !instance.draining => {
-                    platform.admission.set_slots(instance.slots);
-                    if here.iter().any(|at_home| at_home.id == *id) {
-                        *held = now;
-                    }
-                }
+                Some(instance) if !instance.draining => platform.admission.set_slots(instance.slots),
                 // Nothing new goes to it from here, whatever was on its way.
                 _ => platform.leave_life(),
             }
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -140,9 +140,7 @@
 
     /// Whether an errand for that life is taken now.
     pub fn takes(&self, instance: &InstanceId, now: Moment) -> bool {
-        self.is_here(instance)
-            && !self.health.is_aside(now)
-            && !(self.health.is_on_trial() && self.admission.counts().0 > 0)
+        self.takes_on(instance, now) && !(self.health.is_on_trial() && self.admission.counts().0 > 0)
     }
 
     /// Takes an errand to the endpoint, if it can be run in time.
@@ -183,8 +181,7 @@
             self.bindings.borrow_mut().retain(|(number, _, _)| *number != bound);
         }
         if let Outcome::Answered(answer) = &mut outcome {
-            let length = answer.flow.as_ref().map(|flow| flow.length()).unwrap_or(answer.body.len() as u64);
-            self.way_out.measured(errand.sort, length);
+            self.way_out.measured(errand.sort, answer.length());
             answer.guard = promised.map(|promised| Guard(Box::new(promised)));
         }
         if let Outcome::Answered(Return { flow: Some(flow), .. }) = &mut outcome {
--- a/crates/signalbox/src/ledger/state.rs
+++ b/crates/signalbox/src/ledger/state.rs
@@ -18,29 +18,20 @@
 }
 
 #[derive(BorshSerialize, BorshDeserialize)]
-struct LedgerFrame {
-    fleet: FleetFrame,
+struct LedgerFrame<F> {
+    fleet: F,
     locks: BTreeMap<String, LockRecord>,
     last_fence: u64,
     numbers: BTreeMap<String, u64>,
     groups: BTreeMap<String, CellGroup>,
 }
 
-/// As it stood on disks before there were councils.
-#[derive(BorshDeserialize)]
-struct LedgerFrameBefore {
-    fleet: FleetFrameBefore,
-    locks: BTreeMap<String, LockRecord>,
-    last_fence: u64,
-    numbers: BTreeMap<String, u64>,
-    groups: BTreeMap<String, CellGroup>,
-}
-
-impl LedgerFrame {
+impl LedgerFrame<FleetFrame> {
+    /// Reads it as it is now, or as it stood on disks before there were councils.
     fn read(state: &[u8]) -> borsh::io::Result<Self> {
         Self::try_from_slice(state).or_else(|error| {
-            let before = LedgerFrameBefore::try_from_slice(state).map_err(|_| error)?;
-            let LedgerFrameBefore { fleet, locks, last_fence, numbers, groups } = before;
+            let before = LedgerFrame::<FleetFrameBefore>::try_from_slice(state).map_err(|_| error)?;
+            let LedgerFrame { fleet, locks, last_fence, numbers, groups } = before;
             Ok(Self { fleet: fleet.into(), locks, last_fence, numbers, groups })
         })
     }
--- a/crates/signalbox/src/node/inspection.rs
+++ b/crates/signalbox/src/node/inspection.rs
@@ -110,8 +110,7 @@
     // Of the meant entries only those count whose leaves the proxy spoke of; leaves it left out are equal.
     let all: Vec<u32> = (0..meant.leaves.len() as u32).collect();
     let meant: Vec<_> = routes.entries(&all);
-    let mut drifts = entry_drifts(&meant, &found);
-    drifts.retain(|drift| drift.found.is_some() || !found.is_empty() || drift.meant.is_some());
+    let drifts = entry_drifts(&meant, &found);
     node.inspector.borrow_mut().detailed(&want.node, want.root, drifts);
 }
 
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -83,6 +83,11 @@
         (200..300).contains(&self.status)
     }
 
+    /// How long the whole body is, held or still to flow.
+    pub fn length(&self) -> u64 {
+        self.flow.as_ref().map(|flow| flow.length()).unwrap_or(self.body.len() as u64)
+    }
+
     /// The bytes of the answer; `bodyless` for HEAD.
     pub fn encode(&self, bodyless: bool) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(256 + self.body.len());
@@ -90,8 +95,7 @@
         let _ = write!(bytes, "HTTP/1.1 {} {}\r\n", self.status, reason.unwrap_or("Status"));
         push_headers(&mut bytes, &self.headers);
         if self.status != 204 && self.status != 304 {
-            let length = self.flow.as_ref().map(|flow| flow.length()).unwrap_or(self.body.len() as u64);
-            let _ = write!(bytes, "Content-Length: {length}\r\n");
+            let _ = write!(bytes, "Content-Length: {}\r\n", self.length());
         }
         if self.closes {
             bytes.extend_from_slice(b"Connection: close\r\n");
