--- a/crates/lineside/src/call/answering.rs
+++ b/crates/lineside/src/call/answering.rs
@@ -1,6 +1,6 @@
 //! The answering side.
 
-use super::messages::{Ask, Reply, SiblingMessage};
+use super::messages::{Ask, PeerMessage, Reply};
 use monoio::io::{AsyncWriteRentExt, OwnedWriteHalf, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
@@ -23,43 +23,43 @@
     pumping: Cell<bool>,
 }
 
-/// Accepts siblings for ever.
-pub async fn serve_siblings<A: Answering>(listener: TcpListener, answering: Rc<A>) {
+/// Accepts peers for ever.
+pub async fn serve_peers<A: Answering>(listener: TcpListener, answering: Rc<A>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 stream.prepare();
                 let answering = answering.clone();
-                monoio::spawn(async move { serve_sibling(stream, answering).await });
+                monoio::spawn(async move { serve_peer(stream, answering).await });
             }
             Err(error) => {
-                log::warn!("accepting a sibling failed ({error}): tried again shortly");
+                log::warn!("accepting a peer failed ({error}): tried again shortly");
                 monoio::time::sleep(Duration::from_millis(20)).await;
             }
         }
     }
 }
 
-async fn serve_sibling<A: Answering>(stream: TcpStream, answering: Rc<A>) {
+async fn serve_peer<A: Answering>(stream: TcpStream, answering: Rc<A>) {
     let (read, write) = stream.into_split();
     let outbox = Rc::new(Outbox { write: RefCell::new(Some(write)), ..Outbox::default() });
     let mut reader = FrameReader::new(read);
-    while let Ok(message) = reader.next::<SiblingMessage>().await {
+    while let Ok(message) = reader.next::<PeerMessage>().await {
         match message {
-            SiblingMessage::Zab(bytes) => answering.on_zab(&bytes),
-            SiblingMessage::Ask { number, ask } => {
+            PeerMessage::Zab(bytes) => answering.on_zab(&bytes),
+            PeerMessage::Ask { number, ask } => {
                 let (answering, outbox) = (answering.clone(), outbox.clone());
                 monoio::spawn(async move {
                     let reply = answering.answer(ask).await;
-                    let frame = encode_frame(&SiblingMessage::Reply { number, reply });
+                    let frame = encode_frame(&PeerMessage::Reply { number, reply });
                     outbox.frames.borrow_mut().extend_from_slice(&frame);
                     outbox.pump().await;
                 });
             }
-            SiblingMessage::Release { number, sign, span_micros } => {
+            PeerMessage::Release { number, sign, span_micros } => {
                 answering.on_release(number, sign, Duration::from_micros(span_micros as u64))
             }
-            SiblingMessage::Reply { .. } => return,
+            PeerMessage::Reply { .. } => return,
         }
     }
 }
--- a/crates/lineside/src/call/caller.rs
+++ b/crates/lineside/src/call/caller.rs
@@ -1,6 +1,6 @@
-//! The calling side: one stream for each sibling, dialled when needed.
+//! The calling side: one stream for each peer, dialled when needed.
 
-use super::messages::{Ask, Reply, SiblingMessage};
+use super::messages::{Ask, PeerMessage, Reply};
 use derive_more::{Display, Error};
 use futures_channel::oneshot;
 use monoio::io::{AsyncWriteRentExt, OwnedWriteHalf, Splitable};
@@ -19,9 +19,9 @@
 
 #[derive(Clone, Debug, PartialEq, Display, Error)]
 pub enum CallError {
-    #[display("the sibling could not be reached: the call was not sent, ask another")]
+    #[display("the peer could not be reached: the call was not sent, ask another")]
     NotSent,
-    #[display("the sibling did not answer: the call may have taken effect")]
+    #[display("the peer did not answer: the call may have taken effect")]
     NoReply,
 }
 
@@ -42,7 +42,7 @@
     tally: Rc<Cell<Tally>>,
 }
 
-/// Calls siblings. Invariant: a stream on which a call went unanswered is broken off, so that
+/// Calls peers. Invariant: a stream on which a call went unanswered is broken off, so that
 /// nothing held up in it takes effect later.
 #[derive(Default)]
 pub struct Caller {
@@ -76,7 +76,7 @@
         self.next_number.set(number + 1);
         let (sender, receiver) = oneshot::channel();
         stream.waiting.borrow_mut().insert(number, sender);
-        stream.push(encode_frame(&SiblingMessage::Ask { number, ask }));
+        stream.push(encode_frame(&PeerMessage::Ask { number, ask }));
         (number, receiver)
     }
 
@@ -103,8 +103,8 @@
         Err(CallError::NoReply)
     }
 
-    /// Sends without waiting. What is told to a sibling that can't be reached is lost.
-    pub fn tell(&self, to: SocketAddr, message: &SiblingMessage) {
+    /// Sends without waiting. What is told to a peer that can't be reached is lost.
+    pub fn tell(&self, to: SocketAddr, message: &PeerMessage) {
         let stream = self.stream(to);
         stream.push(encode_frame(message));
         if stream.outbox_bytes.get() > OUTBOX_BYTES {
@@ -170,13 +170,13 @@
             let received = reader.received();
             let mut counted = 0;
             *reading.received.borrow_mut() = received.clone();
-            while let Ok(message) = reader.next::<SiblingMessage>().await {
+            while let Ok(message) = reader.next::<PeerMessage>().await {
                 let mut tally = reading.tally.get();
                 tally.received += 1;
                 tally.received_bytes += received.get() - counted;
                 counted = received.get();
                 reading.tally.set(tally);
-                if let SiblingMessage::Reply { number, reply } = message
+                if let PeerMessage::Reply { number, reply } = message
                     && let Some(sender) = reading.waiting.borrow_mut().remove(&number)
                 {
                     let _ = sender.send(Ok(reply));
--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -142,7 +142,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
-pub enum SiblingMessage {
+pub enum PeerMessage {
     /// A message of Zab, which has its own encoding.
     Zab(Vec<u8>),
     Ask {
--- a/crates/lineside/src/call/mod.rs
+++ b/crates/lineside/src/call/mod.rs
@@ -4,6 +4,6 @@
 mod caller;
 mod messages;
 
-pub use answering::{Answering, serve_siblings};
+pub use answering::{Answering, serve_peers};
 pub use caller::{CallError, Caller};
-pub use messages::{Ask, ControlCall, ControlReturn, Permit, Reply, SiblingMessage};
+pub use messages::{Ask, ControlCall, ControlReturn, PeerMessage, Permit, Reply};
--- a/crates/lineside/src/council/tests.rs
+++ b/crates/lineside/src/council/tests.rs
@@ -120,7 +120,7 @@
             if random.chance(0.6) {
                 lives += 1;
                 nodes[index] = begin(index, lives, now);
-                // Its siblings tell it what the core ordered last.
+                // Its peers tell it what the core ordered last.
                 let known = current.clone();
                 nodes[index].council.take_charter(&known);
             } else {
--- a/crates/lineside/src/gossip/cards.rs
+++ b/crates/lineside/src/gossip/cards.rs
@@ -14,7 +14,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
-pub struct Sibling {
+pub struct Peer {
     pub name: NodeName,
     pub incarnation: Incarnation,
     pub role: Role,
@@ -48,7 +48,7 @@
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Card {
-    pub sibling: Sibling,
+    pub peer: Peer,
     pub standing: Standing,
 }
 
--- a/crates/lineside/src/gossip/mod.rs
+++ b/crates/lineside/src/gossip/mod.rs
@@ -5,5 +5,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use cards::{Card, Datagram, Kind, Occupancy, Role, Sibling, Standing};
+pub use cards::{Card, Datagram, Kind, Occupancy, Peer, Role, Standing};
 pub use roster::{GossipAction, Roster, RosterTiming};
--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -1,6 +1,6 @@
 //! The roster: a pure state machine over datagrams and ticks.
 
-use super::cards::{Card, Datagram, Kind, Occupancy, Role, Sibling, Standing};
+use super::cards::{Card, Datagram, Kind, Occupancy, Peer, Role, Standing};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -43,14 +43,14 @@
         to: SocketAddr,
         datagram: Datagram,
     },
-    /// Datagrams to that sibling stay unanswered: they are the first to be lost where a way is full. It
+    /// Datagrams to that peer stay unanswered: they are the first to be lost where a way is full. It
     /// is to be called over a stream, and vouched for if it answers.
     Knock {
-        sibling: Sibling,
+        peer: Peer,
     },
-    /// That sibling's fleet state is ahead.
+    /// That peer's fleet state is ahead.
     Ahead {
-        sibling: Sibling,
+        peer: Peer,
     },
 }
 
@@ -90,9 +90,9 @@
     rumours: VecDeque<(Card, u32)>,
     /// What the cards of each part come to. Invariant: of all in `known`, and of `me`.
     parts: [u32; PARTS],
-    /// The next moment at which a sibling may be asked for what differs.
+    /// The next moment at which a peer may be asked for what differs.
     next_compare: Moment,
-    /// The next moment at which siblings are told that the fleet moved on, and whether they are to be.
+    /// The next moment at which peers are told that the fleet moved on, and whether they are to be.
     next_tell: Moment,
     to_tell: bool,
     seeds: Vec<SocketAddr>,
@@ -116,16 +116,16 @@
     if card.standing == Standing::Dead {
         return 0;
     }
-    let facts = card.sibling.incarnation.0.wrapping_mul(8).wrapping_add(card.standing as u64 + 1);
-    let mixed = stable_hash(card.sibling.name.as_str()) ^ facts.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let facts = card.peer.incarnation.0.wrapping_mul(8).wrapping_add(card.standing as u64 + 1);
+    let mixed = stable_hash(card.peer.name.as_str()) ^ facts.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (mixed.wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 32) as u32
 }
 
 impl Roster {
-    pub fn new(me: Sibling, seeds: Vec<SocketAddr>, timing: RosterTiming, random: Random, now: Moment) -> Self {
-        let me = Card { sibling: me, standing: Standing::Alive };
+    pub fn new(me: Peer, seeds: Vec<SocketAddr>, timing: RosterTiming, random: Random, now: Moment) -> Self {
+        let me = Card { peer: me, standing: Standing::Alive };
         let mut parts = [0; PARTS];
-        parts[part_of(&me.sibling.name)] ^= worth_of(&me);
+        parts[part_of(&me.peer.name)] ^= worth_of(&me);
         Self {
             me,
             fleet: Zxid::ZERO,
@@ -171,8 +171,8 @@
     pub fn is_leaving(&self) -> bool {
         self.me.standing == Standing::Leaving
     }
-    pub fn me(&self) -> &Sibling {
-        &self.me.sibling
+    pub fn me(&self) -> &Peer {
+        &self.me.peer
     }
     /// Every node heard of and not yet forgotten, the dead among them.
     pub fn cards(&self) -> impl Iterator<Item = &Card> {
@@ -182,16 +182,16 @@
         self.known.get(name).map(|known| known.card.standing)
     }
     pub fn address_of(&self, name: &NodeName) -> Option<SocketAddr> {
-        self.known.get(name).map(|known| known.card.sibling.address)
+        self.known.get(name).map(|known| known.card.peer.address)
     }
     pub fn occupancy_of(&self, name: &NodeName) -> Option<&(Occupancy, Moment)> {
         self.known.get(name)?.occupancy.as_ref()
     }
-    pub fn alive(&self, role: Role) -> impl Iterator<Item = &Sibling> {
+    pub fn alive(&self, role: Role) -> impl Iterator<Item = &Peer> {
         self.known
             .values()
-            .filter(move |known| known.card.sibling.role == role && known.card.standing <= Standing::Suspect)
-            .map(|known| &known.card.sibling)
+            .filter(move |known| known.card.peer.role == role && known.card.standing <= Standing::Suspect)
+            .map(|known| &known.card.peer)
     }
 
     /// The own fleet state moved on: a few are told, at once or together with what follows right after.
@@ -233,7 +233,7 @@
             .known
             .values()
             .filter(|known| known.card.standing != Standing::Dead)
-            .map(|known| known.card.sibling.address)
+            .map(|known| known.card.peer.address)
             .collect();
         for to in targets {
             self.ping(to);
@@ -246,7 +246,7 @@
             .known
             .values()
             .filter(|known| known.card.standing <= Standing::Leaving)
-            .map(|known| known.card.sibling.address)
+            .map(|known| known.card.peer.address)
             .collect();
         self.random.shuffle(&mut targets);
         for to in targets.into_iter().take(FANOUT) {
@@ -263,7 +263,7 @@
     fn change_me(&mut self, change: impl FnOnce(&mut Card)) {
         let before = worth_of(&self.me);
         change(&mut self.me);
-        self.parts[part_of(&self.me.sibling.name)] ^= before ^ worth_of(&self.me);
+        self.parts[part_of(&self.me.peer.name)] ^= before ^ worth_of(&self.me);
     }
 
     fn datagram(&mut self, kind: Kind) -> Datagram {
@@ -300,35 +300,35 @@
     }
 
     fn spread(&mut self, card: Card) {
-        self.rumours.retain(|(rumour, _)| rumour.sibling.name != card.sibling.name);
+        self.rumours.retain(|(rumour, _)| rumour.peer.name != card.peer.name);
         let times = 3 + (usize::BITS - self.known.len().leading_zeros());
         self.rumours.push_front((card, times));
     }
 
     /// Weighs a card against what is known. Returns true when it was news.
     fn learn(&mut self, card: Card, now: Moment) -> bool {
-        if card.sibling.name == self.me.sibling.name {
-            let own = self.me.sibling.incarnation;
-            let heard = (card.sibling.incarnation, card.standing);
+        if card.peer.name == self.me.peer.name {
+            let own = self.me.peer.incarnation;
+            let heard = (card.peer.incarnation, card.standing);
             if heard > (own, self.me.standing) {
                 // Somebody holds an earlier life, or a false report: this life speaks up.
-                let next = Incarnation(card.sibling.incarnation.0.max(own.0) + 1);
-                self.change_me(|me| me.sibling.incarnation = next);
+                let next = Incarnation(card.peer.incarnation.0.max(own.0) + 1);
+                self.change_me(|me| me.peer.incarnation = next);
                 let me = self.me.clone();
                 self.spread(me);
             }
             return false;
         }
-        let name = card.sibling.name.clone();
+        let name = card.peer.name.clone();
         if let Some(known) = self.known.get_mut(&name) {
-            let before = (known.card.sibling.incarnation, known.card.standing);
-            if (card.sibling.incarnation, card.standing) <= before {
+            let before = (known.card.peer.incarnation, known.card.standing);
+            if (card.peer.incarnation, card.standing) <= before {
                 return false;
             }
             if known.card.standing != card.standing {
                 known.since = now;
             }
-            if known.card.sibling.incarnation != card.sibling.incarnation {
+            if known.card.peer.incarnation != card.peer.incarnation {
                 known.occupancy = None;
             }
             self.parts[part_of(&name)] ^= worth_of(&known.card) ^ worth_of(&card);
@@ -352,18 +352,18 @@
 
     pub fn receive(&mut self, from: SocketAddr, datagram: Datagram, now: Moment) -> Vec<GossipAction> {
         let Datagram { from: card, fleet, configuration, roster, occupancy, kind, news } = datagram;
-        if card.sibling.name == self.me.sibling.name {
+        if card.peer.name == self.me.peer.name {
             return Vec::new();
         }
-        let name = card.sibling.name.clone();
+        let name = card.peer.name.clone();
         self.learn(card.clone(), now);
         if let Some(known) = self.known.get_mut(&name) {
             known.heard = now;
-            if known.card.sibling.incarnation == card.sibling.incarnation {
+            if known.card.peer.incarnation == card.peer.incarnation {
                 known.occupancy = occupancy.map(|occupancy| (occupancy, now));
                 known.told = (fleet, configuration);
             }
-            if (known.card.sibling.incarnation, known.card.standing) > (card.sibling.incarnation, card.standing) {
+            if (known.card.peer.incarnation, known.card.standing) > (card.peer.incarnation, card.standing) {
                 // It doesn't know what is said of it.
                 let report = known.card.clone();
                 self.rumours.push_front((report, 1));
@@ -373,7 +373,7 @@
             self.learn(card, now);
         }
         if fleet > self.fleet {
-            self.actions.push(GossipAction::Ahead { sibling: card.sibling.clone() });
+            self.actions.push(GossipAction::Ahead { peer: card.peer.clone() });
         }
         let differs = roster != self.digest();
         let answers = matches!(kind, Kind::Cards | Kind::Compare { .. });
@@ -401,7 +401,7 @@
             Kind::Cards => {}
         }
         if differs && !answers && now >= self.next_compare {
-            // One at a time: a roster takes the same whether few or many siblings differ.
+            // One at a time: a roster takes the same whether few or many peers differ.
             self.next_compare = now + self.timing.probe;
             let parts = self.parts.to_vec();
             self.send(from, Kind::Compare { parts });
@@ -416,7 +416,7 @@
             theirs.get(part) != Some(&self.parts[part])
         };
         let known = self.known.values().map(|known| &known.card);
-        let cards: Vec<Card> = known.filter(|card| differs(&card.sibling.name)).cloned().collect();
+        let cards: Vec<Card> = known.filter(|card| differs(&card.peer.name)).cloned().collect();
         for chunk in cards.chunks(CARDS_IN_A_DATAGRAM) {
             let datagram = Datagram {
                 from: self.me.clone(),
@@ -442,10 +442,10 @@
                 .known
                 .values()
                 .filter(|known| known.card.standing == Standing::Alive)
-                .map(|known| known.card.sibling.address)
+                .map(|known| known.card.peer.address)
                 .collect();
             for seed in self.seeds.clone() {
-                if seed != self.me.sibling.address && !known.contains(&seed) {
+                if seed != self.me.peer.address && !known.contains(&seed) {
                     self.ping(seed);
                 }
             }
@@ -461,7 +461,7 @@
         for _ in 0..self.turn.len() {
             let Some(name) = self.turn.pop_front() else { return };
             let Some(known) = self.known.get(&name) else { continue };
-            let (address, standing) = (known.card.sibling.address, known.card.standing);
+            let (address, standing) = (known.card.peer.address, known.card.standing);
             let dead = standing == Standing::Dead;
             self.turn.push_back(name.clone());
             // The dead are asked now and then: what was cut off comes back.
@@ -496,15 +496,15 @@
                 let mut others: Vec<SocketAddr> = self
                     .known
                     .values()
-                    .filter(|other| other.card.standing == Standing::Alive && other.card.sibling.name != probe.name)
-                    .map(|other| other.card.sibling.address)
+                    .filter(|other| other.card.standing == Standing::Alive && other.card.peer.name != probe.name)
+                    .map(|other| other.card.peer.address)
                     .collect();
                 self.random.shuffle(&mut others);
                 for other in others.into_iter().take(2) {
-                    self.send(other, Kind::SecondOpinion { number: probe.number, about: card.sibling.address });
+                    self.send(other, Kind::SecondOpinion { number: probe.number, about: card.peer.address });
                 }
-                self.send(card.sibling.address, Kind::Ping { number: probe.number });
-                self.actions.push(GossipAction::Knock { sibling: card.sibling.clone() });
+                self.send(card.peer.address, Kind::Ping { number: probe.number });
+                self.actions.push(GossipAction::Knock { peer: card.peer.clone() });
             }
             if now.since(probe.at) < self.timing.patience * 3 {
                 return true;
@@ -521,7 +521,7 @@
 
     /// Tells a node what is said of it, so that it can speak up.
     fn confront(&mut self, accusation: Card) {
-        let to = accusation.sibling.address;
+        let to = accusation.peer.address;
         self.rumours.push_front((accusation, 1));
         self.ping(to);
     }
@@ -538,12 +538,12 @@
                 Standing::Suspect if silent >= suspicion && known.heard <= known.since => due.push(known.card.clone()),
                 Standing::Suspect if silent >= suspicion => confronted.push(known.card.clone()),
                 Standing::Leaving if silent >= self.timing.memory => due.push(known.card.clone()),
-                Standing::Dead if silent >= self.timing.memory => forgotten.push(known.card.sibling.name.clone()),
+                Standing::Dead if silent >= self.timing.memory => forgotten.push(known.card.peer.name.clone()),
                 _ => {}
             }
         }
         for card in confronted {
-            if let Some(known) = self.known.get_mut(&card.sibling.name) {
+            if let Some(known) = self.known.get_mut(&card.peer.name) {
                 known.since = now;
             }
             self.confront(card);
--- a/crates/lineside/src/gossip/tests.rs
+++ b/crates/lineside/src/gossip/tests.rs
@@ -23,8 +23,8 @@
     ([10, 0, (index >> 8) as u8, index as u8], 7000).into()
 }
 
-fn sibling(index: u16) -> Sibling {
-    Sibling {
+fn peer(index: u16) -> Peer {
+    Peer {
         name: NodeName::new(&format!("n{index}")),
         incarnation: Incarnation(1),
         role: if index < 3 { Role::Core } else { Role::Beside },
@@ -55,7 +55,7 @@
     fn begin(&mut self, index: u16) {
         let seeds = (0..3).map(address).collect();
         let random = Random::seeded(self.random.draw());
-        let roster = Roster::new(sibling(index), seeds, RosterTiming::default(), random, self.now);
+        let roster = Roster::new(peer(index), seeds, RosterTiming::default(), random, self.now);
         self.rosters.insert(address(index), roster);
         self.fleet.insert(address(index), Zxid::ZERO);
     }
@@ -71,14 +71,14 @@
                         self.flying.push((due, at, to, datagram));
                     }
                 }
-                GossipAction::Knock { sibling } => {
-                    if !self.silenced.contains(&at) && !self.silenced.contains(&sibling.address) {
+                GossipAction::Knock { peer } => {
+                    if !self.silenced.contains(&at) && !self.silenced.contains(&peer.address) {
                         let now = self.now;
-                        self.rosters.get_mut(&at).unwrap().vouch(&sibling.name, now);
+                        self.rosters.get_mut(&at).unwrap().vouch(&peer.name, now);
                     }
                 }
-                GossipAction::Ahead { sibling } => {
-                    let ahead = self.fleet[&sibling.address];
+                GossipAction::Ahead { peer } => {
+                    let ahead = self.fleet[&peer.address];
                     if ahead > self.fleet[&at] {
                         self.move_on(at, ahead);
                     }
@@ -124,7 +124,7 @@
     }
 
     fn seen_by_all(&self, index: u16, standing: Standing) -> bool {
-        let name = sibling(index).name;
+        let name = peer(index).name;
         self.rosters
             .iter()
             .filter(|(at, _)| **at != address(index) && !self.silenced.contains(*at))
@@ -171,7 +171,7 @@
     let (calm, _) = fleet.sent;
     let per = |sent: usize, seconds: f64| sent as f64 / seconds / count as f64;
     for index in 0..count {
-        let name = sibling(index).name;
+        let name = peer(index).name;
         let others = fleet.rosters.iter().filter(|(at, _)| **at != address(index));
         let there = others.filter(|(_, roster)| roster.standing(&name).is_some_and(|is| is <= Standing::Suspect));
         assert_eq!(there.count(), count as usize - 1, "{count} nodes: n{index} is known to all");
@@ -184,7 +184,7 @@
     let (small_calm, ..) = traffic(10);
     let (large_calm, large_met, cards_each) = traffic(240);
     assert!(large_calm < small_calm * 1.3, "calm: {small_calm} and {large_calm} datagrams a node and second");
-    // Meeting costs what the roster's length comes to, a few times over, and not once for each sibling.
+    // Meeting costs what the roster's length comes to, a few times over, and not once for each peer.
     assert!(large_met < 40.0, "meeting: {large_met} datagrams a node and second");
     assert!(cards_each < 3.0, "meeting: each card told {cards_each} times a node and second");
 }
--- a/crates/lineside/src/inspection/messages.rs
+++ b/crates/lineside/src/inspection/messages.rs
@@ -11,7 +11,7 @@
     pub node: NodeName,
     /// One life of its process.
     pub life: u64,
-    /// Where it answers siblings.
+    /// Where it answers peers.
     pub address: SocketAddr,
     pub epoch: ConfigEpoch,
     pub root: u64,
--- a/crates/pointsman/src/dispatch/binding.rs
+++ b/crates/pointsman/src/dispatch/binding.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Whether a node takes what a sibling passes on: by the sibling's word and by its own view.
+    /// Whether a node takes what a peer passes on: by the peer's word and by its own view.
     pub fn admits(&self, own: &Binding, region: &RegionName) -> bool {
         self.permits(Some(region)) && own.permits(Some(region))
     }
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -46,7 +46,7 @@
 
 fn budget(node: &Pointsman) -> BudgetBounds {
     let config = node.live.get();
-    let beside = node.roster.borrow().cards().filter(|card| card.sibling.role != lineside::gossip::Role::Core).count();
+    let beside = node.roster.borrow().cards().filter(|card| card.peer.role != lineside::gossip::Role::Core).count();
     // While the core is away, never more than it would have allotted, nor than the coordinator does.
     let ordered = node.book.borrow().in_force().map(|order| order.nodes).unwrap_or(0);
     BudgetBounds {
@@ -72,7 +72,7 @@
         }
     } else {
         match node.mode {
-            Mode::Beside => remote::deliver(&node.siblings, &node.pacer, candidate.beside, errand).await,
+            Mode::Beside => remote::deliver(&node.peers, &node.pacer, candidate.beside, errand).await,
             Mode::Gateway => direct::deliver(node, candidate, route, errand).await,
         }
     };
@@ -110,7 +110,7 @@
 }
 
 /// Where the node that was asked takes calls.
-fn sibling_of(node: &Pointsman, candidate: &Candidate) -> Option<std::net::SocketAddr> {
+fn peer_of(node: &Pointsman, candidate: &Candidate) -> Option<std::net::SocketAddr> {
     node.roster.borrow().address_of(&candidate.node)
 }
 
@@ -208,8 +208,8 @@
                 if stale > STALE_AT_MOST {
                     break;
                 }
-                if let Some(sibling) = sibling_of(node, &candidate) {
-                    learn::catch_up(node, sibling).await;
+                if let Some(peer) = peer_of(node, &candidate) {
+                    learn::catch_up(node, peer).await;
                 }
                 let routes = node.fleet.borrow().routes().cloned();
                 match Plan::make(&errand.inquiry, routes.as_ref(), now) {
--- a/crates/pointsman/src/dispatch/direct.rs
+++ b/crates/pointsman/src/dispatch/direct.rs
@@ -5,7 +5,7 @@
 use super::errand::{Errand, GoResult, Outcome, Passed, gone};
 use crate::node::Pointsman;
 use crate::platform::{Sign, at_endpoint, sign_of, word_of_sign};
-use lineside::call::{Ask, Permit, Reply, SiblingMessage};
+use lineside::call::{Ask, PeerMessage, Permit, Reply};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,7 +29,7 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let release = SiblingMessage::Release {
+        let release = PeerMessage::Release {
             number: self.number,
             sign: word_of_sign(self.sign),
             span_micros: self.span.as_micros().min(u32::MAX as u128) as u32,
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -31,7 +31,7 @@
 pub const LINE_HEADERS: [&str; 10] =
     [PLANNED, REPEATS, PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
 
-/// Reads what a sibling node passes on.
+/// Reads what a peer node passes on.
 pub fn read_errand(inquiry: Inquiry, sort: u64, now: Moment) -> Option<Errand> {
     let millis = |name: &str| inquiry.header(name).and_then(|text| text.parse::<u64>().ok()).map(Duration::from_millis);
     let attempt = inquiry.header(ATTEMPT)?.to_owned();
@@ -74,7 +74,7 @@
     }
 }
 
-/// A go's result as an answer to a sibling node.
+/// A go's result as an answer to a peer node.
 pub fn write_outcome(result: GoResult, attempt: &str) -> Return {
     let word = word_of(&result.outcome);
     let free_in = match &result.outcome {
@@ -102,7 +102,7 @@
     }
 }
 
-/// The result that a sibling's answer tells of; nothing when it tells of none.
+/// The result that a peer's answer tells of; nothing when it tells of none.
 pub fn read_outcome(mut answer: Return, attempt: &str) -> Option<GoResult> {
     let header = |name: &str| trackbed::http::single(&answer.headers, name);
     if header(ATTEMPT) != Some(attempt) {
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -12,9 +12,9 @@
 use trackbed::http::{Line, Pacer, Return, ReturnError, write_inquiry};
 use trackbed::net::connect;
 
-/// How long a sibling may take to accept a connection.
+/// How long a peer may take to accept a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
-/// How long past the horizon the sibling's own word is waited for.
+/// How long past the horizon the peer's own word is waited for.
 const LAST_WORD: Duration = Duration::from_millis(25);
 /// Longest body held.
 pub const BODY_LIMIT: u64 = 64 << 20;
@@ -84,13 +84,13 @@
                     if let Some(line) = line {
                         line.break_off();
                     }
-                    GoResult::only(Outcome::Failed("the sibling's answer belongs to another request"))
+                    GoResult::only(Outcome::Failed("the peer's answer belongs to another request"))
                 }
             }
         }
         Ok(Err(_)) => {
             pool.clear(beside);
-            GoResult::only(Outcome::Failed("the sibling's connection broke off"))
+            GoResult::only(Outcome::Failed("the peer's connection broke off"))
         }
         // The line went with the exchange, and is closed.
         Err(_) => GoResult::only(Outcome::OverHorizon),
--- a/crates/pointsman/src/node/coordination.rs
+++ b/crates/pointsman/src/node/coordination.rs
@@ -4,7 +4,7 @@
 use super::Pointsman;
 use lineside::call::{Ask, Reply};
 use lineside::council::{CouncilAction, Fact, Fence, Order};
-use lineside::gossip::{Role, Sibling, Standing};
+use lineside::gossip::{Peer, Role, Standing};
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::rc::Rc;
@@ -95,25 +95,25 @@
     }
 }
 
-fn region(node: &Pointsman) -> Vec<(Sibling, Standing)> {
+fn region(node: &Pointsman) -> Vec<(Peer, Standing)> {
     let own = node.live.get().region.clone();
     let roster = node.roster.borrow();
-    let there = roster.cards().filter(|card| card.sibling.role != Role::Core && card.sibling.region == own);
-    there.map(|card| (card.sibling.clone(), card.standing)).collect()
+    let there = roster.cards().filter(|card| card.peer.role != Role::Core && card.peer.region == own);
+    there.map(|card| (card.peer.clone(), card.standing)).collect()
 }
 
 fn give_order(node: &Rc<Pointsman>, fence: Fence, now: Moment) {
     let coordination = &node.coordination;
     coordination.sequence.set(coordination.sequence.get() + 1);
-    let siblings = region(node);
-    let gone = siblings.iter().filter(|(_, standing)| *standing >= Standing::Leaving);
+    let peers = region(node);
+    let gone = peers.iter().filter(|(_, standing)| *standing >= Standing::Leaving);
     let facts = coordination.facts.borrow();
     let order = Order {
         fence,
         sequence: coordination.sequence.get(),
         coordinator: node.live.get().node_name.clone(),
-        gone: gone.map(|(sibling, _)| sibling.name.clone()).collect(),
-        nodes: siblings.len() as u32 + 1,
+        gone: gone.map(|(peer, _)| peer.name.clone()).collect(),
+        nodes: peers.len() as u32 + 1,
         seen: facts
             .iter()
             .filter_map(|fact| if let Fact::Seen(seen) = fact { Some(seen.clone()) } else { None })
@@ -125,10 +125,10 @@
     };
     drop(facts);
     let _ = take_order(node, order.clone(), now);
-    for (sibling, _) in siblings.into_iter().filter(|(_, standing)| *standing <= Standing::Suspect) {
+    for (peer, _) in peers.into_iter().filter(|(_, standing)| *standing <= Standing::Suspect) {
         let (node, order) = (node.clone(), order.clone());
         monoio::spawn(async move {
-            let _ = node.caller.call_lightly(sibling.address, Ask::Order(order), CALL_LIMIT).await;
+            let _ = node.caller.call_lightly(peer.address, Ask::Order(order), CALL_LIMIT).await;
         });
     }
 }
--- a/crates/pointsman/src/node/core_calls.rs
+++ b/crates/pointsman/src/node/core_calls.rs
@@ -15,7 +15,7 @@
     let config = node.live.get();
     let roster = node.roster.borrow();
     let mut alive: Vec<(bool, SocketAddr)> =
-        roster.alive(Role::Core).map(|sibling| (sibling.zone != config.zone, sibling.address)).collect();
+        roster.alive(Role::Core).map(|peer| (peer.zone != config.zone, peer.address)).collect();
     alive.sort();
     let mut cores: Vec<SocketAddr> = alive.into_iter().map(|(_, address)| address).collect();
     for seed in &config.seeds {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -1,4 +1,4 @@
-//! The doors: requesters and the endpoint's own calls, sibling nodes, and the platform's probes.
+//! The doors: requesters and the endpoint's own calls, peer nodes, and the platform's probes.
 
 use super::{Pointsman, coordination, tenancy};
 use crate::dispatch::{self, Binding, PLANNED, Plan, Unplanned, gone, read_errand, write_outcome};
@@ -11,7 +11,7 @@
 
 /// Requests begin here.
 pub struct OutboundDoor(pub Rc<Pointsman>);
-/// Sibling nodes pass requests on here.
+/// Peer nodes pass requests on here.
 pub struct InboundDoor(pub Rc<Pointsman>);
 pub struct ReadinessDoor(pub Rc<Pointsman>);
 
@@ -101,7 +101,7 @@
         let contradicted = route_contradicts(&self.0, &inquiry, routes.as_deref(), route.as_deref());
         let own = routes.as_deref().map(|routes| Binding::of(&inquiry, routes)).unwrap_or(Ok(Binding::default()));
         let Some(mut errand) = read_errand(inquiry, sort, clock::now()) else {
-            return Some(Return::text(400, "only sibling nodes pass requests on here").closing());
+            return Some(Return::text(400, "only peer nodes pass requests on here").closing());
         };
         if contradicted {
             return Some(write_outcome(dispatch::stale(), &errand.attempt));
@@ -120,7 +120,7 @@
     }
 }
 
-/// Whether this node's table contradicts the route by which a sibling planned a request. Where both are of
+/// Whether this node's table contradicts the route by which a peer planned a request. Where both are of
 /// the same epoch one of the two is wrong: both tell the core at once, and the core's word counts.
 fn route_contradicts(node: &Pointsman, inquiry: &Inquiry, routes: Option<&Routes>, route: Option<&Route>) -> bool {
     let planned = inquiry.header(PLANNED).and_then(PlannedBy::read);
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -4,7 +4,7 @@
 use crate::platform::{Life, sign_of_word};
 use borsh::BorshDeserialize;
 use lineside::call::{Answering, Ask, Reply};
-use lineside::gossip::{Datagram, GossipAction, Role, Sibling};
+use lineside::gossip::{Datagram, GossipAction, Peer, Role};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,11 +73,11 @@
     }
 }
 
-/// Fetches what a sibling has and this node lacks, and waits for it a moment.
-pub async fn catch_up(node: &Rc<Pointsman>, sibling: SocketAddr) {
+/// Fetches what a peer has and this node lacks, and waits for it a moment.
+pub async fn catch_up(node: &Rc<Pointsman>, peer: SocketAddr) {
     let since = node.fleet.borrow().zxid();
     let ask = Ask::News { since, assured: false };
-    if let Ok(Reply::News { news, .. }) = node.caller.call_lightly(sibling, ask, CATCH_UP).await {
+    if let Ok(Reply::News { news, .. }) = node.caller.call_lightly(peer, ask, CATCH_UP).await {
         take(node, since, news);
     }
 }
@@ -136,8 +136,8 @@
     }
 }
 
-/// Fetches what a sibling has and this node lacks.
-fn fetch(node: &Rc<Pointsman>, sibling: Sibling) {
+/// Fetches what a peer has and this node lacks.
+fn fetch(node: &Rc<Pointsman>, peer: Peer) {
     if node.fetching.replace(true) {
         return;
     }
@@ -145,7 +145,7 @@
     monoio::spawn(async move {
         let since = node.fleet.borrow().zxid();
         let ask = Ask::News { since, assured: false };
-        let reply = node.caller.call_for_much(sibling.address, ask, Duration::from_millis(400)).await;
+        let reply = node.caller.call_for_much(peer.address, ask, Duration::from_millis(400)).await;
         node.fetching.set(false);
         if let Ok(Reply::News { news, .. }) = reply {
             take(&node, since, news);
@@ -153,12 +153,12 @@
     });
 }
 
-/// Asks a sibling that datagrams don't reach over a stream.
-fn knock(node: &Rc<Pointsman>, sibling: Sibling) {
+/// Asks a peer that datagrams don't reach over a stream.
+fn knock(node: &Rc<Pointsman>, peer: Peer) {
     let node = node.clone();
     monoio::spawn(async move {
-        if node.caller.call(sibling.address, Ask::Knock, KNOCK_LIMIT).await == Ok(Reply::Done) {
-            node.roster.borrow_mut().vouch(&sibling.name, clock::now());
+        if node.caller.call(peer.address, Ask::Knock, KNOCK_LIMIT).await == Ok(Reply::Done) {
+            node.roster.borrow_mut().vouch(&peer.name, clock::now());
         }
     });
 }
@@ -185,24 +185,24 @@
                 let bytes = borsh::to_vec(&datagram).expect("writing to memory can't fail");
                 node.datagrams.send(&bytes, to);
             }
-            GossipAction::Ahead { sibling } => fetch(node, sibling),
-            GossipAction::Knock { sibling } => knock(node, sibling),
+            GossipAction::Ahead { peer } => fetch(node, peer),
+            GossipAction::Knock { peer } => knock(node, peer),
         }
     }
 }
 
-/// Asks a sibling of this zone now and then whether there is news. Datagrams are the first to be lost
+/// Asks a peer of this zone now and then whether there is news. Datagrams are the first to be lost
 /// where a way is full, and a node that none reaches must not stay behind.
 pub async fn pull(node: Rc<Pointsman>) {
     loop {
         monoio::time::sleep(PULL_EVERY).await;
-        let sibling = {
+        let peer = {
             let roster = node.roster.borrow();
             let zone = node.live.get().zone.clone();
-            let near: Vec<&Sibling> = [Role::Core, node.mode.role()]
+            let near: Vec<&Peer> = [Role::Core, node.mode.role()]
                 .into_iter()
                 .flat_map(|role| roster.alive(role))
-                .filter(|sibling| sibling.zone == zone)
+                .filter(|peer| peer.zone == zone)
                 .collect();
             let any = |role| roster.alive(role).next().cloned();
             match near.len() {
@@ -210,8 +210,8 @@
                 count => Some(near[node.random.borrow_mut().below(count as u64) as usize].clone()),
             }
         };
-        if let Some(sibling) = sibling {
-            fetch(&node, sibling);
+        if let Some(peer) = peer {
+            fetch(&node, peer);
         }
     }
 }
@@ -230,7 +230,7 @@
                 roster.set_seeds(
                     config.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), config.core_port())).collect(),
                 );
-                node.siblings.tidy(now);
+                node.peers.tidy(now);
                 node.homes.tidy(&config.node_name, now);
                 node.lines.tidy(now);
             }
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -63,7 +63,7 @@
     pub balance: RefCell<Balance>,
     pub budgets: RefCell<Budgets>,
     /// Lines to the nodes beside other endpoints.
-    pub siblings: Pool,
+    pub peers: Pool,
     /// Measured size of answers, by route.
     pub sizes: RefCell<HashMap<u64, f64>>,
     pub tenants: RefCell<BTreeMap<String, TenantCounts>>,
--- a/crates/pointsman/src/node/mode.rs
+++ b/crates/pointsman/src/node/mode.rs
@@ -33,7 +33,7 @@
         match mode {
             Self::Beside => {
                 require("listen_addresses.outbound", listen.outbound, "an address to take requests at")?;
-                require("listen_addresses.inbound", listen.inbound, "an address for sibling nodes")?;
+                require("listen_addresses.inbound", listen.inbound, "an address for peer nodes")?;
                 require("listen_addresses.control_plane", listen.control_plane, "an address for the endpoint's beats")?;
             }
             Self::Gateway => {
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -5,9 +5,9 @@
 use super::{Mode, NodeError, Pointsman, RoutesCheck, learn, routes_check};
 use crate::dispatch::{Balance, Budgets, Pool};
 use crate::platform::{BeatsDoor, Homes, Lines, Permits, Platform};
-use lineside::call::{Caller, serve_siblings};
+use lineside::call::{Caller, serve_peers};
 use lineside::council::{Council, CouncilTiming};
-use lineside::gossip::{Roster, RosterTiming, Sibling};
+use lineside::gossip::{Peer, Roster, RosterTiming};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,7 +32,7 @@
     let mode = Mode::of(&config)?;
     let now = clock::now();
     let address = SocketAddr::new(config.ip_address, config.beside_port());
-    let sibling = Sibling {
+    let peer = Peer {
         name: config.node_name.clone(),
         incarnation: Incarnation(1),
         role: mode.role(),
@@ -41,7 +41,7 @@
         region: config.region.clone(),
     };
     let seeds = config.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), config.core_port())).collect();
-    let roster = Roster::new(sibling, seeds, RosterTiming::default(), Random::from_system(), now);
+    let roster = Roster::new(peer, seeds, RosterTiming::default(), Random::from_system(), now);
     let mut outcome = Ok(());
     kernel::run(async {
         outcome = async {
@@ -71,7 +71,7 @@
                 pacer: Pacer::default(),
                 balance: RefCell::new(Balance::default()),
                 budgets: RefCell::new(Budgets::new(now)),
-                siblings: Pool::default(),
+                peers: Pool::default(),
                 sizes: RefCell::default(),
                 tenants: RefCell::default(),
                 random: RefCell::new(Random::from_system()),
@@ -81,7 +81,7 @@
             });
             node.platform.link.set(config.limits.link_bytes);
             node.pacer.set_link(config.limits.link_bytes);
-            monoio::spawn(serve_siblings(bind_tcp(address)?, node.clone()));
+            monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
             let doors = open_doors(&node, &config)?;
             monoio::spawn(learn::listen(node.clone()));
             monoio::spawn(learn::keep_time(node.clone()));
@@ -108,7 +108,7 @@
 fn open_doors(node: &Rc<Pointsman>, config: &LocalConfig) -> Result<Doors, NodeError> {
     let wanted = "an address to listen at";
     let find = |field: &str, address| LocalConfig::require(field, address, wanted);
-    // 200 descriptors are kept back, and as many for lines to siblings and the endpoint.
+    // 200 descriptors are kept back, and as many for lines to peers and the endpoint.
     let most = (config.limits.file_descriptors as usize).saturating_sub(500).max(64);
     open(find("listen_addresses.readiness", config.listen.readiness)?, 32, ReadinessDoor(node.clone()))?;
     let outbound = match node.mode {
@@ -119,7 +119,7 @@
         }
         Mode::Gateway => find("listen_addresses.frontend", config.listen.frontend)?,
     };
-    // What siblings pass on comes only to nodes beside an endpoint.
+    // What peers pass on comes only to nodes beside an endpoint.
     let inbound = match (node.mode, config.listen.inbound) {
         (Mode::Beside, Some(inbound)) => open(inbound, most / 3, InboundDoor(node.clone()))?,
         _ => Rc::default(),
@@ -135,7 +135,7 @@
     node.leaving.set(true);
     let actions = node.roster.borrow_mut().leave();
     learn::gossip(node, actions);
-    // The siblings are told before the endpoint's door closes to new errands.
+    // The peers are told before the endpoint's door closes to new errands.
     monoio::time::sleep(Duration::from_millis(250).min(grace / 10)).await;
     node.seat_endpoints();
     // At a gateway the endpoints have other homes by now; what still comes for them is served.
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Gate {
     pub name: NodeName,
-    /// Where siblings call it.
+    /// Where peers call it.
     pub address: SocketAddr,
     pub zone: ZoneName,
 }
@@ -139,12 +139,12 @@
         };
         let mut gates: Vec<Rc<Gate>> = roster
             .cards()
-            .filter(|card| card.sibling.role == Role::Gate)
+            .filter(|card| card.peer.role == Role::Gate)
             .filter(|card| match gone {
-                Some(gone) => !gone.contains(&card.sibling.name),
+                Some(gone) => !gone.contains(&card.peer.name),
                 None => card.standing == Standing::Alive,
             })
-            .map(|card| gate(&card.sibling.name, card.sibling.address, &card.sibling.zone))
+            .map(|card| gate(&card.peer.name, card.peer.address, &card.peer.zone))
             .collect();
         if !roster.is_leaving() {
             gates.push(gate(&me.name, me.address, &me.zone));
@@ -194,7 +194,7 @@
         self.by_service.borrow().get(service).cloned()
     }
 
-    /// The platform of a life. A sibling that passes something on for a life held elsewhere sees another
+    /// The platform of a life. A peer that passes something on for a life held elsewhere sees another
     /// roster, or could not reach the home: it is served here meanwhile.
     pub fn platform(&self, id: &InstanceId, fleet: &FleetState, now: Moment) -> Option<Rc<Platform>> {
         if let Some((platform, held)) = self.platforms.borrow_mut().get_mut(id) {
--- a/crates/signalbox/src/node/councils.rs
+++ b/crates/signalbox/src/node/councils.rs
@@ -67,11 +67,11 @@
         node.inspector.borrow().fresh(now).map(|report| (report.node.clone(), report.clone())).collect();
     let mut sitters: BTreeMap<RegionName, Vec<Sitter>> = BTreeMap::new();
     let roster = node.roster.borrow();
-    for card in roster.cards().filter(|card| card.sibling.role != Role::Core && card.standing == Standing::Alive) {
-        if let Some(report) = reports.get(&card.sibling.name) {
+    for card in roster.cards().filter(|card| card.peer.role != Role::Core && card.standing == Standing::Alive) {
+        if let Some(report) = reports.get(&card.peer.name) {
             let member = Member { node: report.node.clone(), life: report.life, address: report.address };
-            let sitter = Sitter { member, zone: card.sibling.zone.clone(), fleet: report.fleet };
-            sitters.entry(card.sibling.region.clone()).or_default().push(sitter);
+            let sitter = Sitter { member, zone: card.peer.zone.clone(), fleet: report.fleet };
+            sitters.entry(card.peer.region.clone()).or_default().push(sitter);
         }
     }
     sitters
--- a/crates/signalbox/src/node/fleet_view.rs
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -38,17 +38,17 @@
         format!("{{\"member\":\"{}\",\"address\":\"{}\",\"asked\":{own}}}", voter.id, voter.address)
     }));
     let nodes = list(roster.cards().map(|card| {
-        let sibling = &card.sibling;
-        let (zxid, epoch) = roster.told_by(&sibling.name).unwrap_or_default();
+        let peer = &card.peer;
+        let (zxid, epoch) = roster.told_by(&peer.name).unwrap_or_default();
         format!(
             "{{\"node_name\":\"{}\",\"incarnation\":{},\"role\":\"{}\",\"standing\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"region\":\"{}\",\"fleet\":\"{zxid}\",\"configuration\":\"{epoch}\"}}",
-            escape(sibling.name.as_str()),
-            sibling.incarnation,
-            role(sibling.role),
+            escape(peer.name.as_str()),
+            peer.incarnation,
+            role(peer.role),
             standing(card.standing),
-            sibling.address,
-            escape(sibling.zone.as_str()),
-            escape(sibling.region.as_str()),
+            peer.address,
+            escape(peer.zone.as_str()),
+            escape(peer.region.as_str()),
         )
     }));
     let endpoints = list(fleet.instances().map(|instance| {
--- a/crates/signalbox/src/node/inspection.rs
+++ b/crates/signalbox/src/node/inspection.rs
@@ -57,8 +57,8 @@
 
 fn proxies(node: &Signalbox) -> Vec<NodeName> {
     let roster = node.roster.borrow();
-    let there = roster.cards().filter(|card| card.sibling.role != Role::Core && card.standing < Standing::Leaving);
-    there.map(|card| card.sibling.name.clone()).collect()
+    let there = roster.cards().filter(|card| card.peer.role != Role::Core && card.standing < Standing::Leaving);
+    there.map(|card| card.peer.name.clone()).collect()
 }
 
 pub async fn keep(node: Rc<Signalbox>) {
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -8,8 +8,8 @@
 mod fleet_view;
 mod inspection;
 mod members;
+mod peers;
 mod primary;
-mod siblings;
 mod start;
 mod turn;
 
@@ -21,7 +21,7 @@
 use futures_channel::oneshot;
 use interlocking::zab::Zab;
 use lineside::call::Caller;
-use lineside::gossip::{Roster, Sibling};
+use lineside::gossip::{Peer, Roster};
 use lineside::inspection::{Inspector, RoutesReport};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -56,7 +56,7 @@
     pub imaged_weight: Cell<usize>,
     /// Which endpoints spoke here, and at the primary anywhere.
     pub heard: RefCell<beats::Heard>,
-    /// Where siblings call this node.
+    /// Where peers call this node.
     pub own_address: SocketAddr,
     /// Judges proxies' tables. At nodes other than the primary it holds what the primary knows.
     pub inspector: RefCell<Inspector>,
@@ -64,8 +64,8 @@
     pub meant: RefCell<Option<TableDigest>>,
     /// Proxies' reports that the primary has not been told of yet.
     pub reports: RefCell<Vec<(RoutesReport, Moment)>>,
-    /// Silent siblings to be asked over a stream.
-    pub to_knock: RefCell<Vec<Sibling>>,
+    /// Silent peers to be asked over a stream.
+    pub to_knock: RefCell<Vec<Peer>>,
     pub next_members: Cell<Moment>,
     pub leaving: Cell<bool>,
 }
--- a/crates/signalbox/src/node/siblings.rs
+++ b/crates/signalbox/src/node/peers.rs
@@ -72,7 +72,7 @@
                 let bytes = borsh::to_vec(&datagram).expect("writing to memory can't fail");
                 node.datagrams.send(&bytes, to);
             }
-            GossipAction::Knock { sibling } => node.to_knock.borrow_mut().push(sibling),
+            GossipAction::Knock { peer } => node.to_knock.borrow_mut().push(peer),
             GossipAction::Ahead { .. } => {}
         }
     }
@@ -80,11 +80,11 @@
 
 /// Asks those that datagrams don't reach over a stream.
 pub fn knock(node: &Rc<Signalbox>) {
-    for sibling in std::mem::take(&mut *node.to_knock.borrow_mut()) {
+    for peer in std::mem::take(&mut *node.to_knock.borrow_mut()) {
         let node = node.clone();
         monoio::spawn(async move {
-            if node.caller.call(sibling.address, Ask::Knock, KNOCK_LIMIT).await == Ok(Reply::Done) {
-                node.roster.borrow_mut().vouch(&sibling.name, clock::now());
+            if node.caller.call(peer.address, Ask::Knock, KNOCK_LIMIT).await == Ok(Reply::Done) {
+                node.roster.borrow_mut().vouch(&peer.name, clock::now());
             }
         });
     }
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -1,12 +1,12 @@
 //! From settings and disk to a running node.
 
-use super::{NodeError, Signalbox, beats, councils, disk, doors, inspection, siblings, turn};
+use super::{NodeError, Signalbox, beats, councils, disk, doors, inspection, peers, turn};
 use crate::ledger::Ledger;
 use futures_channel::mpsc::unbounded;
 use interlocking::storage::{FileDisk, Recovered, Storage};
 use interlocking::zab::{Image, Timing, Voter, Zab};
-use lineside::call::{Caller, serve_siblings};
-use lineside::gossip::{Role, Roster, RosterTiming, Sibling};
+use lineside::call::{Caller, serve_peers};
+use lineside::gossip::{Peer, Role, Roster, RosterTiming};
 use lineside::inspection::{Inspector, InspectorTiming};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -72,7 +72,7 @@
     let settled = Ledger::decode(&image.frame.state, config.bounds.history(), now)?;
     let me = Voter { id: image.member, address };
     let zab = Zab::start(image, me, Timing::default(), now);
-    let sibling = Sibling {
+    let peer = Peer {
         name: config.node_name.clone(),
         incarnation: Incarnation(1),
         role: Role::Core,
@@ -81,7 +81,7 @@
         region: config.region.clone(),
     };
     let seeds = config.seeds.iter().map(|seed| core_address(&config, *seed)).collect();
-    let roster = Roster::new(sibling, seeds, RosterTiming::default(), random, now);
+    let roster = Roster::new(peer, seeds, RosterTiming::default(), random, now);
     let timing = InspectorTiming {
         apply: config.bounds.config_apply(),
         fresh: Duration::from_secs(7),
@@ -115,11 +115,11 @@
                 next_members: Cell::new(now),
                 leaving: Cell::new(false),
             });
-            monoio::spawn(serve_siblings(bind_tcp(address)?, node.clone()));
+            monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
             let serving = doors::open(control_plane, &node)?;
             monoio::spawn(turn::watch_disk(node.clone(), completions));
             monoio::spawn(turn::keep_time(node.clone()));
-            monoio::spawn(siblings::listen(node.clone()));
+            monoio::spawn(peers::listen(node.clone()));
             monoio::spawn(beats::keep_watch(node.clone()));
             inspection::adopt(&node);
             monoio::spawn(inspection::keep(node.clone()));
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -2,13 +2,13 @@
 
 use super::disk::Write;
 use super::start::core_address;
-use super::{Signalbox, inspection, members, siblings};
+use super::{Signalbox, inspection, members, peers};
 use crate::ledger::{Change, Ledger};
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_core::Stream;
 use interlocking::storage::{FileDisk, Storage};
 use interlocking::zab::{Action, Envelope, Ticket};
-use lineside::call::SiblingMessage;
+use lineside::call::PeerMessage;
 use lineside::gossip::Role;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -46,8 +46,8 @@
         act(&node, actions);
         if turns.is_multiple_of(2) {
             let actions = node.roster.borrow_mut().tick(now);
-            siblings::gossip(&node, actions);
-            siblings::knock(&node);
+            peers::gossip(&node, actions);
+            peers::knock(&node);
             members::tend(&node, now);
             fold(&node);
         }
@@ -63,7 +63,7 @@
     let config = node.live.get();
     let seeds: Vec<SocketAddr> = config.seeds.iter().map(|seed| core_address(&config, *seed)).collect();
     let mut contacts = seeds.clone();
-    contacts.extend(node.roster.borrow().alive(Role::Core).map(|sibling| sibling.address));
+    contacts.extend(node.roster.borrow().alive(Role::Core).map(|peer| peer.address));
     contacts.sort();
     contacts.dedup();
     node.zab.borrow_mut().set_contacts(contacts);
@@ -82,7 +82,7 @@
                 let from = node.zab.borrow().me().clone();
                 let envelope = Envelope { from, to: to.id, message };
                 let bytes = borsh::to_vec(&envelope).expect("writing to memory can't fail");
-                node.caller.tell(to.address, &SiblingMessage::Zab(bytes));
+                node.caller.tell(to.address, &PeerMessage::Zab(bytes));
             }
             Action::Persist { ticket, records } => {
                 let records = records.iter().map(|record| borsh::to_vec(record).expect("writing to memory can't fail"));
@@ -171,7 +171,7 @@
         roster.set_configuration(epoch);
         roster.fleet_moved(zxid, clock::now())
     };
-    siblings::gossip(node, actions);
+    peers::gossip(node, actions);
 }
 
 /// Folds a long history into an image on the slot not in use.
@@ -193,7 +193,7 @@
     node.leaving.set(true);
     serving.leaving.set(true);
     let actions = node.roster.borrow_mut().leave();
-    siblings::gossip(node, actions);
+    peers::gossip(node, actions);
     let limit = clock::now() + node.live.get().bounds.grace_period().mul_f64(0.3).min(Duration::from_millis(600));
     while clock::now() < limit && serving.under_way.get() > 0 {
         monoio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -205,12 +205,12 @@
         value.ok_or(ConfigError::Missing { field: field.to_owned(), wanted })
     }
 
-    /// Where a core node listens for its siblings, on any machine.
+    /// Where a core node listens for its peers, on any machine.
     pub fn core_port(&self) -> u16 {
         self.internal_ports.0
     }
 
-    /// Where a node that carries traffic listens for its siblings, on any machine.
+    /// Where a node that carries traffic listens for its peers, on any machine.
     pub fn beside_port(&self) -> u16 {
         self.internal_ports.0 + 1
     }
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -1,4 +1,4 @@
-//! Answers: written to requesters, read from endpoints and siblings.
+//! Answers: written to requesters, read from endpoints and peers.
 
 use super::body::Framing;
 use super::flow::{Flow, HELD_WHOLE};
--- a/crates/trackbed/src/net/frames.rs
+++ b/crates/trackbed/src/net/frames.rs
@@ -7,17 +7,17 @@
 use std::io;
 use std::rc::Rc;
 
-/// Longest frame taken from a sibling.
+/// Longest frame taken from a peer.
 const MAX_FRAME: usize = 96 << 20;
 
 #[derive(Debug, Display, Error, From)]
 pub enum FrameError {
-    #[display("the sibling's stream failed ({_0}): it is dialled again")]
+    #[display("the peer's stream failed ({_0}): it is dialled again")]
     Io(io::Error),
     #[display("a frame of {_0} bytes is over the limit: the stream is closed")]
     #[from(ignore)]
     TooLong(#[error(not(source))] usize),
-    #[display("the sibling closed the stream")]
+    #[display("the peer closed the stream")]
     #[from(ignore)]
     Closed,
 }
--- a/crates/trackbed/src/net/sockets.rs
+++ b/crates/trackbed/src/net/sockets.rs
@@ -1,4 +1,4 @@
-//! Sockets as this system wants them: no delay, and a dead sibling noticed.
+//! Sockets as this system wants them: no delay, and a dead peer noticed.
 
 use monoio::io::OwnedWriteHalf;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
