--- a/crates/gauge/src/ask.rs
+++ b/crates/gauge/src/ask.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use timetable::configuration::Configuration;
-use trackbed::http::{Inquiry, Line, Return, write_inquiry};
+use trackbed::http::{Line, Request, Return, write_request};
 use trackbed::ids::ConfigEpoch;
 use trackbed::net::connect;
 
@@ -69,7 +69,7 @@
 async fn get(address: SocketAddr, path: &'static str) -> Result<Return, AskError> {
     let no_answer = || AskError::NoAnswer { address, path };
     let mut line = Line::new(connect(address, LIMIT).await.map_err(|_| no_answer())?);
-    let inquiry = Inquiry {
+    let request = Request {
         method: http::Method::GET,
         target: path.to_owned(),
         headers: http::HeaderMap::new(),
@@ -77,7 +77,7 @@
         keeps: false,
     };
     let host = address.to_string();
-    line.write(write_inquiry(&inquiry, &[("Host", &host), ("Connection", "close")], &[]))
+    line.write(write_request(&request, &[("Host", &host), ("Connection", "close")], &[]))
         .await
         .map_err(|_| no_answer())?;
     line.read_return(false, 64 << 20).await.map_err(|_| no_answer())
--- a/crates/pointsman/src/dispatch/binding.rs
+++ b/crates/pointsman/src/dispatch/binding.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use timetable::configuration::{Routes, TENANT_HEADER, TenantDoubt};
-use trackbed::http::Inquiry;
+use trackbed::http::Request;
 use trackbed::ids::RegionName;
 
 /// The regions that may handle a request; without any, all may.
@@ -21,16 +21,16 @@
     }
 
     /// What this node's view says of a request.
-    pub fn of(inquiry: &Inquiry, routes: &Routes) -> Result<Self, TenantDoubt> {
+    pub fn of(request: &Request, routes: &Routes) -> Result<Self, TenantDoubt> {
         if routes.tenants.is_empty() {
             return Ok(Self::default());
         }
-        let named = match inquiry.headers.get_all(TENANT_HEADER).iter().count() {
+        let named = match request.headers.get_all(TENANT_HEADER).iter().count() {
             0 => None,
-            _ => Some(inquiry.header(TENANT_HEADER).ok_or(TenantDoubt::Unknown)?),
+            _ => Some(request.header(TENANT_HEADER).ok_or(TenantDoubt::Unknown)?),
         };
-        let host = inquiry.header("host").unwrap_or("");
-        let tenant = routes.tenants.find(host, inquiry.path(), named)?;
+        let host = request.header("host").unwrap_or("");
+        let tenant = routes.tenants.find(host, request.path(), named)?;
         Ok(tenant
             .map(|tenant| Self { tenant: Some(Rc::from(tenant.name.as_str())), regions: Some(tenant.regions.clone()) })
             .unwrap_or_default())
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use timetable::configuration::Route;
 use trackbed::clock;
-use trackbed::http::{Inquiry, Return};
+use trackbed::http::{Request, Return};
 use trackbed::ids::InstanceId;
 use trackbed::random::stable_hash;
 
@@ -115,13 +115,13 @@
 }
 
 /// Sees a request through to its answer.
-pub async fn carry_out(node: &Rc<Pointsman>, mut plan: Plan, inquiry: Inquiry, binding: Binding) -> Return {
+pub async fn carry_out(node: &Rc<Pointsman>, mut plan: Plan, request: Request, binding: Binding) -> Return {
     let now = clock::now();
     let repeats = plan.route.kind.repeats();
     let bounds = budget(node);
     let own_service = node.live.get().service_name.clone();
     let mut errand = Errand {
-        inquiry,
+        request,
         attempt: plan.attempt.clone(),
         instance: InstanceId::new(""),
         caller: own_service.map(|service| service.as_str().to_owned()).unwrap_or_default(),
@@ -134,7 +134,7 @@
         target: plan.target,
         patience: Duration::ZERO,
     };
-    errand.inquiry.headers.remove(CALLER);
+    errand.request.headers.remove(CALLER);
     let mut left = candidates(node, &plan, &errand.binding, now);
     // Those that had no slot free, and could be waited for.
     let mut full: Vec<Candidate> = Vec::new();
@@ -145,7 +145,7 @@
     let mut endpoint_said = None;
     let mut free_in = Duration::from_millis(60);
     node.budgets.borrow_mut().first_go(&plan.service, now, bounds.window);
-    let bytes = HEAD_BYTES + errand.inquiry.body.len() as f64 + node.sizes.borrow().get(&errand.sort).unwrap_or(&0.0);
+    let bytes = HEAD_BYTES + errand.request.body.len() as f64 + node.sizes.borrow().get(&errand.sort).unwrap_or(&0.0);
     let span = now.until(plan.target);
     // At a gateway a look is a few bytes; elsewhere the whole request goes along.
     let mut looks = match node.mode {
@@ -212,7 +212,7 @@
                     learn::catch_up(node, peer).await;
                 }
                 let routes = node.fleet.borrow().routes().cloned();
-                match Plan::make(&errand.inquiry, routes.as_ref(), now) {
+                match Plan::make(&errand.request, routes.as_ref(), now) {
                     Ok(next) if next.planned == plan.planned => node.routes_check.doubt(),
                     Ok(next) if offered == 0 => {
                         plan = Plan { horizon: plan.horizon, target: plan.target, ..next };
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 use timetable::configuration::PlannedBy;
 use trackbed::clock::Moment;
-use trackbed::http::{Inquiry, Return};
+use trackbed::http::{Request, Return};
 use trackbed::ids::InstanceId;
 
 /// A request as the node beside the endpoint gets it.
 #[derive(Clone, Debug)]
 pub struct Errand {
-    pub inquiry: Inquiry,
+    pub request: Request,
     /// The id of the requester's try, unchanged on the whole way.
     pub attempt: String,
     /// The life that is to run it. Any other declines.
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use timetable::configuration::PlannedBy;
 use trackbed::clock::Moment;
-use trackbed::http::{Inquiry, Return};
+use trackbed::http::{Request, Return};
 use trackbed::ids::InstanceId;
 
 pub const ATTEMPT: &str = "ferryhinge-attempt-id";
@@ -32,19 +32,19 @@
     [PLANNED, REPEATS, PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
 
 /// Reads what a peer node passes on.
-pub fn read_errand(inquiry: Inquiry, sort: u64, now: Moment) -> Option<Errand> {
-    let millis = |name: &str| inquiry.header(name).and_then(|text| text.parse::<u64>().ok()).map(Duration::from_millis);
-    let attempt = inquiry.header(ATTEMPT)?.to_owned();
-    let instance = InstanceId::new(inquiry.header(EXPECTED)?);
-    let caller = inquiry.header(CALLER).unwrap_or_default().to_owned();
-    let priority = inquiry.header(PRIORITY)?.parse().ok()?;
+pub fn read_errand(request: Request, sort: u64, now: Moment) -> Option<Errand> {
+    let millis = |name: &str| request.header(name).and_then(|text| text.parse::<u64>().ok()).map(Duration::from_millis);
+    let attempt = request.header(ATTEMPT)?.to_owned();
+    let instance = InstanceId::new(request.header(EXPECTED)?);
+    let caller = request.header(CALLER).unwrap_or_default().to_owned();
+    let priority = request.header(PRIORITY)?.parse().ok()?;
     let (horizon, target) = (now + millis(DEADLINE)?, now + millis(TARGET)?);
-    let repeats = inquiry.header(REPEATS).is_some();
-    let planned = inquiry.header(PLANNED).and_then(PlannedBy::read).unwrap_or_default();
+    let repeats = request.header(REPEATS).is_some();
+    let planned = request.header(PLANNED).and_then(PlannedBy::read).unwrap_or_default();
     let patience = millis(PATIENCE).unwrap_or(target.since(now));
-    let binding = inquiry.header(REGIONS).map(Binding::read).unwrap_or_default();
+    let binding = request.header(REGIONS).map(Binding::read).unwrap_or_default();
     Some(Errand {
-        inquiry,
+        request,
         attempt,
         instance,
         caller,
--- a/crates/pointsman/src/dispatch/plan.rs
+++ b/crates/pointsman/src/dispatch/plan.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use timetable::configuration::{PlannedBy, Route, Routes};
 use trackbed::clock::Moment;
-use trackbed::http::Inquiry;
+use trackbed::http::Request;
 use trackbed::ids::ServiceName;
 use trackbed::random::stable_hash;
 
@@ -30,21 +30,21 @@
 }
 
 impl Plan {
-    pub fn make(inquiry: &Inquiry, routes: Option<&Rc<Routes>>, now: Moment) -> Result<Self, Unplanned> {
-        let attempt = inquiry.header(ATTEMPT).filter(|attempt| !attempt.is_empty() && attempt.len() <= 256);
+    pub fn make(request: &Request, routes: Option<&Rc<Routes>>, now: Moment) -> Result<Self, Unplanned> {
+        let attempt = request.header(ATTEMPT).filter(|attempt| !attempt.is_empty() && attempt.len() <= 256);
         let attempt = attempt.ok_or(Unplanned::Malformed("Ferryhinge-Attempt-Id is missing or not single"))?;
-        let deadline = match inquiry.headers.get_all(DEADLINE).iter().count() {
+        let deadline = match request.headers.get_all(DEADLINE).iter().count() {
             0 => None,
             _ => {
-                let millis = inquiry.header(DEADLINE).and_then(|text| text.parse::<f64>().ok());
+                let millis = request.header(DEADLINE).and_then(|text| text.parse::<f64>().ok());
                 let millis = millis.filter(|millis| millis.is_finite() && *millis >= 0.0 && *millis < 1e9);
                 let millis = millis.ok_or(Unplanned::Malformed("Ferryhinge-Deadline-Ms is not a number"))?;
                 Some(Duration::from_secs_f64(millis / 1000.0))
             }
         };
-        let host = inquiry.header("host").ok_or(Unplanned::Malformed("Host is missing"))?;
+        let host = request.header("host").ok_or(Unplanned::Malformed("Host is missing"))?;
         let routes = routes.ok_or(Unplanned::NothingKnown)?;
-        let route = routes.find(host, inquiry.path()).ok_or(Unplanned::NoRoute)?;
+        let route = routes.find(host, request.path()).ok_or(Unplanned::NoRoute)?;
         let span = deadline.map(|deadline| deadline.min(route.timeout)).unwrap_or(route.timeout);
         Ok(Self {
             attempt: attempt.to_owned(),
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::clock;
-use trackbed::http::{Line, Pacer, Return, ReturnError, write_inquiry};
+use trackbed::http::{Line, Pacer, Return, ReturnError, write_request};
 use trackbed::net::connect;
 
 /// How long a peer may take to accept a connection.
@@ -61,8 +61,8 @@
     if let Some(regions) = &regions {
         replaced.push((REGIONS, regions));
     }
-    let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
-    let bodyless = errand.inquiry.method == Method::HEAD;
+    let bytes = write_request(&errand.request, &replaced, &LINE_HEADERS);
+    let bodyless = errand.request.method == Method::HEAD;
     let exchange = async move {
         pacer.write(&mut line, bytes).await.map_err(|_| ReturnError::Silent)?;
         line.read_return_or_flow(bodyless, BODY_LIMIT).await
--- a/crates/pointsman/src/dispatch/tests.rs
+++ b/crates/pointsman/src/dispatch/tests.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Method};
 use std::rc::Rc;
 use timetable::configuration::{Configuration, Routes};
-use trackbed::http::Inquiry;
+use trackbed::http::Request;
 use trackbed::ids::RegionName;
 use trackbed::random::Random;
 
@@ -24,14 +24,14 @@
     Rc::new(Configuration::parse(text.as_bytes()).unwrap().typed().unwrap())
 }
 
-fn inquiry(kind: u64) -> Inquiry {
+fn request(kind: u64) -> Request {
     let mut headers = HeaderMap::new();
     headers.insert("host", HeaderValue::from_static("h"));
     if kind == 1 {
         headers.insert("ferryhinge-tenant", HeaderValue::from_static("press"));
     }
     let target = if kind == 0 { "/school/x" } else { "/other/x" };
-    Inquiry { method: Method::GET, target: target.into(), headers, body: Bytes::new(), keeps: true }
+    Request { method: Method::GET, target: target.into(), headers, body: Bytes::new(), keeps: true }
 }
 
 fn region(node: usize) -> RegionName {
@@ -64,7 +64,7 @@
 
 impl World {
     /// One request, or one call of an endpoint, on its way. Returns the nodes it ran at.
-    fn deliver(&mut self, from: usize, inquiry: &Inquiry, binding: &Binding, repeats: bool, step: usize) -> Vec<usize> {
+    fn deliver(&mut self, from: usize, request: &Request, binding: &Binding, repeats: bool, step: usize) -> Vec<usize> {
         let mut ran = Vec::new();
         let mut left: Vec<usize> =
             (0..NODES).filter(|node| !self.checks.plan || binding.permits(Some(&region(*node)))).collect();
@@ -72,7 +72,7 @@
         let told = Binding::read(&binding.write().unwrap_or_default());
         let told = if binding.is_free() { Binding::default() } else { told };
         for node in left {
-            let own = Binding::of(inquiry, &self.views[node]).unwrap();
+            let own = Binding::of(request, &self.views[node]).unwrap();
             if !binding.permits(Some(&region(node))) {
                 // Already to be sent there is to be handled there.
                 self.evening.violations += 1;
@@ -85,7 +85,7 @@
                 continue;
             }
             ran.push(node);
-            let sender = Binding::of(inquiry, &self.views[from]).unwrap();
+            let sender = Binding::of(request, &self.views[from]).unwrap();
             let seen = [binding, &sender, &own];
             if seen.iter().any(|view| !view.permits(Some(&region(node)))) {
                 self.evening.violations += 1;
@@ -107,7 +107,7 @@
         }
         let kind = self.random.below(3);
         let from = self.random.below(NODES as u64) as usize;
-        let asked = inquiry(kind);
+        let asked = request(kind);
         let binding = Binding::of(&asked, &self.views[from]).unwrap();
         if !binding.permits(Some(&region(from))) {
             // The door's final word: it runs nowhere.
@@ -133,7 +133,7 @@
         if self.checks.plan && self.checks.receiver {
             assert!(bound.permits(Some(&region(node))), "an endpoint bound out of its own region");
         }
-        let asked = inquiry(2);
+        let asked = request(2);
         self.evening.calls += 1;
         self.deliver(node, &asked, &bound, true, step);
     }
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use timetable::configuration::{PlannedBy, Route, Routes};
 use trackbed::clock;
-use trackbed::http::{DoorLimits, Handler, Inquiry, JsonReturn, Pacer, Return};
+use trackbed::http::{DoorLimits, Handler, JsonReturn, Pacer, Request, Return};
 use trackbed::random::stable_hash;
 
 /// Requests begin here.
@@ -49,15 +49,15 @@
         }
     }
 
-    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+    async fn handle(self: Rc<Self>, request: Request) -> Option<Return> {
         let node = &self.0;
         let now = clock::now();
         let routes = node.fleet.borrow().routes().cloned();
-        Some(match Plan::make(&inquiry, routes.as_ref(), now) {
-            Ok(plan) => match tenancy::bind(node, &inquiry, routes.as_deref()) {
+        Some(match Plan::make(&request, routes.as_ref(), now) {
+            Ok(plan) => match tenancy::bind(node, &request, routes.as_deref()) {
                 Ok(binding) => {
                     let tenant = binding.tenant.clone();
-                    let answer = dispatch::carry_out(node, plan, inquiry, binding).await;
+                    let answer = dispatch::carry_out(node, plan, request, binding).await;
                     if answer.status >= 500 {
                         node.platform.begun_failed.set(clock::now());
                     }
@@ -91,16 +91,16 @@
         Some(&self.0.pacer)
     }
 
-    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+    async fn handle(self: Rc<Self>, request: Request) -> Option<Return> {
         let routes = self.0.fleet.borrow().routes().cloned();
-        let route = inquiry
+        let route = request
             .header("host")
             .zip(routes.clone())
-            .and_then(|(host, routes)| routes.find(host, inquiry.path()).cloned());
+            .and_then(|(host, routes)| routes.find(host, request.path()).cloned());
         let sort = route.as_ref().map(|route| stable_hash(&route.name)).unwrap_or_default();
-        let contradicted = route_contradicts(&self.0, &inquiry, routes.as_deref(), route.as_deref());
-        let own = routes.as_deref().map(|routes| Binding::of(&inquiry, routes)).unwrap_or(Ok(Binding::default()));
-        let Some(mut errand) = read_errand(inquiry, sort, clock::now()) else {
+        let contradicted = route_contradicts(&self.0, &request, routes.as_deref(), route.as_deref());
+        let own = routes.as_deref().map(|routes| Binding::of(&request, routes)).unwrap_or(Ok(Binding::default()));
+        let Some(mut errand) = read_errand(request, sort, clock::now()) else {
             return Some(Return::text(400, "only peer nodes pass requests on here").closing());
         };
         if contradicted {
@@ -122,8 +122,8 @@
 
 /// Whether this node's table contradicts the route by which a peer planned a request. Where both are of
 /// the same epoch one of the two is wrong: both tell the core at once, and the core's word counts.
-fn route_contradicts(node: &Pointsman, inquiry: &Inquiry, routes: Option<&Routes>, route: Option<&Route>) -> bool {
-    let planned = inquiry.header(PLANNED).and_then(PlannedBy::read);
+fn route_contradicts(node: &Pointsman, request: &Request, routes: Option<&Routes>, route: Option<&Route>) -> bool {
+    let planned = request.header(PLANNED).and_then(PlannedBy::read);
     let service = node.platform.life.borrow().as_ref().map(|life| life.instance.service.clone());
     let (Some(planned), Some(routes), Some(service)) = (planned, routes, service) else { return false };
     node.contradicts(&planned, routes, route, &service)
@@ -134,12 +134,12 @@
         DoorLimits::default()
     }
 
-    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
+    async fn handle(self: Rc<Self>, request: Request) -> Option<Return> {
         let node = &self.0;
-        if inquiry.path() == "/v1/fleet" {
+        if request.path() == "/v1/fleet" {
             return Some(Return::json(200, coordination::view(node)));
         }
-        if inquiry.path() != "/v1/readiness" {
+        if request.path() != "/v1/readiness" {
             return Some(Return::text(404, "ask for /v1/readiness"));
         }
         let knows = node.assured.get() && node.fleet.borrow().routes().is_some();
--- a/crates/pointsman/src/node/tenancy.rs
+++ b/crates/pointsman/src/node/tenancy.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use timetable::configuration::{Routes, TenantDoubt};
 use trackbed::clock;
-use trackbed::http::{Inquiry, Return};
+use trackbed::http::{Request, Return};
 
 /// What an auditor asks for, by tenant.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -17,12 +17,12 @@
 }
 
 /// Where a request that begins here may be handled; or the final word that it may not be, here.
-pub fn bind(node: &Pointsman, inquiry: &Inquiry, routes: Option<&Routes>) -> Result<Binding, Box<Return>> {
+pub fn bind(node: &Pointsman, request: &Request, routes: Option<&Routes>) -> Result<Binding, Box<Return>> {
     let Some(routes) = routes.filter(|routes| !routes.tenants.is_empty()) else {
         // No tenants any more; what began under them is still kept to its regions.
         return Ok(node.platform.bound(clock::now()));
     };
-    let binding = Binding::of(inquiry, routes).map_err(|doubt| match doubt {
+    let binding = Binding::of(request, routes).map_err(|doubt| match doubt {
         TenantDoubt::Unknown => Box::new(Return::text(400, "Ferryhinge-Tenant names no tenant")),
         TenantDoubt::Contradicted => {
             Box::new(Return::text(400, "Ferryhinge-Tenant names another tenant than host and path do"))
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use timetable::fleet::{Beat, Post};
 use trackbed::clock;
-use trackbed::http::{DoorLimits, Handler, Inquiry, JsonReturn, Return};
+use trackbed::http::{DoorLimits, Handler, JsonReturn, Request, Return};
 use trackbed::ids::InstanceId;
 
 pub struct BeatsDoor(pub Rc<Pointsman>);
@@ -22,13 +22,13 @@
         DoorLimits { body_bytes: 64 << 10, ..DoorLimits::default() }
     }
 
-    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
-        let Some(id) = inquiry.path().strip_prefix(PREFIX).filter(|id| !id.is_empty() && id.len() < 200) else {
+    async fn handle(self: Rc<Self>, request: Request) -> Option<Return> {
+        let Some(id) = request.path().strip_prefix(PREFIX).filter(|id| !id.is_empty() && id.len() < 200) else {
             return Some(Return::fault(404, "no such resource: beats go to /v1/instances/ID"));
         };
         let id = InstanceId::new(id);
-        Some(match inquiry.method.as_str() {
-            "PUT" => self.beat(id, &inquiry).await,
+        Some(match request.method.as_str() {
+            "PUT" => self.beat(id, &request).await,
             "DELETE" => self.sign_off(id).await,
             _ => Return::fault(405, "use PUT to beat and DELETE to sign off"),
         })
@@ -55,8 +55,8 @@
         Beat::read(id, body, Some(post), &config.zone)
     }
 
-    async fn beat(&self, id: InstanceId, inquiry: &Inquiry) -> Return {
-        let mut beat = match self.read(id, &inquiry.body) {
+    async fn beat(&self, id: InstanceId, request: &Request) -> Return {
+        let mut beat = match self.read(id, &request.body) {
             Ok(beat) => beat,
             Err(reason) => return Return::fault(400, reason),
         };
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::clock::{self, Moment};
-use trackbed::http::{Line, Return, ReturnError, single, write_inquiry};
+use trackbed::http::{Line, Return, ReturnError, single, write_request};
 use trackbed::net::{SocketExt, connect};
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
@@ -126,8 +126,8 @@
         // Where requests begin at a gateway, no service runs there.
         replaced.push((CALLER, &errand.caller));
     }
-    let bytes = write_inquiry(&errand.inquiry, &replaced, &LINE_HEADERS);
-    let bodyless = errand.inquiry.method == Method::HEAD;
+    let bytes = write_request(&errand.request, &replaced, &LINE_HEADERS);
+    let bodyless = errand.request.method == Method::HEAD;
     let whole = async move {
         line.write(bytes).await.map_err(|_| ReturnError::Cut)?;
         let (answer, line) = line.read_return_or_flow(bodyless, BODY_LIMIT).await?;
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -5,7 +5,7 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
 use std::collections::HashSet;
-use trackbed::http::Inquiry;
+use trackbed::http::Request;
 use trackbed::ids::{NodeName, ServiceName, ZoneName};
 use trackbed::random::Random;
 
@@ -109,7 +109,7 @@
     headers.insert("ferryhinge-line-priority", http::HeaderValue::from_static("7"));
     let now = clock::now();
     Errand {
-        inquiry: Inquiry {
+        request: Request {
             method: http::Method::GET,
             target: format!("/x/{number}"),
             headers,
--- a/crates/signalbox/src/node/beats.rs
+++ b/crates/signalbox/src/node/beats.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use timetable::fleet::{Beat, FleetChange, FleetState};
 use trackbed::clock::{self, Moment};
-use trackbed::http::{Inquiry, JsonReturn, Return};
+use trackbed::http::{JsonReturn, Request, Return};
 use trackbed::ids::InstanceId;
 use trackbed::random::stable_hash;
 
@@ -90,22 +90,22 @@
     }
 }
 
-pub async fn answer(node: &Signalbox, inquiry: &Inquiry) -> Return {
-    let id = inquiry.path().strip_prefix(PREFIX).unwrap_or("");
+pub async fn answer(node: &Signalbox, request: &Request) -> Return {
+    let id = request.path().strip_prefix(PREFIX).unwrap_or("");
     if id.is_empty() || id.len() > 200 {
         return Return::fault(404, "no such resource: beats go to /v1/instances/ID");
     }
     let id = InstanceId::new(id);
-    match inquiry.method.as_str() {
-        "PUT" => beat(node, id, inquiry).await,
+    match request.method.as_str() {
+        "PUT" => beat(node, id, request).await,
         "DELETE" => told(primary::sign_off(node, id).await),
         _ => Return::fault(405, "use PUT to beat and DELETE to sign off"),
     }
 }
 
-async fn beat(node: &Signalbox, id: InstanceId, inquiry: &Inquiry) -> Return {
+async fn beat(node: &Signalbox, id: InstanceId, request: &Request) -> Return {
     let zone = node.live.get().zone.clone();
-    let beat = match Beat::read(id, &inquiry.body, None, &zone) {
+    let beat = match Beat::read(id, &request.body, None, &zone) {
         Ok(beat) => beat,
         Err(reason) => return Return::fault(400, reason),
     };
--- a/crates/signalbox/src/node/doors.rs
+++ b/crates/signalbox/src/node/doors.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use trackbed::http::{DoorLimits, Handler, Inquiry, JsonReturn, Return, Serving, serve_listener};
+use trackbed::http::{DoorLimits, Handler, JsonReturn, Request, Return, Serving, serve_listener};
 use trackbed::net::bind_tcp;
 
 struct ControlDoor(Rc<Signalbox>);
@@ -27,9 +27,9 @@
         }
     }
 
-    async fn handle(self: Rc<Self>, inquiry: Inquiry) -> Option<Return> {
-        if inquiry.path() == fleet_view::PATH {
-            return Some(match inquiry.method {
+    async fn handle(self: Rc<Self>, request: Request) -> Option<Return> {
+        if request.path() == fleet_view::PATH {
+            return Some(match request.method {
                 http::Method::GET => {
                     let verdicts = inspection::verdicts_anywhere(&self.0).await;
                     Return::json(200, fleet_view::write(&self.0, verdicts))
@@ -37,15 +37,15 @@
                 _ => Return::fault(405, "the fleet can only be read here"),
             });
         }
-        if inquiry.path().starts_with(beats::PREFIX) {
-            return Some(beats::answer(&self.0, &inquiry).await);
+        if request.path().starts_with(beats::PREFIX) {
+            return Some(beats::answer(&self.0, &request).await);
         }
         let call = ControlCall {
-            method: inquiry.method.as_str().to_owned(),
-            path: inquiry.path().to_owned(),
-            query: inquiry.query().to_owned(),
-            if_match: inquiry.header("if-match").map(str::to_owned),
-            body: inquiry.body.to_vec(),
+            method: request.method.as_str().to_owned(),
+            path: request.path().to_owned(),
+            query: request.query().to_owned(),
+            if_match: request.header("if-match").map(str::to_owned),
+            body: request.body.to_vec(),
         };
         let answer = primary::answer_anywhere(&self.0, call).await;
         let mut back = Return::json(answer.status, answer.body);
--- a/crates/trackbed/src/http/body.rs
+++ b/crates/trackbed/src/http/body.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    pub(super) fn of_inquiry(headers: &HeaderMap) -> Result<Framing, &'static str> {
+    pub(super) fn of_request(headers: &HeaderMap) -> Result<Framing, &'static str> {
         Ok(Self::declared(headers)?.unwrap_or(Framing::Nothing))
     }
 
--- a/crates/trackbed/src/http/door.rs
+++ b/crates/trackbed/src/http/door.rs
@@ -1,7 +1,7 @@
 //! Requests as they come in at a door.
 
 use super::body::Framing;
-use super::head::{HeadError, Inquiry, head_length, take_inquiry_head};
+use super::head::{HeadError, Request, head_length, take_request_head};
 use super::line::{BodyError, Line};
 use derive_more::Display;
 use std::time::Duration;
@@ -48,7 +48,7 @@
 
 impl Line {
     /// Reads the next request whole.
-    pub async fn read_inquiry(&mut self, limits: &DoorLimits) -> Result<Inquiry, DoorError> {
+    pub async fn read_request(&mut self, limits: &DoorLimits) -> Result<Request, DoorError> {
         if self.held.is_empty() {
             match monoio::time::timeout(limits.idle_time, self.fill(4 << 10)).await {
                 Ok(Ok(count)) if count > 0 => {}
@@ -66,23 +66,23 @@
             return Err(declined(431, "the head is over the limit"));
         }
         let head =
-            take_inquiry_head(&mut self.held, length).map_err(|HeadError::Malformed(reason)| declined(400, reason))?;
+            take_request_head(&mut self.held, length).map_err(|HeadError::Malformed(reason)| declined(400, reason))?;
         if head.expects_continue {
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()).await.map_err(|_| DoorError::Broken)?;
         }
-        let mut inquiry = head.inquiry;
+        let mut request = head.request;
         if matches!(head.framing, Framing::Length(length) if length > limits.room && length <= limits.body_bytes) {
             return Err(declined(503, "too many large bodies are under way: it has not run"));
         }
         let body = self.read_body(head.framing, limits.body_bytes);
-        inquiry.body = match monoio::time::timeout(limits.body_time, body).await {
+        request.body = match monoio::time::timeout(limits.body_time, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyError::TooLong)) => return Err(declined(413, "the body is over the limit")),
             Ok(Err(BodyError::Malformed(reason))) => return Err(declined(400, reason)),
             Ok(Err(BodyError::Cut | BodyError::Io(_))) => return Err(DoorError::Broken),
             Err(_) => return Err(declined(408, "the body took too long")),
         };
-        Ok(inquiry)
+        Ok(request)
     }
 
     async fn read_head(&mut self, limit: usize) -> Result<usize, DoorError> {
--- a/crates/trackbed/src/http/head.rs
+++ b/crates/trackbed/src/http/head.rs
@@ -8,7 +8,7 @@
 
 /// A whole request of a requester.
 #[derive(Clone, Debug)]
-pub struct Inquiry {
+pub struct Request {
     pub method: Method,
     /// Path and query, byte for byte as sent. Invariant: begins with a slash.
     pub target: String,
@@ -19,7 +19,7 @@
     pub keeps: bool,
 }
 
-impl Inquiry {
+impl Request {
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or("")
     }
@@ -95,8 +95,8 @@
     Malformed(&'static str),
 }
 
-pub(super) struct InquiryHead {
-    pub inquiry: Inquiry,
+pub(super) struct RequestHead {
+    pub request: Request,
     pub framing: Framing,
     pub expects_continue: bool,
 }
@@ -112,7 +112,7 @@
 }
 
 /// Reads a request's head of `length` bytes off the buffer.
-pub(super) fn take_inquiry_head(buffer: &mut BytesMut, length: usize) -> Result<InquiryHead, HeadError> {
+pub(super) fn take_request_head(buffer: &mut BytesMut, length: usize) -> Result<RequestHead, HeadError> {
     if has_bare_line_feed(&buffer[..length]) {
         return Err(HeadError::Malformed("a bare line feed stands in the head"));
     }
@@ -129,7 +129,7 @@
     if headers.get_all(header::HOST).iter().count() > 1 {
         return Err(HeadError::Malformed("more than one Host header"));
     }
-    let framing = Framing::of_inquiry(&headers).map_err(HeadError::Malformed)?;
+    let framing = Framing::of_request(&headers).map_err(HeadError::Malformed)?;
     let current = parts.version == http::Version::HTTP_11;
     if !current && framing == Framing::Chunked {
         return Err(HeadError::Malformed("chunks in HTTP/1.0"));
@@ -140,8 +140,8 @@
         .and_then(|value| value.to_str().ok())
         .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
     strip_hop_headers(&mut headers);
-    let inquiry = Inquiry { method: parts.method, target, headers, body: Bytes::new(), keeps };
-    Ok(InquiryHead { inquiry, framing, expects_continue })
+    let request = Request { method: parts.method, target, headers, body: Bytes::new(), keeps };
+    Ok(RequestHead { request, framing, expects_continue })
 }
 
 pub(super) struct ReturnHead {
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -2,7 +2,7 @@
 
 use super::body::Framing;
 use super::flow::{Flow, HELD_WHOLE};
-use super::head::{HeadError, Inquiry, head_length, take_return_head};
+use super::head::{HeadError, Request, head_length, take_return_head};
 use super::line::{BodyError, Line};
 use bytes::Bytes;
 use derive_more::Display;
@@ -118,10 +118,10 @@
 }
 
 /// The bytes of a request as it goes on, with headers that replace those of the same name.
-pub fn write_inquiry(inquiry: &Inquiry, replaced: &[(&'static str, &str)], left_out: &[&str]) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(512 + inquiry.body.len());
-    let _ = write!(bytes, "{} {} HTTP/1.1\r\n", inquiry.method, inquiry.target);
-    for (name, value) in &inquiry.headers {
+pub fn write_request(request: &Request, replaced: &[(&'static str, &str)], left_out: &[&str]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(512 + request.body.len());
+    let _ = write!(bytes, "{} {} HTTP/1.1\r\n", request.method, request.target);
+    for (name, value) in &request.headers {
         let name = name.as_str();
         let again = replaced.iter().any(|(replaced, _)| replaced.eq_ignore_ascii_case(name));
         if again || left_out.iter().any(|left_out| left_out.eq_ignore_ascii_case(name)) {
@@ -135,11 +135,11 @@
     for (name, value) in replaced {
         let _ = write!(bytes, "{name}: {value}\r\n");
     }
-    if !inquiry.body.is_empty() || !matches!(inquiry.method, Method::GET | Method::HEAD | Method::DELETE) {
-        let _ = write!(bytes, "Content-Length: {}\r\n", inquiry.body.len());
+    if !request.body.is_empty() || !matches!(request.method, Method::GET | Method::HEAD | Method::DELETE) {
+        let _ = write!(bytes, "Content-Length: {}\r\n", request.body.len());
     }
     bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(&inquiry.body);
+    bytes.extend_from_slice(&request.body);
     bytes
 }
 
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -2,7 +2,7 @@
 
 use super::door::{DoorError, DoorLimits};
 use super::flow::Flow;
-use super::head::Inquiry;
+use super::head::Request;
 use super::line::Line;
 use super::pace::Pacer;
 use super::returns::Return;
@@ -17,7 +17,7 @@
 pub trait Handler: 'static {
     fn limits(&self) -> DoorLimits;
     /// `None` breaks the connection off: no answer can be given that says what happened.
-    fn handle(self: Rc<Self>, inquiry: Inquiry) -> impl Future<Output = Option<Return>>;
+    fn handle(self: Rc<Self>, request: Request) -> impl Future<Output = Option<Return>>;
     /// How long answers go out.
     fn pacer(&self) -> Option<&Pacer> {
         None
@@ -103,8 +103,8 @@
     loop {
         let mut limits = handler.limits();
         limits.room = limits.room.saturating_sub(serving.held_bytes.get() as u64);
-        let inquiry = match line.read_inquiry(&limits).await {
-            Ok(inquiry) => inquiry,
+        let request = match line.read_request(&limits).await {
+            Ok(request) => request,
             Err(DoorError::Declined { status, reason }) => {
                 let answer = handler.turned_away(status, reason).closing();
                 if line.write(answer.encode(false)).await.is_ok() {
@@ -124,9 +124,9 @@
             Err(DoorError::Ended | DoorError::Broken) => return,
         };
         let _under_way = Count::up(&serving.under_way, 1);
-        let _held = Count::up(&serving.held_bytes, inquiry.body.len());
-        let (keeps, bodyless) = (inquiry.keeps, inquiry.method == Method::HEAD);
-        let Some(mut answer) = handler.clone().handle(inquiry).await else {
+        let _held = Count::up(&serving.held_bytes, request.body.len());
+        let (keeps, bodyless) = (request.keeps, request.method == Method::HEAD);
+        let Some(mut answer) = handler.clone().handle(request).await else {
             line.break_off();
             return;
         };
--- a/crates/trackbed/src/http/tests.rs
+++ b/crates/trackbed/src/http/tests.rs
@@ -1,7 +1,7 @@
 //! Heads under random input: never a panic, and nothing that could be read in two ways.
 
 use super::body::{Framing, chunk_size};
-use super::head::{head_length, take_inquiry_head, take_return_head};
+use super::head::{head_length, take_request_head, take_return_head};
 use crate::random::Random;
 use bytes::BytesMut;
 
@@ -57,17 +57,17 @@
         let bytes = random_head(&mut random);
         let Some(length) = head_length(&bytes, 0) else { continue };
         let mut buffer = BytesMut::from(&bytes[..]);
-        if let Ok(head) = take_inquiry_head(&mut buffer, length) {
+        if let Ok(head) = take_request_head(&mut buffer, length) {
             taken += 1;
             assert_eq!(buffer.len(), bytes.len() - length, "exactly the head is taken");
             let text = String::from_utf8_lossy(&bytes[..length]).to_ascii_lowercase();
             let lines = |name: &str| text.split("\r\n").skip(1).filter(|line| line.starts_with(name)).count();
-            assert!(head.inquiry.target.starts_with('/'));
+            assert!(head.request.target.starts_with('/'));
             assert!(lines("content-length:") <= 1 && lines("host:") <= 1);
             assert!(lines("content-length:") + lines("transfer-encoding:") <= 1);
             assert!(!text.replace("\r\n", "").contains('\n'));
-            assert!(head.inquiry.headers.get("transfer-encoding").is_none());
-            assert_eq!(head.inquiry.headers.contains_key("host"), lines("host:") == 1, "Host can't be named away");
+            assert!(head.request.headers.get("transfer-encoding").is_none());
+            assert_eq!(head.request.headers.contains_key("host"), lines("host:") == 1, "Host can't be named away");
         }
         let mut buffer = BytesMut::from(&bytes[..]);
         let _ = take_return_head(&mut buffer, length, random.chance(0.1));
