--- a/crates/lineside/src/gossip/roster.rs
+++ b/crates/lineside/src/gossip/roster.rs
@@ -12,8 +12,17 @@
 const FANOUT: usize = 3;
 /// A roster is compared in so many parts.
 const PARTS: usize = 32;
-/// News that follow on each other within this time are told together.
+/// News that follow on each other within this time are told together; in a fleet of many, within the second.
 const TELL_EVERY: Duration = Duration::from_millis(40);
+const TELL_EVERY_OF_MANY: Duration = Duration::from_millis(120);
+/// From so many nodes on a fleet counts as one of many.
+const MANY: usize = 48;
+/// From so many peers of its own zone on a node turns to them for most of what it says: ways between zones are dear.
+const ENOUGH_NEAR: usize = 10;
+/// The share of probes that stay in the zone then.
+const NEAR_SHARE: f64 = 0.67;
+/// How often a node passes on that another is there, in a fleet of many. Comparisons bring it to whoever it misses.
+const PASSED_ON: u32 = 2;
 
 #[derive(Clone, Copy, Debug)]
 pub struct RosterTiming {
@@ -207,7 +216,7 @@
     fn tell_if_due(&mut self, now: Moment) {
         if self.to_tell && now >= self.next_tell {
             self.to_tell = false;
-            self.next_tell = now + TELL_EVERY;
+            self.next_tell = now + if self.is_of_many() { TELL_EVERY_OF_MANY } else { TELL_EVERY };
             self.tell_a_few();
         }
     }
@@ -229,10 +238,15 @@
     pub fn leave(&mut self) -> Vec<GossipAction> {
         self.change_me(|me| me.standing = Standing::Leaving);
         self.revision += 1;
+        let (of_many, zone) = (self.is_of_many(), self.me.peer.zone.clone());
+        let first = |known: &Known| known.card.peer.zone == zone || known.card.peer.role == Role::Core;
+        let there = |known: &&Known| known.card.standing != Standing::Dead;
+        // In a fleet of many the others hear it as news.
         let targets: Vec<SocketAddr> = self
             .known
             .values()
-            .filter(|known| known.card.standing != Standing::Dead)
+            .filter(there)
+            .filter(|known| !of_many || first(known))
             .map(|known| known.card.peer.address)
             .collect();
         for to in targets {
@@ -241,15 +255,35 @@
         std::mem::take(&mut self.actions)
     }
 
+    fn is_of_many(&self) -> bool {
+        self.known.len() >= MANY
+    }
+
+    /// Peers that may be told something, in an order by chance; those of the own zone first where there are enough.
+    fn some(&mut self, may: impl Fn(&Known) -> bool) -> (Vec<SocketAddr>, bool) {
+        let own = self.me.peer.zone.clone();
+        let fit = self.known.values().filter(|known| may(known));
+        let (mut near, mut far): (Vec<&Known>, Vec<&Known>) = fit.partition(|known| known.card.peer.zone == own);
+        self.random.shuffle(&mut near);
+        self.random.shuffle(&mut far);
+        let enough = near.len() >= ENOUGH_NEAR;
+        near.append(&mut far);
+        let mut some: Vec<SocketAddr> = near.into_iter().map(|known| known.card.peer.address).collect();
+        if !enough {
+            self.random.shuffle(&mut some);
+        }
+        (some, enough)
+    }
+
     fn tell_a_few(&mut self) {
-        let mut targets: Vec<SocketAddr> = self
-            .known
-            .values()
-            .filter(|known| known.card.standing <= Standing::Leaving)
-            .map(|known| known.card.peer.address)
-            .collect();
-        self.random.shuffle(&mut targets);
-        for to in targets.into_iter().take(FANOUT) {
+        let (targets, near) = self.some(|known| known.card.standing <= Standing::Leaving);
+        // One goes to anybody, so that news leave the zone.
+        let mut told: Vec<SocketAddr> = targets.iter().copied().take(if near { FANOUT - 1 } else { FANOUT }).collect();
+        if near {
+            let rest = &targets[told.len()..];
+            told.extend(rest.get(self.random.below(rest.len() as u64) as usize));
+        }
+        for to in told {
             self.ping(to);
         }
     }
@@ -301,12 +335,21 @@
 
     fn spread(&mut self, card: Card) {
         self.rumours.retain(|(rumour, _)| rumour.peer.name != card.peer.name);
-        let times = 3 + (usize::BITS - self.known.len().leading_zeros());
+        let joins = card.standing == Standing::Alive && self.is_of_many();
+        let times = if joins { PASSED_ON } else { 3 + (usize::BITS - self.known.len().leading_zeros()) };
         self.rumours.push_front((card, times));
     }
 
-    /// Weighs a card against what is known. Returns true when it was news.
+    /// Weighs a card against what is known, and passes it on where it is news. Returns true when it was.
     fn learn(&mut self, card: Card, now: Moment) -> bool {
+        let news = self.take_in(&card, now);
+        if news {
+            self.spread(card);
+        }
+        news
+    }
+
+    fn take_in(&mut self, card: &Card, now: Moment) -> bool {
         if card.peer.name == self.me.peer.name {
             let own = self.me.peer.incarnation;
             let heard = (card.peer.incarnation, card.standing);
@@ -331,13 +374,13 @@
             if known.card.peer.incarnation != card.peer.incarnation {
                 known.occupancy = None;
             }
-            self.parts[part_of(&name)] ^= worth_of(&known.card) ^ worth_of(&card);
+            self.parts[part_of(&name)] ^= worth_of(&known.card) ^ worth_of(card);
             known.card = card.clone();
         } else {
             if card.standing == Standing::Dead {
                 return false;
             }
-            self.parts[part_of(&name)] ^= worth_of(&card);
+            self.parts[part_of(&name)] ^= worth_of(card);
             self.known.insert(
                 name.clone(),
                 Known { card: card.clone(), since: now, heard: now, occupancy: None, told: Default::default() },
@@ -346,7 +389,6 @@
             self.turn.insert(place, name);
         }
         self.revision += 1;
-        self.spread(card);
         true
     }
 
@@ -369,8 +411,14 @@
                 self.rumours.push_front((report, 1));
             }
         }
+        // What came as the answer to a comparison has been passed on by those who had it as news.
+        let passed_on = matches!(kind, Kind::Cards) && self.is_of_many();
         for card in news {
-            self.learn(card, now);
+            if passed_on && card.standing == Standing::Alive {
+                self.take_in(&card, now);
+            } else {
+                self.learn(card, now);
+            }
         }
         if fleet > self.fleet {
             self.actions.push(GossipAction::Ahead { peer: card.peer.clone() });
@@ -458,9 +506,17 @@
     }
 
     fn probe_next(&mut self, now: Moment) {
+        let own = self.me.peer.zone.clone();
+        let near = |known: &&Known| known.card.peer.zone == own && known.card.standing != Standing::Dead;
+        let enough = self.is_of_many() && self.known.values().filter(near).count() >= ENOUGH_NEAR;
+        let only_near = enough && self.random.chance(NEAR_SHARE);
         for _ in 0..self.turn.len() {
             let Some(name) = self.turn.pop_front() else { return };
             let Some(known) = self.known.get(&name) else { continue };
+            if only_near && known.card.peer.zone != own {
+                self.turn.push_back(name);
+                continue;
+            }
             let (address, standing) = (known.card.peer.address, known.card.standing);
             let dead = standing == Standing::Dead;
             self.turn.push_back(name.clone());
@@ -493,14 +549,13 @@
             let card = known.card.clone();
             if !probe.asked_others && now.since(probe.at) >= self.timing.patience {
                 probe.asked_others = true;
-                let mut others: Vec<SocketAddr> = self
-                    .known
-                    .values()
-                    .filter(|other| other.card.standing == Standing::Alive && other.card.peer.name != probe.name)
-                    .map(|other| other.card.peer.address)
-                    .collect();
-                self.random.shuffle(&mut others);
-                for other in others.into_iter().take(2) {
+                let name = probe.name.clone();
+                let may = |other: &Known| other.card.standing == Standing::Alive && other.card.peer.name != name;
+                let (others, _) = self.some(may);
+                // One that is near, and one that may see what nobody here does.
+                let far = others.get(1..).unwrap_or(&[]);
+                let far = far.get(self.random.below(far.len() as u64) as usize).copied();
+                for other in others.first().copied().into_iter().chain(far) {
                     self.send(other, Kind::SecondOpinion { number: probe.number, about: card.peer.address });
                 }
                 self.send(card.peer.address, Kind::Ping { number: probe.number });
--- a/crates/lineside/src/gossip/tests.rs
+++ b/crates/lineside/src/gossip/tests.rs
@@ -16,6 +16,8 @@
     silenced: BTreeSet<SocketAddr>,
     /// Datagrams sent, and cards in them.
     sent: (usize, usize),
+    /// Bytes of datagrams that went to another zone, and of all.
+    bytes: (usize, usize),
     random: Random,
 }
 
@@ -29,7 +31,7 @@
         incarnation: Incarnation(1),
         role: if index < 3 { Role::Core } else { Role::Beside },
         address: address(index),
-        zone: ZoneName::new("z"),
+        zone: ZoneName::new(&format!("z{}", index % 5)),
         region: RegionName::new("r"),
     }
 }
@@ -44,6 +46,7 @@
             flying: Vec::new(),
             silenced: BTreeSet::new(),
             sent: (0, 0),
+            bytes: (0, 0),
             random: Random::seeded(seed),
         };
         for index in 0..count {
@@ -66,6 +69,10 @@
                 GossipAction::Send { to, datagram } => {
                     self.sent.0 += 1;
                     self.sent.1 += datagram.news.len();
+                    let length = borsh::to_vec(&datagram).unwrap().len();
+                    let zone = |at: &SocketAddr| self.rosters.get(at).map(|roster| roster.me().zone.clone());
+                    self.bytes.0 += if zone(&at) != zone(&to) { length } else { 0 };
+                    self.bytes.1 += length;
                     if !self.random.chance(0.05) {
                         let due = self.now + Duration::from_micros(200 + self.random.below(3000));
                         self.flying.push((due, at, to, datagram));
@@ -162,13 +169,27 @@
     }
 }
 
-/// Datagrams, and cards in them, per node and second, once all know each other and while they meet.
-fn traffic(count: u16) -> (f64, f64, f64) {
+/// What a fleet's gossip comes to.
+struct Traffic {
+    /// Datagrams per node and second once all know each other, and while they meet.
+    calm: f64,
+    met: f64,
+    /// How often each card is told per node and second while they meet.
+    cards: f64,
+    /// Bytes per node and second, and the share of them that leaves the zone, in the calm; and bytes a node to meet.
+    calm_bytes: f64,
+    calm_far: f64,
+    met_bytes: f64,
+}
+
+fn traffic(count: u16) -> Traffic {
     let mut fleet = Fleet::start(count, 11);
     fleet.run(Duration::from_secs(8));
     let (met, met_cards) = std::mem::take(&mut fleet.sent);
+    let (_, met_bytes) = std::mem::take(&mut fleet.bytes);
     fleet.run(Duration::from_secs(5));
     let (calm, _) = fleet.sent;
+    let (far, calm_bytes) = fleet.bytes;
     let per = |sent: usize, seconds: f64| sent as f64 / seconds / count as f64;
     for index in 0..count {
         let name = peer(index).name;
@@ -176,17 +197,30 @@
         let there = others.filter(|(_, roster)| roster.standing(&name).is_some_and(|is| is <= Standing::Suspect));
         assert_eq!(there.count(), count as usize - 1, "{count} nodes: n{index} is known to all");
     }
-    (per(calm, 5.0), per(met, 8.0), per(met_cards, 8.0) / count as f64)
+    Traffic {
+        calm: per(calm, 5.0),
+        met: per(met, 8.0),
+        cards: per(met_cards, 8.0) / count as f64,
+        calm_bytes: per(calm_bytes, 5.0),
+        calm_far: far as f64 / calm_bytes as f64,
+        met_bytes: per(met_bytes, 1.0),
+    }
 }
 
 #[test]
 fn a_node_says_no_more_in_a_large_fleet() {
-    let (small_calm, ..) = traffic(10);
-    let (large_calm, large_met, cards_each) = traffic(240);
-    assert!(large_calm < small_calm * 1.3, "calm: {small_calm} and {large_calm} datagrams a node and second");
-    // Meeting costs what the roster's length comes to, a few times over, and not once for each peer.
-    assert!(large_met < 40.0, "meeting: {large_met} datagrams a node and second");
-    assert!(cards_each < 3.0, "meeting: each card told {cards_each} times a node and second");
+    let small = traffic(10);
+    for count in [80, 240] {
+        let large = traffic(count);
+        let Traffic { calm, met, cards, calm_bytes, calm_far, met_bytes } = large;
+        assert!(calm < small.calm * 1.3, "calm: {} and {calm} datagrams a node and second", small.calm);
+        assert!(calm_bytes < small.calm_bytes * 1.4, "calm: {} and {calm_bytes} bytes", small.calm_bytes);
+        assert!(calm_far < 0.5, "{calm_far} of what is said leaves the zone");
+        // Meeting costs what the roster's length comes to, a few times over, and not once for each peer.
+        assert!(met < 40.0, "meeting: {met} datagrams a node and second");
+        assert!(cards < 1.0, "meeting: each card told {cards} times a node and second");
+        assert!(met_bytes < 700.0 * count as f64, "meeting: {met_bytes} bytes a node");
+    }
 }
 
 #[test]
