--- a/crates/gauge/src/ask.rs
+++ b/crates/gauge/src/ask.rs
@@ -75,6 +75,7 @@
         headers: http::HeaderMap::new(),
         body: Default::default(),
         keeps: false,
+        from: None,
     };
     let host = address.to_string();
     line.write(write_request(&request, &[("Host", &host), ("Connection", "close")], &[]))
--- a/crates/lineside/src/aggregation/sealer.rs
+++ b/crates/lineside/src/aggregation/sealer.rs
@@ -139,8 +139,9 @@
         (windows, is_whole)
     }
 
-    pub fn sealed(&self) -> impl DoubleEndedIterator<Item = &SealedWindow> {
-        self.sealed.iter()
+    /// The windows of the sliding minute.
+    pub fn last_windows(&self) -> Vec<SealedWindow> {
+        self.sealed.iter().cloned().collect()
     }
 
     /// The sliding minute as it stands; nothing before the first window of this epoch is sealed.
--- a/crates/lineside/src/aggregation/summary.rs
+++ b/crates/lineside/src/aggregation/summary.rs
@@ -37,8 +37,8 @@
 #[derive(Clone, Debug)]
 pub struct Summary {
     clients: FrequentItemsSketch<String>,
-    /// By service and route. An empty route is a service's others; an empty service all others.
-    routes: BTreeMap<(String, String), Demand>,
+    /// By service, then by route. An empty route is a service's others; an empty service all others.
+    routes: BTreeMap<String, BTreeMap<String, Demand>>,
     most_routes: usize,
 }
 
@@ -102,28 +102,41 @@
     }
 
     fn demand(&mut self, service: &str, route: &str) -> &mut Demand {
-        let key = (service.to_owned(), route.to_owned());
-        let known = self.routes.contains_key(&key);
-        let named = self.routes.keys().filter(|(_, route)| !route.is_empty()).count();
-        let key = match (known, named < self.most_routes) {
-            (true, _) | (_, true) => key,
-            _ => (service.to_owned(), String::new()),
+        let (service, route) = match self.knows(service, route) {
+            true => (service, route),
+            false => self.place_of_new(service, route),
         };
-        let rests = self.routes.len() - named;
-        let key = match self.routes.contains_key(&key) || !key.1.is_empty() || rests < self.most_routes {
-            true => key,
-            false => Default::default(),
-        };
-        self.routes.entry(key).or_default()
+        if !self.knows(service, route) {
+            self.routes.entry(service.to_owned()).or_default().insert(route.to_owned(), Demand::default());
+        }
+        self.routes.get_mut(service).and_then(|routes| routes.get_mut(route)).expect("there, or put there just now")
+    }
+
+    fn knows(&self, service: &str, route: &str) -> bool {
+        self.routes.get(service).is_some_and(|routes| routes.contains_key(route))
+    }
+
+    /// Where one that is not held yet is counted: by name while there is room, else with its service's others, else
+    /// with all others.
+    fn place_of_new<'a>(&self, service: &'a str, route: &'a str) -> (&'a str, &'a str) {
+        let all = || self.routes.values().flat_map(|routes| routes.keys());
+        let named = all().filter(|route| !route.is_empty()).count();
+        if !route.is_empty() && named < self.most_routes {
+            return (service, route);
+        }
+        match self.knows(service, "") || all().count() - named < self.most_routes {
+            true => (service, ""),
+            false => ("", ""),
+        }
     }
 
     /// Takes in all that another counted.
     pub fn merge(&mut self, other: &Summary) {
         self.clients.merge(&other.clients);
         // The busiest keep their names.
-        let mut theirs: Vec<_> = other.routes.iter().collect();
-        theirs.sort_by_key(|(_, demand)| std::cmp::Reverse(demand.requests));
-        for ((service, route), demand) in theirs {
+        let mut theirs: Vec<_> = other.routes().collect();
+        theirs.sort_by_key(|(_, _, demand)| std::cmp::Reverse(demand.requests));
+        for (service, route, demand) in theirs {
             self.demand(service, route).add(demand);
         }
     }
@@ -133,7 +146,12 @@
     }
 
     pub fn routes(&self) -> impl Iterator<Item = (&str, &str, &Demand)> {
-        self.routes.iter().map(|((service, route), demand)| (service.as_str(), route.as_str(), demand))
+        let of_service = |(service, routes)| {
+            let routes: &BTreeMap<String, Demand> = routes;
+            let service: &String = service;
+            routes.iter().map(move |(route, demand)| (service.as_str(), route.as_str(), demand))
+        };
+        self.routes.iter().flat_map(of_service)
     }
 
     /// Each client that is held by name: estimate, and between which bounds its true count is. Highest first;
--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -1,5 +1,6 @@
 //! What is asked and answered.
 
+use crate::aggregation::{Counted, CountedTaken, Part, PartsTaken, ReportTold, WindowId};
 use crate::council::{Fact, Fence, Grant, GrantAsk, Order};
 use crate::gossip::Occupancy;
 use crate::inspection::{DriftRecord, RoutesReport};
@@ -7,7 +8,7 @@
 use std::net::SocketAddr;
 use timetable::configuration::{Entry, PlannedBy};
 use timetable::fleet::{FleetNews, Instance};
-use trackbed::ids::{InstanceId, Zxid};
+use trackbed::ids::{InstanceId, NodeName, Zxid};
 
 /// A call of the operator or an application, as one node passes it to another.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -103,6 +104,25 @@
         from: SocketAddr,
         heard: Vec<u64>,
     },
+    /// What a node counted, for its collector.
+    Counted(Counted),
+    /// What a collector merged, for the primary; with the newest report and sealed window that it has.
+    Parts {
+        from: NodeName,
+        parts: Vec<Part>,
+        known: WindowId,
+        sealed: WindowId,
+        /// The time of day there, in milliseconds since 1970: the core goes by what most of it has.
+        wall_millis: u64,
+    },
+    /// A newer report of the fleet's counts than this, if there is one.
+    Report {
+        known: WindowId,
+    },
+    /// What the primary foresees, as JSON.
+    Forecast {
+        service: Option<String>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -139,6 +159,9 @@
     NotNow(String),
     /// Whether it was done can't be told.
     Unknown,
+    Counted(CountedTaken),
+    Parts(PartsTaken),
+    Report(Option<ReportTold>),
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -1,6 +1,6 @@
 //! The doors: requesters and the endpoint's own calls, peer nodes, and the platform's probes.
 
-use super::{Pointsman, coordination, tenancy};
+use super::{Pointsman, aggregation, coordination, tenancy};
 use crate::dispatch::{self, Binding, PLANNED, Plan, Unplanned, gone, read_errand, write_outcome};
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,7 +57,12 @@
             Ok(plan) => match tenancy::bind(node, &request, routes.as_deref()) {
                 Ok(binding) => {
                     let tenant = binding.tenant.clone();
+                    if let Some(routes) = &routes {
+                        aggregation::begun(node, &request, &plan, routes, tenant.as_deref());
+                    }
+                    let (service, route) = (plan.service.clone(), plan.route.clone());
                     let answer = dispatch::carry_out(node, plan, request, binding).await;
+                    aggregation::ended(node, &service, &route.name, &answer);
                     if answer.status >= 500 {
                         node.platform.begun_failed.set(clock::now());
                     }
@@ -139,8 +144,11 @@
         if request.path() == "/v1/fleet" {
             return Some(Return::json(200, coordination::view(node)));
         }
+        if request.path() == "/v1/clients" {
+            return Some(Return::json(200, aggregation::view(node)));
+        }
         if request.path() != "/v1/readiness" {
-            return Some(Return::text(404, "ask for /v1/readiness"));
+            return Some(Return::text(404, "ask for /v1/readiness, /v1/fleet or /v1/clients"));
         }
         let knows = node.assured.get() && node.fleet.borrow().routes().is_some();
         if node.routes_check.is_mistrusted() && !node.leaving.get() {
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -1,6 +1,6 @@
 //! How this node comes to know the fleet: all of it at the start, then news from whoever is ahead.
 
-use super::{Mode, Pointsman, coordination, core_calls};
+use super::{Mode, Pointsman, aggregation, coordination, core_calls};
 use crate::platform::{Life, sign_of_word};
 use borsh::BorshDeserialize;
 use lineside::call::{Answering, Ask, Reply};
@@ -37,6 +37,7 @@
                 Reply::Done
             }
             Ask::Permit(permit) => self.permits.ask(&self, permit).await,
+            Ask::Report { known } => Reply::Report(self.counting.report_for(known)),
             Ask::News { since, assured: false } => {
                 let fleet = self.fleet.borrow();
                 Reply::News { news: fleet.news_since(since), zxid: fleet.zxid() }
@@ -222,6 +223,7 @@
         let now = clock::now();
         node.permits.tidy(now);
         node.routes_check.step(node.fleet.borrow().routes());
+        aggregation::step(&node, now);
         let actions = {
             let mut roster = node.roster.borrow_mut();
             roster.set_occupancy(node.platform.occupancy(now));
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One node of the data plane: the loop, and the state that is passed down it.
 
+pub mod aggregation;
 pub mod coordination;
 pub mod core_calls;
 mod doors;
@@ -18,6 +19,7 @@
 
 use crate::dispatch::{Balance, Budgets, Pool};
 use crate::platform::{Homes, Lines, Permits, Platform};
+use aggregation::Counting;
 use coordination::Coordination;
 use lineside::call::Caller;
 use lineside::council::{Council, OrderBook};
@@ -67,6 +69,8 @@
     /// Measured size of answers, by route.
     pub sizes: RefCell<HashMap<u64, f64>>,
     pub tenants: RefCell<BTreeMap<String, TenantCounts>>,
+    /// What begins and ends here, counted for the fleet.
+    pub counting: Counting,
     pub random: RefCell<Random>,
     /// All that was acknowledged before this process started is known here.
     pub assured: Cell<bool>,
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -1,5 +1,6 @@
 //! From settings to a running node, and to its end.
 
+use super::aggregation::{self, Counting};
 use super::coordination::{self, Coordination};
 use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
 use super::{Mode, NodeError, Pointsman, RoutesCheck, learn, routes_check};
@@ -74,6 +75,7 @@
                 peers: Pool::default(),
                 sizes: RefCell::default(),
                 tenants: RefCell::default(),
+                counting: Counting::new(&config.node_name, life, &mut Random::from_system(), now),
                 random: RefCell::new(Random::from_system()),
                 assured: Cell::new(false),
                 leaving: Cell::new(false),
@@ -141,6 +143,8 @@
     // At a gateway the endpoints have other homes by now; what still comes for them is served.
     node.platform.closed.set(true);
     doors.outbound.leaving.set(true);
+    let last_word = node.clone();
+    monoio::spawn(async move { aggregation::tell(&last_word, true).await });
     // The platform asks once a second and takes two misses.
     let shortest = begun + Duration::from_millis(2600).min(grace.mul_f64(0.5));
     let longest = begun + grace.mul_f64(0.88);
--- a/crates/pointsman/src/platform/admission.rs
+++ b/crates/pointsman/src/platform/admission.rs
@@ -19,12 +19,21 @@
 
 struct Waiter {
     place: Place,
+    sort: u64,
     expected: f64,
     horizon: Moment,
     sender: oneshot::Sender<Slot>,
 }
 
-/// Invariants: `running` ≤ `slots`, counting slots held by errands; nobody waits while a slot is free.
+/// A request that has a slot.
+struct Begun {
+    number: u64,
+    at: Moment,
+    sort: u64,
+}
+
+/// Invariants: `running` ≤ `slots`, counting slots held by errands; nobody waits while a slot is free, but for routes
+/// that can wait and have all that is theirs while room is kept.
 pub struct Admission {
     slots: Cell<u32>,
     running: Cell<u32>,
@@ -35,7 +44,10 @@
     /// The same, of late: what is told to others, so that a slow one is soon known.
     recent: Cell<f64>,
     /// When those that run began. Invariant: as many as `running`.
-    begun: RefCell<VecDeque<(u64, Moment)>>,
+    begun: RefCell<VecDeque<Begun>>,
+    /// Room kept for urgent routes: which routes can wait, and how many slots they may take together.
+    /// Invariant: one at least.
+    reserved: RefCell<Option<(Vec<u64>, u32)>>,
     by_sort: RefCell<HashMap<u64, f64>>,
 }
 
@@ -49,6 +61,7 @@
             service: Cell::new(FIRST_GUESS_MICROS),
             recent: Cell::new(FIRST_GUESS_MICROS),
             begun: RefCell::default(),
+            reserved: RefCell::default(),
             by_sort: RefCell::default(),
         }
     }
@@ -60,7 +73,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let admission = self.0.clone();
-        admission.begun.borrow_mut().retain(|(number, _)| *number != self.1);
+        admission.begun.borrow_mut().retain(|begun| begun.number != self.1);
         admission.running.set(admission.running.get() - 1);
         Admission::let_in(&admission);
     }
@@ -100,7 +113,7 @@
 
     /// What a request takes here, by those of late and by the one that has been at it longest.
     pub fn service_micros(&self, now: Moment) -> u32 {
-        let longest = self.begun.borrow().front().map(|(_, begun)| now.since(*begun).as_micros() as f64);
+        let longest = self.begun.borrow().front().map(|begun| now.since(begun.at).as_micros() as f64);
         self.recent.get().max(longest.unwrap_or(0.0) / 2.0).min(u32::MAX as f64) as u32
     }
 
@@ -136,8 +149,11 @@
 
     /// A slot now, a slot after a wait that leaves time enough, or a word at once that there is none.
     pub async fn admit(self: &Rc<Self>, claim: &Claim, now: Moment) -> Result<Slot, TurnedAway> {
+        if self.is_held_back(claim.sort) {
+            return Err(TurnedAway { late: false, free_in: micros(self.service.get()) });
+        }
         if self.running.get() < self.slots.get() {
-            return Ok(self.take_slot());
+            return Ok(self.take_slot(claim.sort));
         }
         let expected = self.expected(claim.sort);
         let order = self.next_order.get();
@@ -149,7 +165,7 @@
             return Err(TurnedAway { late: false, free_in: wait });
         }
         let (sender, receiver) = oneshot::channel();
-        self.queue.borrow_mut().push(Waiter { place, expected, horizon: claim.horizon, sender });
+        self.queue.borrow_mut().push(Waiter { place, sort: claim.sort, expected, horizon: claim.horizon, sender });
         // The last moment at which starting is still of use.
         let last_start = claim.horizon - micros(expected).min(now.until(claim.horizon) / 2);
         match monoio::time::timeout(now.until(last_start), receiver).await {
@@ -161,11 +177,26 @@
         }
     }
 
-    fn take_slot(self: &Rc<Self>) -> Slot {
+    /// Keeps room for urgent routes, or ends that.
+    pub fn reserve(self: &Rc<Self>, bound: Option<(Vec<u64>, u32)>) {
+        *self.reserved.borrow_mut() = bound.map(|(sorts, slots)| (sorts, slots.max(1)));
+        Self::let_in(self);
+    }
+
+    /// Whether a route can wait, and has all the slots that it may take now.
+    fn is_held_back(&self, sort: u64) -> bool {
+        let reserved = self.reserved.borrow();
+        let Some((deferrable, slots)) = reserved.as_ref().filter(|(sorts, _)| sorts.contains(&sort)) else {
+            return false;
+        };
+        self.begun.borrow().iter().filter(|begun| deferrable.contains(&begun.sort)).count() as u32 >= *slots
+    }
+
+    fn take_slot(self: &Rc<Self>, sort: u64) -> Slot {
         self.running.set(self.running.get() + 1);
         let number = self.next_order.get();
         self.next_order.set(number + 1);
-        self.begun.borrow_mut().push_back((number, clock::now()));
+        self.begun.borrow_mut().push_back(Begun { number, at: clock::now(), sort });
         Slot(self.clone(), number)
     }
 
@@ -174,7 +205,8 @@
         while admission.running.get() < admission.slots.get() {
             let next = {
                 let mut queue = admission.queue.borrow_mut();
-                let best = (0..queue.len()).min_by_key(|index| queue[*index].place);
+                let free = (0..queue.len()).filter(|index| !admission.is_held_back(queue[*index].sort));
+                let best = free.min_by_key(|index| queue[*index].place);
                 match best {
                     Some(index) => queue.swap_remove(index),
                     None => return,
@@ -184,9 +216,9 @@
                 continue;
             }
             // Whoever gave up meanwhile gives the slot back.
-            let slot = admission.take_slot();
+            let slot = admission.take_slot(next.sort);
             if let Err(slot) = next.sender.send(slot) {
-                admission.begun.borrow_mut().retain(|(number, _)| *number != slot.1);
+                admission.begun.borrow_mut().retain(|begun| begun.number != slot.1);
                 std::mem::forget(slot);
                 admission.running.set(admission.running.get() - 1);
             }
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -5,6 +5,7 @@
 //! costs occupancy, never safety, as what may not run twice is sent once whoever holds the slots.
 
 use super::{Life, Lines, Platform};
+use lineside::aggregation::Reservations;
 use lineside::gossip::{Role, Roster, Standing};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -205,6 +206,15 @@
         Some(self.hold(&Rc::new(instance.clone()), now))
     }
 
+    /// What the endpoints here were at since this was last asked.
+    pub fn take_work(&self) -> Vec<(ServiceName, u64, u64, u64)> {
+        self.platforms.borrow().values().flat_map(|(platform, _)| platform.take_work()).collect()
+    }
+
+    pub fn reserve(&self, reservations: &Reservations) {
+        self.platforms.borrow().values().for_each(|(platform, _)| platform.reserve(reservations));
+    }
+
     /// Lets go of what is at home elsewhere now.
     pub fn tidy(&self, own: &NodeName, now: Moment) {
         let by_service = self.by_service.borrow();
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -20,15 +20,17 @@
 pub use way_out::WayOut;
 
 use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed};
+use lineside::aggregation::Reservations;
 use lineside::gossip::Occupancy;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::Instance;
 use trackbed::clock::{self, Moment};
 use trackbed::http::{Guard, Return};
-use trackbed::ids::InstanceId;
+use trackbed::ids::{InstanceId, ServiceName};
 
 /// For how long a failed call excuses the endpoint's own failures.
 const EXCUSED: Duration = Duration::from_millis(700);
@@ -76,8 +78,14 @@
     next_binding: Cell<u64>,
     /// This node is about to end and takes nothing more for the endpoint.
     pub closed: Cell<bool>,
+    /// By what requests name their route by: how many ended well here, and how long the endpoint was at them.
+    /// Invariant: of all since it was last taken.
+    work: RefCell<HashMap<u64, (u64, u64)>>,
 }
 
+/// Routes whose work is told apart between two takings.
+const MOST_SORTS: usize = 512;
+
 impl Platform {
     pub fn new(address: Option<SocketAddr>, lines: Rc<Lines>) -> Self {
         Self {
@@ -93,9 +101,28 @@
             bindings: RefCell::default(),
             next_binding: Cell::new(0),
             closed: Cell::new(false),
+            work: RefCell::default(),
         }
     }
 
+    /// What the endpoint was at since this was last asked: service, route, how many, microseconds.
+    pub fn take_work(&self) -> Vec<(ServiceName, u64, u64, u64)> {
+        let work = std::mem::take(&mut *self.work.borrow_mut());
+        let life = self.life.borrow();
+        let Some(service) = life.as_ref().map(|life| &life.instance.service) else { return Vec::new() };
+        work.into_iter().map(|(sort, (served, micros))| (service.clone(), sort, served, micros)).collect()
+    }
+
+    /// Holds the endpoint to what is reserved of its service.
+    pub fn reserve(&self, reservations: &Reservations) {
+        let life = self.life.borrow();
+        let bound = life.as_ref().and_then(|life| {
+            let instance = &life.instance;
+            reservations.bound(instance.service.as_str(), instance.slots)
+        });
+        self.admission.reserve(bound);
+    }
+
     /// How busy the endpoint is, for all to know.
     pub fn occupancy(&self, now: Moment) -> Option<Occupancy> {
         let life = self.life.borrow();
@@ -200,6 +227,11 @@
         }
         if sign == Some(Sign::Well) {
             self.admission.measured(sort, span);
+            let mut work = self.work.borrow_mut();
+            let sort = if work.len() < MOST_SORTS || work.contains_key(&sort) { sort } else { 0 };
+            let (served, micros) = work.entry(sort).or_default();
+            *served += 1;
+            *micros += span.as_micros() as u64;
         }
     }
 
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -115,6 +115,7 @@
             headers,
             body: Default::default(),
             keeps: true,
+            from: None,
         },
         attempt,
         instance: InstanceId::new("i-1"),
--- a/crates/signalbox/src/ledger/changes.rs
+++ b/crates/signalbox/src/ledger/changes.rs
@@ -1,5 +1,6 @@
 //! One ordered change. The primary works out its effect, so that applying it is the same everywhere.
 
+use super::history::{Plan, SlotRecord};
 use borsh::{BorshDeserialize, BorshSerialize};
 use timetable::fleet::FleetChange;
 
@@ -28,4 +29,8 @@
         value: String,
         revision: u64,
     },
+    /// An hour of history. Invariant: the next.
+    Slot(SlotRecord),
+    /// Room to be kept in an hour to come.
+    Plan(Plan),
 }
--- a/crates/signalbox/src/ledger/mod.rs
+++ b/crates/signalbox/src/ledger/mod.rs
@@ -2,7 +2,9 @@
 
 mod cells;
 mod changes;
+mod history;
 mod state;
 
 pub use changes::Change;
+pub use history::{History, MOST_SERIES, Plan, PlannedService, SlotLine, SlotRecord};
 pub use state::{Ledger, group_of};
--- a/crates/signalbox/src/ledger/state.rs
+++ b/crates/signalbox/src/ledger/state.rs
@@ -2,8 +2,10 @@
 
 use super::cells::CellGroup;
 use super::changes::Change;
+use super::history::{History, Plan};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::{FleetFrame, FleetFrameBefore, FleetState};
 use trackbed::clock::Moment;
@@ -26,15 +28,28 @@
     groups: BTreeMap<String, CellGroup>,
 }
 
-impl LedgerFrame<FleetFrame> {
-    /// Reads it as it is now, or as it stood on disks before there were councils.
-    fn read(state: &[u8]) -> borsh::io::Result<Self> {
-        Self::try_from_slice(state).or_else(|error| {
-            let before = LedgerFrame::<FleetFrameBefore>::try_from_slice(state).map_err(|_| error)?;
-            let LedgerFrame { fleet, locks, last_fence, numbers, groups } = before;
-            Ok(Self { fleet: fleet.into(), locks, last_fence, numbers, groups })
-        })
-    }
+/// What stands behind the rest since there is a forecast.
+#[derive(BorshSerialize, BorshDeserialize)]
+struct Foresight {
+    history: Rc<History>,
+    plans: Vec<Plan>,
+}
+
+/// Plans kept: of the hour, and of the next.
+const MOST_PLANS: usize = 2;
+
+/// Reads a ledger as it is now, or as it stood on disks before there was a forecast, or councils.
+fn read(mut state: &[u8]) -> borsh::io::Result<(LedgerFrame<FleetFrame>, Option<Foresight>)> {
+    let whole = state;
+    let now = LedgerFrame::<FleetFrame>::deserialize(&mut state).and_then(|frame| match state.is_empty() {
+        true => Ok((frame, None)),
+        false => Ok((frame, Some(Foresight::try_from_slice(state)?))),
+    });
+    now.or_else(|error| {
+        let before = LedgerFrame::<FleetFrameBefore>::try_from_slice(whole).map_err(|_| error)?;
+        let LedgerFrame { fleet, locks, last_fence, numbers, groups } = before;
+        Ok((LedgerFrame { fleet: fleet.into(), locks, last_fence, numbers, groups }, None))
+    })
 }
 
 /// Invariant: the same changes in the same order make the same ledger on every node.
@@ -46,13 +61,18 @@
     pub last_fence: u64,
     pub numbers: BTreeMap<String, u64>,
     pub groups: BTreeMap<String, CellGroup>,
-    history: Duration,
+    /// What was asked of each route, hour by hour.
+    pub history: Rc<History>,
+    /// Room to be kept. Invariant: hours rise, `MOST_PLANS` at most.
+    pub plans: Vec<Plan>,
+    /// How long events of keys are kept.
+    kept: Duration,
 }
 
 impl Ledger {
     pub fn new(history: Duration) -> Self {
         // Twice the promise and more: what a watcher was told last is never forgotten too soon.
-        Self { history: history * 5 / 2, ..Self::default() }
+        Self { kept: history * 5 / 2, ..Self::default() }
     }
 
     pub fn encode(&self) -> Vec<u8> {
@@ -63,7 +83,10 @@
             numbers: self.numbers.clone(),
             groups: self.groups.clone(),
         };
-        borsh::to_vec(&frame).expect("writing to memory can't fail")
+        let mut bytes = borsh::to_vec(&frame).expect("writing to memory can't fail");
+        let foresight = Foresight { history: self.history.clone(), plans: self.plans.clone() };
+        foresight.serialize(&mut bytes).expect("writing to memory can't fail");
+        bytes
     }
 
     pub fn decode(state: &[u8], history: Duration, now: Moment) -> borsh::io::Result<Self> {
@@ -71,7 +94,10 @@
         if state.is_empty() {
             return Ok(ledger);
         }
-        let frame = LedgerFrame::read(state)?;
+        let (frame, foresight) = read(state)?;
+        if let Some(Foresight { history, plans }) = foresight {
+            (ledger.history, ledger.plans) = (history, plans);
+        }
         ledger.fleet = FleetState::from_frame(frame.fleet);
         ledger.locks = frame.locks;
         ledger.last_fence = frame.last_fence;
@@ -106,7 +132,15 @@
             }
             Change::CellPut { name, value, revision } => {
                 let group = group_of(&name).to_owned();
-                self.groups.entry(group).or_default().put(name, value, revision, now, self.history);
+                self.groups.entry(group).or_default().put(name, value, revision, now, self.kept);
+            }
+            Change::Slot(record) => Rc::make_mut(&mut self.history).push(record),
+            Change::Plan(plan) => {
+                self.plans.retain(|known| known.hour < plan.hour);
+                self.plans.push(plan);
+                while self.plans.len() > MOST_PLANS {
+                    self.plans.remove(0);
+                }
             }
         }
     }
--- a/crates/signalbox/src/main.rs
+++ b/crates/signalbox/src/main.rs
@@ -1,6 +1,7 @@
 //! The control plane: keeps the configuration, the endpoints and the applications' locks, numbers
 //! and keys in one order, and brings the fleet's part of it to every node.
 
+mod forecast;
 mod ledger;
 mod node;
 mod resources;
--- a/crates/signalbox/src/node/doors.rs
+++ b/crates/signalbox/src/node/doors.rs
@@ -1,6 +1,6 @@
 //! The door for operators and applications.
 
-use super::{Signalbox, beats, fleet_view, inspection, primary};
+use super::{Signalbox, aggregation, beats, fleet_view, forecast, inspection, primary};
 use lineside::call::ControlCall;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,6 +37,17 @@
                 _ => Return::fault(405, "the fleet can only be read here"),
             });
         }
+        if request.path() == aggregation::PATH && request.method == http::Method::GET {
+            return Some(Return::json(200, aggregation::view(&self.0)));
+        }
+        if request.path() == forecast::PATH && request.method == http::Method::GET {
+            let service = request.query().split('&').find_map(|pair| pair.strip_prefix("service="));
+            return Some(match forecast::told_anywhere(&self.0, service).await {
+                Some(told) => Return::json(200, told),
+                None => Return::fault(503, "no primary with a majority just now: ask again")
+                    .with_header("retry-after", "0.5"),
+            });
+        }
         if request.path().starts_with(beats::PREFIX) {
             return Some(beats::answer(&self.0, &request).await);
         }
--- /dev/null
+++ b/crates/signalbox/src/node/forecast.rs
@@ -0,0 +1,114 @@
+//! The forecast at a core node: slots and plans are ordered by the primary, which also tells of them.
+
+use super::{Signalbox, aggregation, primary};
+use crate::forecast::{Capacity, Forecaster};
+use crate::ledger::Change;
+use lineside::aggregation::{Reservations, SealedWindow, SealerTiming};
+use lineside::call::{Ask, Reply};
+use std::rc::Rc;
+use std::time::Duration;
+use trackbed::clock::{self, Moment};
+use trackbed::ids::NodeName;
+
+pub const PATH: &str = "/v1/forecast";
+/// One series is fitted at a time, and the loop goes round in between.
+const FIT_EVERY: Duration = Duration::from_millis(500);
+const ASK_LIMIT: Duration = Duration::from_millis(900);
+
+fn window_millis() -> u32 {
+    SealerTiming::default().window.as_millis() as u32
+}
+
+/// A member's time of day.
+pub fn heard_time(node: &Signalbox, from: &NodeName, wall_millis: u64, now: Moment) {
+    node.forecaster.borrow_mut().heard_time(from, wall_millis, now);
+}
+
+/// Takes in what was sealed here, orders what comes of it, and says what is reserved now.
+pub fn sealed(node: &Signalbox, windows: &[SealedWindow], of: u32, now: Moment) -> Reservations {
+    let members = node.zab.borrow().voters().len();
+    let record = {
+        let ahead = node.ahead.borrow();
+        let Some(ahead) = ahead.as_ref() else { return Reservations::default() };
+        node.forecaster.borrow_mut().sealed(windows, window_millis(), of, &ahead.history, members, now)
+    };
+    if let Some(record) = record {
+        primary::order_change(node, Change::Slot(record));
+    }
+    let plan = {
+        let ahead = node.ahead.borrow();
+        let routes = ahead.as_ref().and_then(|ahead| ahead.fleet.routes().cloned());
+        let (Some(ahead), Some(routes)) = (ahead.as_ref(), routes) else { return Reservations::default() };
+        if !routes.observation.reservations {
+            return Reservations::default();
+        }
+        node.forecaster.borrow_mut().plan(&ahead.plans, &routes, &capacity(node), members, now)
+    };
+    if let Some(plan) = plan {
+        log::info!("room is kept in hour {} for {} services", plan.hour, plan.services.len());
+        primary::order_change(node, Change::Plan(plan));
+    }
+    // Only what is committed is in force.
+    let settled = node.settled.borrow();
+    node.forecaster.borrow_mut().in_force(&settled.plans, window_millis(), members, now)
+}
+
+/// What the endpoints there are now can do in an hour.
+fn capacity(node: &Signalbox) -> Capacity {
+    let mut capacity = Capacity::new();
+    for instance in node.settled.borrow().fleet.instances().filter(|instance| !instance.draining) {
+        *capacity.entry(instance.service.as_str().to_owned()).or_default() += instance.slots as f64 * 3600.0;
+    }
+    capacity
+}
+
+/// Fits series, one at a time, while this node is the primary; forgets all when it no longer is.
+pub async fn keep(node: Rc<Signalbox>) {
+    let mut was_primary = false;
+    loop {
+        monoio::time::sleep(FIT_EVERY).await;
+        let is_primary = node.zab.borrow().is_primary();
+        if was_primary != is_primary {
+            was_primary = is_primary;
+            *node.forecaster.borrow_mut() = Forecaster::default();
+        }
+        if is_primary {
+            let history = node.settled.borrow().history.clone();
+            let since = |moment: Moment| Duration::from_micros(moment.micros());
+            node.forecaster.borrow_mut().fit_one(&history, || since(clock::now()));
+        }
+    }
+}
+
+/// What this primary foresees; nothing elsewhere, or without a majority.
+pub fn told(node: &Signalbox, service: Option<&str>) -> Option<String> {
+    let is_primary = node.zab.borrow().is_primary() && primary::lease_holds(node);
+    is_primary.then(|| {
+        let settled = node.settled.borrow();
+        node.forecaster.borrow().told(&settled.history, &settled.plans, &capacity(node), service)
+    })
+}
+
+/// The same, asked at any core node.
+pub async fn told_anywhere(node: &Signalbox, service: Option<&str>) -> Option<String> {
+    if let Some(told) = told(node, service) {
+        return Some(told);
+    }
+    let primary = node.zab.borrow().primary()?;
+    let ask = Ask::Forecast { service: service.map(str::to_owned) };
+    match node.caller.call_for_much(primary.address, ask, ASK_LIMIT).await {
+        Ok(Reply::Text(text)) => Some(text),
+        _ => None,
+    }
+}
+
+/// A collector's time of day goes with its parts.
+pub fn heard_with_parts(node: &Signalbox, from: &NodeName, wall_millis: u64) {
+    heard_time(node, from, wall_millis, clock::now());
+}
+
+/// This primary's own.
+pub fn heard_own(node: &Signalbox, now: Moment) {
+    let name = node.live.get().node_name.clone();
+    heard_time(node, &name, aggregation::wall_millis(), now);
+}
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -1,11 +1,13 @@
 //! One core node: the loop, and the state that is passed down it.
 
+mod aggregation;
 mod beats;
 mod councils;
 mod disk;
 mod doors;
 mod error;
 mod fleet_view;
+mod forecast;
 mod inspection;
 mod members;
 mod peers;
@@ -16,6 +18,7 @@
 pub use error::NodeError;
 pub use start::run;
 
+use crate::forecast::Forecaster;
 use crate::ledger::Ledger;
 use crate::node::disk::Write;
 use futures_channel::oneshot;
@@ -64,6 +67,10 @@
     pub meant: RefCell<Option<TableDigest>>,
     /// Proxies' reports that the primary has not been told of yet.
     pub reports: RefCell<Vec<(RoutesReport, Moment)>>,
+    /// The fleet's counts, as they are gathered and sealed.
+    pub aggregation: aggregation::Aggregation,
+    /// Only at the primary does it hold anything.
+    pub forecaster: RefCell<Forecaster>,
     /// Silent peers to be asked over a stream.
     pub to_knock: RefCell<Vec<Peer>>,
     pub next_members: Cell<Moment>,
--- a/crates/signalbox/src/node/peers.rs
+++ b/crates/signalbox/src/node/peers.rs
@@ -1,6 +1,6 @@
 //! What other nodes send: Zab's messages, calls, and gossip.
 
-use super::{Signalbox, inspection, primary, turn};
+use super::{Signalbox, aggregation, forecast, inspection, primary, turn};
 use borsh::BorshDeserialize;
 use interlocking::zab::Envelope;
 use lineside::call::{Answering, Ask, Reply};
@@ -39,6 +39,16 @@
             },
             Ask::Grant(_) | Ask::Order(_) | Ask::Fact(_) => Reply::NotNow("a core node sits in no council".into()),
             Ask::RoutesDetail { .. } => Reply::NotNow("a core node routes nothing".into()),
+            Ask::Counted(counted) => aggregation::counted(&self, counted),
+            Ask::Parts { from, parts, known, sealed, wall_millis } => {
+                forecast::heard_with_parts(&self, &from, wall_millis);
+                aggregation::parts(&self, &from, parts, known, sealed)
+            }
+            Ask::Report { known } => aggregation::report(&self, known),
+            Ask::Forecast { service } => match forecast::told(&self, service.as_deref()) {
+                Some(text) => Reply::Text(text),
+                None => Reply::NotNow("this node is not the primary".into()),
+            },
             Ask::Permit(_) => Reply::NotNow("no endpoint is at home at a core node".into()),
             Ask::Assure => primary::assure(&self),
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -202,9 +202,14 @@
     .await
 }
 
-/// Orders a change that nobody waits for.
+/// Orders a change of the fleet that nobody waits for.
 pub fn order(node: &Signalbox, change: FleetChange) {
-    propose(node, Change::Fleet(change));
+    order_change(node, Change::Fleet(change));
+}
+
+/// Orders a change that nobody waits for.
+pub fn order_change(node: &Signalbox, change: Change) {
+    propose(node, change);
 }
 
 pub async fn sign_off(node: &Signalbox, id: InstanceId) -> Reply {
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -1,6 +1,7 @@
 //! From settings and disk to a running node.
 
-use super::{NodeError, Signalbox, beats, councils, disk, doors, inspection, peers, turn};
+use super::aggregation::{self, Aggregation};
+use super::{NodeError, Signalbox, beats, councils, disk, doors, forecast, inspection, peers, turn};
 use crate::ledger::Ledger;
 use futures_channel::mpsc::unbounded;
 use interlocking::storage::{FileDisk, Recovered, Storage};
@@ -111,6 +112,8 @@
                 inspector: RefCell::new(Inspector::new(timing)),
                 meant: RefCell::default(),
                 reports: RefCell::default(),
+                aggregation: Aggregation::new(&mut Random::from_system()),
+                forecaster: RefCell::default(),
                 to_knock: RefCell::default(),
                 next_members: Cell::new(now),
                 leaving: Cell::new(false),
@@ -124,6 +127,8 @@
             inspection::adopt(&node);
             monoio::spawn(inspection::keep(node.clone()));
             monoio::spawn(councils::keep(node.clone()));
+            monoio::spawn(aggregation::keep(node.clone()));
+            monoio::spawn(forecast::keep(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             turn::leave(&node, &serving).await;
             Ok::<(), NodeError>(())
--- a/crates/timetable/src/configuration/document.rs
+++ b/crates/timetable/src/configuration/document.rs
@@ -1,6 +1,7 @@
 //! A whole configuration, and a change to one. Each item keeps the text it came in.
 
 use super::checks::Fault;
+use super::observation::{OBSERVATION, Observation};
 use super::route::{Limits, Route, Service};
 use super::table::Routes;
 use super::tenant::{Tenant, Tenants};
@@ -121,8 +122,11 @@
                 self.others.remove("tenants");
                 Ok(&mut self.tenants)
             }
-            "limits" => Ok(&mut self.others),
-            _ => Err(Fault::Wrong { place: format!("/upserts/{table}"), wanted: "routes, services or tenants" }),
+            "limits" | OBSERVATION => Ok(&mut self.others),
+            _ => Err(Fault::Wrong {
+                place: format!("/upserts/{table}"),
+                wanted: "routes, services, tenants, limits or observation",
+            }),
         }
     }
 
@@ -151,7 +155,11 @@
         for (name, text) in &self.tenants {
             tenants.push(Tenant::parse(name, &item(text)?)?);
         }
-        Routes::build(self.epoch, routes, services, limits, Tenants::build(tenants)?)
+        let observation = match self.others.get(OBSERVATION) {
+            Some(text) => Observation::parse(&item(text)?)?,
+            None => Observation::default(),
+        };
+        Routes::build(self.epoch, routes, services, limits, Tenants::build(tenants)?, observation)
     }
 
     /// Every region that a tenant names must be one of the fleet's.
@@ -206,9 +214,9 @@
         let mut patch = Self { epoch: epoch_of(&value)?, ..Self::default() };
         if let Some(tables) = value.pointer(["upserts"].iter()).and_then(|tables| tables.as_object()) {
             for (table, upserts) in tables.iter() {
-                if table == "limits" {
-                    let limits = Items::from([("limits".to_owned(), text_of(upserts))]);
-                    patch.upserts.insert(table.to_owned(), limits);
+                if table == "limits" || table == OBSERVATION {
+                    let whole = Items::from([(table.to_owned(), text_of(upserts))]);
+                    patch.upserts.insert(table.to_owned(), whole);
                 } else {
                     let place = format!("/upserts/{table}");
                     patch.upserts.insert(table.to_owned(), upserted(upserts, &place)?);
@@ -292,6 +300,26 @@
         assert_matches!(fault, Fault::UnknownService { .. });
     }
 
+    #[test]
+    fn what_is_to_be_observed_is_checked_and_can_be_patched() {
+        let with =
+            |observation: &str| whole(GOOD).replace("\"extra\"", &format!("\"observation\":{observation},\"extra\""));
+        let parse = |observation: &str| Configuration::parse(with(observation).as_bytes());
+        let routes = |configuration: &Configuration| configuration.typed().unwrap();
+        let configuration = parse(r#"{"client_header":"X-School"}"#).unwrap();
+        assert_eq!(Configuration::parse(configuration.to_json().as_bytes()).unwrap(), configuration);
+        assert_eq!(routes(&configuration).observation.client_header.as_deref(), Some("x-school"));
+        assert!(routes(&configuration).observation.reservations);
+        assert_matches!(parse("[]"), Err(Fault::Wrong { place, .. }) if place == "/observation");
+        for wrong in [r#"{"client_header":"x y"}"#, r#"{"client_header":""}"#, r#"{"client_header":7}"#] {
+            assert_matches!(parse(wrong), Err(Fault::Wrong { place, .. }) if place == "/observation/client_header");
+        }
+        assert_matches!(parse(r#"{"reservations":1}"#), Err(Fault::Wrong { place, .. }) if place == "/observation/reservations");
+        let patch = br#"{"version":"r9","upserts":{"observation":{"reservations":false}}}"#;
+        let next = configuration.patched(&Patch::parse(patch).unwrap()).unwrap();
+        assert_eq!(routes(&next).observation, Observation { client_header: None, reservations: false });
+    }
+
     #[test]
     fn tenants_are_checked_as_strictly_and_found_by_claim_or_header() {
         let with = |tenants: &str| whole(GOOD).replace("\"extra\"", &format!("\"tenants\":{tenants},\"extra\""));
--- a/crates/timetable/src/configuration/mod.rs
+++ b/crates/timetable/src/configuration/mod.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod digest;
 mod document;
+mod observation;
 mod route;
 mod table;
 mod tenant;
@@ -10,6 +11,7 @@
 pub use checks::Fault;
 pub use digest::{DigestPass, Entry, EntryDrift, LEAVES, PlannedBy, TableDigest, entry_drifts};
 pub use document::{Configuration, Patch};
+pub use observation::{OBSERVATION, Observation};
 pub use route::{Limits, Route, RouteKind, Service};
 pub use table::Routes;
 pub use tenant::{TENANT_HEADER, Tenant, TenantDoubt, Tenants};
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -1,6 +1,7 @@
 //! Routes as requests look them up. The cost goes with the path's depth, not with the routes.
 
 use super::checks::Fault;
+use super::observation::Observation;
 use super::route::{Limits, Route, Service};
 use super::tenant::Tenants;
 use std::collections::{BTreeMap, HashMap};
@@ -20,6 +21,7 @@
     pub epoch: ConfigEpoch,
     pub limits: Limits,
     pub tenants: Tenants,
+    pub observation: Observation,
     services: BTreeMap<String, Service>,
     hosts: HashMap<String, Host>,
 }
@@ -31,6 +33,7 @@
         services: BTreeMap<String, Service>,
         limits: Limits,
         tenants: Tenants,
+        observation: Observation,
     ) -> Result<Self, Fault> {
         let mut hosts: HashMap<String, Host> = HashMap::new();
         for route in routes {
@@ -49,7 +52,7 @@
         for host in hosts.values_mut() {
             host.open.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Ok(Self { epoch, limits, tenants, services, hosts })
+        Ok(Self { epoch, limits, tenants, observation, services, hosts })
     }
 
     /// The route with the longest prefix that begins the path.
@@ -98,10 +101,14 @@
         hosts.flat_map(|host| self.places_of(host).map(move |(prefix, route)| (host.as_str(), prefix, route)))
     }
 
+    /// Every route, in no order.
+    pub fn each(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.hosts.values().flat_map(|host| host.whole.values().chain(&host.open))
+    }
+
     /// Every route, by name.
     pub fn all(&self) -> Vec<Rc<Route>> {
-        let hosts = self.hosts.values();
-        let mut all: Vec<_> = hosts.flat_map(|host| host.whole.values().chain(&host.open)).cloned().collect();
+        let mut all: Vec<_> = self.each().cloned().collect();
         all.sort_by(|one, other| one.name.cmp(&other.name));
         all
     }
--- a/crates/trackbed/src/http/head.rs
+++ b/crates/trackbed/src/http/head.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, HeaderName, Method, header};
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
+use std::net::IpAddr;
 
 /// A whole request of a requester.
 #[derive(Clone, Debug)]
@@ -17,6 +18,8 @@
     pub body: Bytes,
     /// True when the requester keeps the connection for more.
     pub keeps: bool,
+    /// Who sent it, where it came in at a door.
+    pub from: Option<IpAddr>,
 }
 
 impl Request {
@@ -140,7 +143,7 @@
         .and_then(|value| value.to_str().ok())
         .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
     strip_hop_headers(&mut headers);
-    let request = Request { method: parts.method, target, headers, body: Bytes::new(), keeps };
+    let request = Request { method: parts.method, target, headers, body: Bytes::new(), keeps, from: None };
     Ok(RequestHead { request, framing, expects_continue })
 }
 
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -10,6 +10,7 @@
 use http::Method;
 use monoio::net::{TcpListener, TcpStream};
 use std::cell::Cell;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -62,14 +63,14 @@
 pub async fn serve_listener<H: Handler>(listener: TcpListener, serving: Rc<Serving>, handler: Rc<H>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, from)) => {
                 stream.prepare();
                 if serving.open.get() >= serving.most_open.get() {
                     stream.reset_on_close();
                     continue;
                 }
                 let (serving, handler) = (serving.clone(), handler.clone());
-                monoio::spawn(async move { serve_line(stream, &serving, handler).await });
+                monoio::spawn(async move { serve_line(stream, from.ip(), &serving, handler).await });
             }
             Err(error) => {
                 log::warn!("accepting failed ({error}): tried again shortly");
@@ -97,14 +98,14 @@
     }
 }
 
-async fn serve_line<H: Handler>(stream: TcpStream, serving: &Serving, handler: Rc<H>) {
+async fn serve_line<H: Handler>(stream: TcpStream, from: IpAddr, serving: &Serving, handler: Rc<H>) {
     let _open = Count::up(&serving.open, 1);
     let mut line = Line::new(stream);
     loop {
         let mut limits = handler.limits();
         limits.room = limits.room.saturating_sub(serving.held_bytes.get() as u64);
         let request = match line.read_request(&limits).await {
-            Ok(request) => request,
+            Ok(request) => Request { from: Some(from), ..request },
             Err(DoorError::Declined { status, reason }) => {
                 let answer = handler.turned_away(status, reason).closing();
                 if line.write(answer.encode(false)).await.is_ok() {
