--- a/crates/gauge/src/ask.rs
+++ b/crates/gauge/src/ask.rs
@@ -15,13 +15,17 @@
 #[derive(Debug, Display, Error)]
 pub enum AskError {
     #[display("the fleet at {address} gives no answer to {path}: name another core node's control_plane address")]
-    NoAnswer { address: SocketAddr, path: &'static str },
+    NoAnswer { address: SocketAddr, path: String },
     #[display("the fleet's answer can't be read: use a gauge of the same version as signalbox")]
     Unreadable,
     #[display("the fleet tells nothing of its proxies' routes: upgrade signalbox, or ask another core node")]
     TellsNoDigest,
     #[display("no majority stands behind an answer just now: ask again when the core has a primary")]
     NoMajority,
+    #[display("that node tells nothing of clients: upgrade it, or name another")]
+    TellsNoClients,
+    #[display("that node tells no forecast: name a core node's control_plane address, or upgrade signalbox")]
+    TellsNoForecast,
     #[display("that node says nothing of its region: name the readiness address of a pointsman")]
     NotAProxy,
 }
@@ -66,8 +70,8 @@
     }
 }
 
-async fn get(address: SocketAddr, path: &'static str) -> Result<Return, AskError> {
-    let no_answer = || AskError::NoAnswer { address, path };
+async fn get(address: SocketAddr, path: &str) -> Result<Return, AskError> {
+    let no_answer = || AskError::NoAnswer { address, path: path.to_owned() };
     let mut line = Line::new(connect(address, LIMIT).await.map_err(|_| no_answer())?);
     let request = Request {
         method: http::Method::GET,
@@ -85,15 +89,15 @@
 }
 
 /// The body of one answer.
-pub fn get_now(address: SocketAddr, path: &'static str) -> Result<Vec<u8>, AskError> {
-    let mut outcome = Err(AskError::NoAnswer { address, path });
+pub fn get_now(address: SocketAddr, path: &str) -> Result<Vec<u8>, AskError> {
+    let mut outcome = Err(AskError::NoAnswer { address, path: path.to_owned() });
     let run = trackbed::kernel::run(async {
         outcome = get(address, path).await.and_then(|answer| match answer.status {
             200 => Ok(answer.body.to_vec()),
-            _ => Err(AskError::NoAnswer { address, path }),
+            _ => Err(AskError::NoAnswer { address, path: path.to_owned() }),
         });
     });
-    run.map_err(|_| AskError::NoAnswer { address, path })?;
+    run.map_err(|_| AskError::NoAnswer { address, path: path.to_owned() })?;
     outcome
 }
 
@@ -111,6 +115,6 @@
         }
         .await;
     });
-    run.map_err(|_| AskError::NoAnswer { address, path: "/v1/fleet" })?;
+    run.map_err(|_| AskError::NoAnswer { address, path: "/v1/fleet".to_owned() })?;
     outcome
 }
--- a/crates/gauge/src/main.rs
+++ b/crates/gauge/src/main.rs
@@ -2,7 +2,9 @@
 
 mod against;
 mod ask;
+mod clients;
 mod finding;
+mod forecast;
 mod routes;
 
 use finding::{Finding, Level};
@@ -13,6 +15,8 @@
 const USAGE: &str = "Usage: gauge check FILE [--fleet ADDRESS] [--json] [--strict]
        gauge routes --fleet ADDRESS [--json]
        gauge region --fleet ADDRESS
+       gauge clients --fleet ADDRESS [--fleet ADDRESS ...] [--json]
+       gauge forecast --fleet ADDRESS [--service NAME] [--json]
 
 Reads a configuration, or a change to one (with upserts or removals), and checks it as signalbox does.
 With --fleet it also asks a core node's control_plane address what is in place, and compares.
@@ -22,7 +26,14 @@
 address. Status: 0 all in step; 1 drift or late; 2 unheard proxies, wrong usage, no answer, no majority.
 
 region: what a pointsman (at its readiness address) says of its region: in touch with the core or cut off,
-coordinator, term, council, provisional facts.";
+coordinator, term, council, provisional facts.
+
+clients: which clients send most right now, and whether all nodes named (a pointsman's readiness address, a core
+node's control_plane address) show the same. Status: 0 alike, or one window apart; 1 differing lists under one
+number, too far apart, or stale; 2 wrong usage, no answer.
+
+forecast: how busy next week will be, per service and route, and the hours that do not fit, by a core node's
+control_plane address. Status: 0 fits; 1 some hour does not; 2 too little history, wrong usage, no answer.";
 
 fn main() {
     std::process::exit(run(std::env::args().skip(1).collect()));
@@ -32,7 +43,8 @@
     let mut options = Options::new();
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
-    options.optopt("f", "fleet", "control_plane address of a core node", "ADDRESS");
+    options.optmulti("f", "fleet", "whom to ask: control_plane address of a core node, or as said above", "ADDRESS");
+    options.optopt("", "service", "only this service's forecast", "NAME");
     options.optflag("j", "json", "findings as JSON");
     options.optflag("s", "strict", "warnings count as faults");
     let matches = match options.parse(&arguments) {
@@ -47,18 +59,25 @@
         println!("gauge {}", env!("CARGO_PKG_VERSION"));
         return 0;
     }
-    let fleet = match matches.opt_str("fleet").map(|text| text.parse::<SocketAddr>()) {
-        None => None,
-        Some(Ok(address)) => Some(address),
-        Some(Err(_)) => return usage("--fleet wants an address like 10.0.0.1:8080"),
-    };
+    let asked: Result<Vec<SocketAddr>, _> = matches.opt_strs("fleet").iter().map(|text| text.parse()).collect();
+    let Ok(asked) = asked else { return usage("--fleet wants an address like 10.0.0.1:8080") };
+    let fleet = asked.first().copied();
     let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
     let file = match (words.as_slice(), fleet) {
         (["check", file], _) => *file,
         (["routes"], Some(address)) => return routes::routes(address, matches.opt_present("json")),
         (["region"], Some(address)) => return routes::region(address),
-        (["routes" | "region"], None) => return usage("say whom to ask with --fleet ADDRESS"),
-        _ => return usage("give check and a file, or routes, or region"),
+        (["clients"], Some(_)) => return clients::clients(&asked, matches.opt_present("json")),
+        (["forecast"], Some(address)) => {
+            let service = matches.opt_str("service");
+            let plain = |name: &str| name.bytes().all(|byte| byte.is_ascii_graphic() && !b"&#?%".contains(&byte));
+            if service.as_deref().is_some_and(|name| name.is_empty() || !plain(name)) {
+                return usage("--service wants a service's name, without spaces");
+            }
+            return forecast::forecast(address, service.as_deref(), matches.opt_present("json"));
+        }
+        (["routes" | "region" | "clients" | "forecast"], None) => return usage("say whom to ask with --fleet ADDRESS"),
+        _ => return usage("give check and a file, or routes, region, clients or forecast"),
     };
     let body = match std::fs::read(file) {
         Ok(body) => body,
@@ -173,6 +192,11 @@
         assert_eq!(run(vec!["check".into()]), 2);
         assert_eq!(run(vec!["routes".into()]), 2);
         assert_eq!(run(vec!["region".into(), "more".into()]), 2);
+        assert_eq!(run(vec!["clients".into()]), 2);
+        assert_eq!(run(vec!["forecast".into(), "--fleet".into(), "10.0.0".into()]), 2);
+        let odd = ["forecast", "--fleet", "127.0.0.1:1", "--service", "a b"];
+        assert_eq!(run(odd.iter().map(|word| (*word).to_owned()).collect()), 2);
+        assert_eq!(run(vec!["clients".into(), "--fleet".into(), "127.0.0.1:1".into()]), 2, "nobody answers");
         assert_eq!(run(vec!["check".into(), "/no/such/file".into()]), 2);
         assert_eq!(run(vec!["check".into(), "x".into(), "--fleet".into(), "nowhere".into()]), 2);
     }
