--- a/crates/pointsman/src/main.rs
+++ b/crates/pointsman/src/main.rs
@@ -1,18 +1,3 @@
-//! The data plane: stands beside an endpoint, takes requests in, and sees them to the endpoint
-//! that is to run them.
-
-mod dispatch;
-mod node;
-mod platform;
-
-use trackbed::config::{Command, ConfigError, LocalConfig};
-
-const ABOUT: &str = "pointsman is the data plane of ferryhinge. It runs beside an application endpoint\nor, where its role serves \"edge\", as a gateway.\n";
-
-fn check(config: &LocalConfig) -> Result<(), ConfigError> {
-    node::Mode::of(config).map(|_| ())
-}
-
 fn main() {
-    std::process::exit(Command::main("pointsman", ABOUT, check, node::run));
+    std::process::exit(pointsman::main());
 }
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -14,7 +14,7 @@
 pub use error::NodeError;
 pub use mode::Mode;
 pub use routes_check::RoutesCheck;
-pub use start::run;
+pub use start::{Launched, launch, run};
 pub use tenancy::TenantCounts;
 
 use crate::dispatch::{Balance, Budgets, Pool};
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -11,6 +11,7 @@
 use lineside::gossip::{Peer, Roster, RosterTiming};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::{FleetState, Member};
@@ -27,9 +28,14 @@
     inbound: Rc<Serving>,
 }
 
-pub fn run(command: Command) -> Result<(), NodeError> {
-    let signals = Signals::register()?;
-    let config = command.config.clone();
+/// A node that runs.
+pub struct Launched {
+    pub node: Rc<Pointsman>,
+    doors: Doors,
+}
+
+/// Starts a node on the loop that this is called on. Several may share one.
+pub fn launch(path: PathBuf, config: LocalConfig) -> Result<Launched, NodeError> {
     let mode = Mode::of(&config)?;
     let now = clock::now();
     let address = SocketAddr::new(config.ip_address, config.beside_port());
@@ -43,55 +49,61 @@
     };
     let seeds = config.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), config.core_port())).collect();
     let roster = Roster::new(peer, seeds, RosterTiming::default(), Random::from_system(), now);
+    let live = Rc::new(LiveConfig::new(path, config.clone()));
+    let life = Random::from_system().draw();
+    let me = Member { node: config.node_name.clone(), life, address };
+    let lines = Rc::new(match mode {
+        Mode::Beside => Lines::default(),
+        Mode::Gateway => Lines::among_many(),
+    });
+    let node = Rc::new(Pointsman {
+        mode,
+        live: live.clone(),
+        fleet: RefCell::new(FleetState::default()),
+        roster: RefCell::new(roster),
+        datagrams: Datagrams::bind(address)?,
+        caller: Caller::default(),
+        platform: Rc::new(Platform::new(config.app_address, lines.clone())),
+        homes: Homes::new(lines.clone()),
+        lines,
+        life,
+        routes_check: RoutesCheck::default(),
+        council: RefCell::new(Council::new(me, CouncilTiming::default(), now)),
+        book: RefCell::default(),
+        coordination: Coordination::default(),
+        permits: Permits::default(),
+        pacer: Pacer::default(),
+        balance: RefCell::new(Balance::default()),
+        budgets: RefCell::new(Budgets::new(now)),
+        peers: Pool::default(),
+        sizes: RefCell::default(),
+        tenants: RefCell::default(),
+        counting: Counting::new(&config.node_name, life, &mut Random::from_system(), now),
+        random: RefCell::new(Random::from_system()),
+        assured: Cell::new(false),
+        leaving: Cell::new(false),
+        fetching: Cell::new(false),
+    });
+    node.platform.link.set(config.limits.link_bytes);
+    node.pacer.set_link(config.limits.link_bytes);
+    monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
+    let doors = open_doors(&node, &config)?;
+    monoio::spawn(learn::listen(node.clone()));
+    monoio::spawn(learn::keep_time(node.clone()));
+    monoio::spawn(learn::learn_all(node.clone()));
+    monoio::spawn(learn::pull(node.clone()));
+    monoio::spawn(routes_check::keep(node.clone()));
+    monoio::spawn(coordination::keep(node.clone()));
+    Ok(Launched { node, doors })
+}
+
+pub fn run(command: Command) -> Result<(), NodeError> {
+    let signals = Signals::register()?;
     let mut outcome = Ok(());
     kernel::run(async {
         outcome = async {
-            let live = Rc::new(LiveConfig::new(command.path, config.clone()));
-            let life = Random::from_system().draw();
-            let me = Member { node: config.node_name.clone(), life, address };
-            let lines = Rc::new(match mode {
-                Mode::Beside => Lines::default(),
-                Mode::Gateway => Lines::among_many(),
-            });
-            let node = Rc::new(Pointsman {
-                mode,
-                live: live.clone(),
-                fleet: RefCell::new(FleetState::default()),
-                roster: RefCell::new(roster),
-                datagrams: Datagrams::bind(address)?,
-                caller: Caller::default(),
-                platform: Rc::new(Platform::new(config.app_address, lines.clone())),
-                homes: Homes::new(lines.clone()),
-                lines,
-                life,
-                routes_check: RoutesCheck::default(),
-                council: RefCell::new(Council::new(me, CouncilTiming::default(), now)),
-                book: RefCell::default(),
-                coordination: Coordination::default(),
-                permits: Permits::default(),
-                pacer: Pacer::default(),
-                balance: RefCell::new(Balance::default()),
-                budgets: RefCell::new(Budgets::new(now)),
-                peers: Pool::default(),
-                sizes: RefCell::default(),
-                tenants: RefCell::default(),
-                counting: Counting::new(&config.node_name, life, &mut Random::from_system(), now),
-                random: RefCell::new(Random::from_system()),
-                assured: Cell::new(false),
-                leaving: Cell::new(false),
-                fetching: Cell::new(false),
-            });
-            node.platform.link.set(config.limits.link_bytes);
-            node.pacer.set_link(config.limits.link_bytes);
-            monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
-            let doors = open_doors(&node, &config)?;
-            monoio::spawn(learn::listen(node.clone()));
-            monoio::spawn(learn::keep_time(node.clone()));
-            monoio::spawn(learn::learn_all(node.clone()));
-            monoio::spawn(learn::pull(node.clone()));
-            monoio::spawn(routes_check::keep(node.clone()));
-            monoio::spawn(coordination::keep(node.clone()));
-            kernel::watch_platform(&signals, &live).await;
+            let Launched { node, doors } = launch(command.path, command.config)?;
+            kernel::watch_platform(&signals, &node.live).await;
             leave(&node, &doors).await;
             Ok::<(), NodeError>(())
         }
--- a/crates/signalbox/src/forecast/forecaster.rs
+++ b/crates/signalbox/src/forecast/forecaster.rs
@@ -180,7 +180,7 @@
     pub fn told(&self, history: &History, plans: &[Plan], capacity: &Capacity, service: Option<&str>) -> String {
         let mut text = format!(
             "{{\"history_slots\":{},\"last_hour\":{},\"enough\":{},\"fitting\":{},\"fits\":{},\"fit_s\":{:.3},\"longest_fit_s\":{:.4},\"services\":[",
-            history.len(),
+            history.slot_count(),
             history.last_label().map(|label| label.to_string()).unwrap_or("null".into()),
             !self.foretold.is_empty(),
             self.due.len(),
--- a/crates/signalbox/src/forecast/tests.rs
+++ b/crates/signalbox/src/forecast/tests.rs
@@ -191,7 +191,7 @@
         };
         ledger.apply(Zxid::new(1, hour + 1), Change::Slot(record), now);
     }
-    assert_eq!(ledger.history.len(), 6 * WEEK);
+    assert_eq!(ledger.history.slot_count(), 6 * WEEK);
     assert!(ledger.history.names().len() <= 4096, "{}", ledger.history.names().len());
     for hour in [1, 2, 3] {
         ledger.apply(Zxid::new(2, hour), Change::Plan(Plan { hour, services: Vec::new() }), now);
@@ -204,7 +204,7 @@
     let before = Ledger::new(Duration::from_secs(20)).encode();
     let tail = borsh::to_vec(&(History::default(), Vec::<Plan>::new())).unwrap();
     let old = Ledger::decode(&before[..before.len() - tail.len()], Duration::from_secs(20), now).unwrap();
-    assert_eq!(old.history.len(), 0);
+    assert_eq!(old.history.slot_count(), 0);
     assert!(Ledger::decode(&bytes[..bytes.len() - 1], Duration::from_secs(20), now).is_err());
 }
 
--- a/crates/signalbox/src/ledger/history.rs
+++ b/crates/signalbox/src/ledger/history.rs
@@ -80,7 +80,7 @@
         self.last_number
     }
 
-    pub fn len(&self) -> usize {
+    pub fn slot_count(&self) -> usize {
         self.slots.len()
     }
 
--- a/crates/signalbox/src/node/fleet_view.rs
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -70,8 +70,17 @@
         text.push('}');
         text
     }));
+    let (datagrams, calls) = (node.datagrams.tally(), node.caller.tally());
+    let counters = format!(
+        "\"datagrams_sent\":{},\"datagram_bytes_sent\":{},\"calls_sent\":{},\"call_bytes_sent\":{},\"nodes_collected\":{}",
+        datagrams.sent,
+        datagrams.sent_bytes,
+        calls.sent,
+        calls.sent_bytes,
+        node.aggregation.collector.borrow().nodes(),
+    );
     format!(
-        "{{\"primary\":{primary},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints},\"proxies\":{}}}",
+        "{{\"primary\":{primary},{counters},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints},\"proxies\":{}}}",
         zab.epoch(),
         fleet.zxid(),
         fleet.epoch(),
