--- a/crates/pointsman/src/dispatch/balance.rs
+++ b/crates/pointsman/src/dispatch/balance.rs
@@ -195,6 +195,7 @@
         candidates: impl Iterator<Item = &'a Candidate>,
         now: Moment,
         far_cost: f64,
+        way_cost: f64,
         random: &mut Random,
     ) -> Option<&'a Candidate> {
         let mut best: Option<(f64, &Candidate)> = None;
@@ -203,6 +204,9 @@
                 continue;
             };
             let mut cost = expected * (1.0 + random.below(100) as f64 / 1000.0);
+            if !candidate.is_local {
+                cost += way_cost;
+            }
             if !candidate.is_local
                 && let Some(way) = self.nodes.get(&candidate.node)
             {
@@ -256,14 +260,14 @@
         let mut balance = Balance::default();
         balance.told(&occupancy("a", 4, 10_000), now);
         balance.told(&occupancy("b", 0, 10_000), now);
-        assert_eq!(balance.choose(both.iter(), now, 0.0, &mut random), Some(&b));
+        assert_eq!(balance.choose(both.iter(), now, 0.0, 0.0, &mut random), Some(&b));
         balance.shun(&b.instance, now, Duration::from_secs(1));
-        assert_eq!(balance.choose(both.iter(), now, 0.0, &mut random), Some(&a));
+        assert_eq!(balance.choose(both.iter(), now, 0.0, 0.0, &mut random), Some(&a));
         balance.went_well(&b.instance);
         balance.told(&occupancy("b", 0, 90_000), now);
-        assert_eq!(balance.choose(both.iter(), now, 0.0, &mut random), Some(&a));
+        assert_eq!(balance.choose(both.iter(), now, 0.0, 0.0, &mut random), Some(&a));
         balance.told(&Occupancy { closed: true, ..occupancy("a", 0, 10) }, now);
-        assert_eq!(balance.choose(both.iter(), now, 0.0, &mut random), Some(&b));
+        assert_eq!(balance.choose(both.iter(), now, 0.0, 0.0, &mut random), Some(&b));
     }
 
     #[test]
@@ -276,7 +280,7 @@
         balance.told(&occupancy("b", 0, 10_000), now);
         let mut given = [0, 0];
         for _ in 0..8 {
-            let chosen = balance.choose(both.iter(), now, 0.0, &mut random).unwrap().clone();
+            let chosen = balance.choose(both.iter(), now, 0.0, 0.0, &mut random).unwrap().clone();
             balance.begin(&chosen.instance);
             given[(chosen.instance.as_str() == "b") as usize] += 1;
         }
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -72,7 +72,10 @@
         }
     } else {
         match node.mode {
-            Mode::Beside => remote::deliver(&node.peers, &node.pacer, candidate.beside, errand).await,
+            Mode::Beside => match peer_of(node, candidate).filter(|_| errand.is_long()) {
+                Some(home) => direct::deliver_long(node, home, candidate.beside, route, errand).await,
+                None => remote::deliver(&node.peers, &node.pacer, candidate.beside, errand).await,
+            },
             Mode::Gateway => direct::deliver(node, candidate, route, errand).await,
         }
     };
@@ -133,6 +136,7 @@
         binding,
         target: plan.target,
         patience: Duration::ZERO,
+        permit: None,
     };
     errand.request.headers.remove(CALLER);
     let mut left = candidates(node, &plan, &errand.binding, now);
@@ -147,15 +151,19 @@
     node.budgets.borrow_mut().first_go(&plan.service, now, bounds.window);
     let bytes = HEAD_BYTES + errand.request.body.len() as f64 + node.sizes.borrow().get(&errand.sort).unwrap_or(&0.0);
     let span = now.until(plan.target);
-    // At a gateway a look is a few bytes; elsewhere the whole request goes along.
+    // At a gateway, and for what is long, a look is a few bytes; elsewhere the whole request goes along.
     let mut looks = match node.mode {
         Mode::Gateway => LOOKS_OF_A_GATEWAY,
+        Mode::Beside if errand.is_long() => LOOKS_OF_A_GATEWAY,
         Mode::Beside => node.balance.borrow().looks_worth_it(&plan.service, LOOKS_FOR_FREE),
     };
     if looks == 0 && node.random.borrow_mut().chance(0.1) {
         looks = 1;
     }
     let far_cost = FAR_COST + FAR_COST_OF_A_BYTE * bytes;
+    // What another machine's and this one's link take for it, where they are narrow.
+    let link = node.live.get().limits.link_bytes;
+    let way_cost = link.map(|link| 2.0 * bytes / link.max(1.0) * 1e6).unwrap_or(0.0);
     if far_cost > span.as_micros() as f64 && left.iter().any(|candidate| candidate.same_zone) {
         // Too much for the way: it is for its own zone to run it.
         left.retain(|candidate| candidate.same_zone);
@@ -173,7 +181,7 @@
         errand.patience = if looks_for_free { span.mul_f64(NO_WAIT) } else { span };
         let chosen = {
             let mut random = node.random.borrow_mut();
-            node.balance.borrow().choose(left.iter(), now, far_cost, &mut random).cloned()
+            node.balance.borrow().choose(left.iter(), now, far_cost, way_cost, &mut random).cloned()
         };
         let Some(candidate) = chosen else { break };
         let further = offered > 0;
--- a/crates/pointsman/src/dispatch/direct.rs
+++ b/crates/pointsman/src/dispatch/direct.rs
@@ -3,9 +3,11 @@
 
 use super::balance::Candidate;
 use super::errand::{Errand, GoResult, Outcome, Passed, gone};
+use super::remote;
 use crate::node::Pointsman;
 use crate::platform::{Sign, at_endpoint, sign_of, word_of_sign};
 use lineside::call::{Ask, PeerMessage, Permit, Reply};
+use lineside::gossip::Occupancy;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,10 +27,15 @@
     number: u64,
     sign: Option<Sign>,
     span: Duration,
+    /// The home has it back already.
+    is_redeemed: bool,
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
+        if self.is_redeemed {
+            return;
+        }
         let release = PeerMessage::Release {
             number: self.number,
             sign: word_of_sign(self.sign),
@@ -38,7 +45,13 @@
     }
 }
 
-pub async fn deliver(node: &Rc<Pointsman>, candidate: &Candidate, route: &Route, errand: &Errand) -> GoResult {
+/// Asks the node that holds an endpoint's slots for one; or says what came of it instead.
+async fn ask_permit(
+    node: &Rc<Pointsman>,
+    home: SocketAddr,
+    route: &Route,
+    errand: &Errand,
+) -> Result<(Held, Option<Occupancy>), GoResult> {
     let begun = clock::now();
     let left = errand.left(begun);
     let permit = Permit {
@@ -54,8 +67,11 @@
         regions: errand.binding.write(),
     };
     let limit = left.min(errand.patience + LAST_WORD);
-    let (number, occupancy) = match node.caller.call_lightly(candidate.beside, Ask::Permit(permit), limit).await {
-        Ok(Reply::Permitted { number, occupancy }) => (number, occupancy),
+    match node.caller.call_lightly(home, Ask::Permit(permit), limit).await {
+        Ok(Reply::Permitted { number, occupancy }) => {
+            let held = Held { node: node.clone(), home, number, sign: None, span: Duration::ZERO, is_redeemed: false };
+            Ok((held, occupancy))
+        }
         Ok(Reply::NotTaken { gone, stale, free_in_millis, occupancy }) => {
             let why = match (stale, gone) {
                 (true, _) => Passed::Stale,
@@ -65,13 +81,38 @@
             let outcome = Outcome::NotTaken { why, free_in: Duration::from_millis(free_in_millis as u64) };
             // A short look tells how the way is; a wait in a queue does not.
             let spent = (errand.patience < SHORT_LOOK).then_some(Duration::ZERO);
-            return GoResult { outcome, occupancy, spent };
+            Err(GoResult { outcome, occupancy, spent })
         }
         // A slot given in an answer that comes too late comes back to the home with the horizon.
-        Ok(_) | Err(_) => return GoResult::only(Outcome::NotSent),
+        Ok(_) | Err(_) => Err(GoResult::only(Outcome::NotSent)),
+    }
+}
+
+/// Passes on a request with a long body: it goes out only to where a slot was given, so that no narrow way carries it
+/// in vain.
+pub async fn deliver_long(
+    node: &Rc<Pointsman>,
+    home: SocketAddr,
+    beside: SocketAddr,
+    route: &Route,
+    errand: &Errand,
+) -> GoResult {
+    let (mut held, occupancy) = match ask_permit(node, home, route, errand).await {
+        Ok(permitted) => permitted,
+        Err(result) => return result,
+    };
+    let permitted = Errand { permit: Some(held.number), ..errand.clone() };
+    let result = remote::deliver(&node.peers, &node.pacer, beside, &permitted).await;
+    // Whoever has answered has taken the slot over.
+    held.is_redeemed = !matches!(result.outcome, Outcome::NotSent | Outcome::Failed(_));
+    GoResult { occupancy: result.occupancy.or(occupancy), ..result }
+}
+
+pub async fn deliver(node: &Rc<Pointsman>, candidate: &Candidate, route: &Route, errand: &Errand) -> GoResult {
+    let (mut held, occupancy) = match ask_permit(node, candidate.beside, route, errand).await {
+        Ok(permitted) => permitted,
+        Err(result) => return result,
     };
-    let home = candidate.beside;
-    let mut held = Held { node: node.clone(), home, number, sign: None, span: Duration::ZERO };
     // What was ordered meanwhile holds here too.
     let address = {
         let fleet = node.fleet.borrow();
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -9,6 +9,8 @@
 use trackbed::http::{Request, Return};
 use trackbed::ids::InstanceId;
 
+const LONG_BODY: usize = 8 << 10;
+
 /// A request as the node beside the endpoint gets it.
 #[derive(Clone, Debug)]
 pub struct Errand {
@@ -34,6 +36,8 @@
     pub target: Moment,
     /// How long it may stand in a queue, as far as that can be told beforehand.
     pub patience: Duration,
+    /// The slot that the node beside the endpoint has given for it.
+    pub permit: Option<u64>,
 }
 
 impl Errand {
@@ -42,6 +46,11 @@
         Claim { priority, sort, horizon, target, patience }
     }
 
+    /// Whether its body is worth asking for a slot before it is sent anywhere.
+    pub fn is_long(&self) -> bool {
+        self.request.body.len() > LONG_BODY
+    }
+
     pub fn left(&self, now: Moment) -> Duration {
         now.until(self.horizon)
     }
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -25,11 +25,12 @@
 pub const OUTCOME: &str = "ferryhinge-line-outcome";
 pub const OCCUPANCY: &str = "ferryhinge-line-occupancy";
 pub const REGIONS: &str = "ferryhinge-line-regions";
+pub const PERMIT: &str = "ferryhinge-line-permit";
 pub const FREE_IN: &str = "ferryhinge-line-free-in-ms";
 
 /// What never goes to an endpoint or requester, whoever sent it.
-pub const LINE_HEADERS: [&str; 10] =
-    [PLANNED, REPEATS, PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
+pub const LINE_HEADERS: [&str; 11] =
+    [PERMIT, PLANNED, REPEATS, PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
 
 /// Reads what a peer node passes on.
 pub fn read_errand(request: Request, sort: u64, now: Moment) -> Option<Errand> {
@@ -43,7 +44,9 @@
     let planned = request.header(PLANNED).and_then(PlannedBy::read).unwrap_or_default();
     let patience = millis(PATIENCE).unwrap_or(target.since(now));
     let binding = request.header(REGIONS).map(Binding::read).unwrap_or_default();
+    let permit = request.header(PERMIT).and_then(|text| text.parse().ok());
     Some(Errand {
+        permit,
         request,
         attempt,
         instance,
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -2,7 +2,8 @@
 
 use super::errand::{Errand, GoResult, Outcome};
 use super::headers::{
-    CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PATIENCE, PLANNED, PRIORITY, REGIONS, REPEATS, TARGET, read_outcome,
+    CALLER, DEADLINE, EXPECTED, LINE_HEADERS, PATIENCE, PERMIT, PLANNED, PRIORITY, REGIONS, REPEATS, TARGET,
+    read_outcome,
 };
 use super::pool::Pool;
 use http::Method;
@@ -43,6 +44,7 @@
     let patience = errand.patience.as_millis().to_string();
     let priority = errand.priority.to_string();
     let regions = errand.binding.write();
+    let permit = errand.permit.map(|number| number.to_string());
     let mut replaced = vec![
         (EXPECTED, errand.instance.as_str()),
         (DEADLINE, deadline.as_str()),
@@ -58,6 +60,9 @@
     if !errand.caller.is_empty() {
         replaced.push((CALLER, &errand.caller));
     }
+    if let Some(permit) = &permit {
+        replaced.push((PERMIT, permit));
+    }
     if let Some(regions) = &regions {
         replaced.push((REGIONS, regions));
     }
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -117,7 +117,10 @@
         }
         let begun = clock::now();
         let mut result = match self.0.platform_of(&errand.instance) {
-            Some(platform) => platform.run(&errand).await,
+            Some(platform) => {
+                let given = errand.permit.and_then(|number| self.0.permits.redeem(number, &platform));
+                platform.run_in(&errand, given).await
+            }
             None => gone(),
         };
         result.spent = Some(clock::now().since(begun));
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -13,6 +13,8 @@
 use trackbed::ids::Zxid;
 
 const PULL_EVERY: Duration = Duration::from_millis(700);
+/// A full link holds answers up for half a second and more: whoever gives up sooner never hears any news.
+const FETCH_SILENCE: Duration = Duration::from_millis(1100);
 const CATCH_UP: Duration = Duration::from_millis(250);
 const KNOCK_LIMIT: Duration = Duration::from_millis(900);
 
@@ -146,7 +148,7 @@
     monoio::spawn(async move {
         let since = node.fleet.borrow().zxid();
         let ask = Ask::News { since, assured: false };
-        let reply = node.caller.call_for_much(peer.address, ask, Duration::from_millis(400)).await;
+        let reply = node.caller.call_for_much(peer.address, ask, FETCH_SILENCE).await;
         node.fetching.set(false);
         if let Ok(Reply::News { news, .. }) = reply {
             take(&node, since, news);
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -172,15 +172,28 @@
 
     /// Takes an errand to the endpoint, if it can be run in time.
     pub async fn run(&self, errand: &Errand) -> GoResult {
+        self.run_in(errand, None).await
+    }
+
+    /// The same, with a slot that was given for it before.
+    pub async fn run_in(&self, errand: &Errand, given: Option<Slot>) -> GoResult {
         let now = clock::now();
-        if !self.takes(&errand.instance, now) {
+        let takes = match &given {
+            Some(_) => self.takes_on(&errand.instance, now),
+            None => self.takes(&errand.instance, now),
+        };
+        if !takes {
             return self.passed(Passed::Gone, Duration::from_millis(50));
         }
         let promised = match self.way_out.promise(errand.sort, self.link.get(), now.until(errand.target)) {
             Ok(promised) => promised,
             Err(free_in) => return self.passed(Passed::Busy, free_in),
         };
-        let slot = match self.admission.admit(&errand.claim(), now).await {
+        let admitted = match given {
+            Some(slot) => Ok(slot),
+            None => self.admission.admit(&errand.claim(), now).await,
+        };
+        let slot = match admitted {
             Ok(slot) => slot,
             Err(TurnedAway { late, free_in }) => {
                 return self.passed(if late { Passed::Late } else { Passed::Busy }, free_in);
--- a/crates/pointsman/src/platform/permits.rs
+++ b/crates/pointsman/src/platform/permits.rs
@@ -19,7 +19,7 @@
     platform: Rc<Platform>,
     sort: u64,
     until: Moment,
-    _slot: Slot,
+    slot: Slot,
 }
 
 /// Invariant: a slot given out comes back by its release, or when its request's horizon has passed.
@@ -76,11 +76,18 @@
         let number = self.next.get();
         self.next.set(number + 1);
         let occupancy = platform.occupancy(now);
-        let given = Given { platform, sort: claim.sort, until: claim.horizon + LAST_WORD, _slot: slot };
+        let given = Given { platform, sort: claim.sort, until: claim.horizon + LAST_WORD, slot };
         self.given.borrow_mut().insert(number, given);
         Reply::Permitted { number, occupancy }
     }
 
+    /// The request that a slot was given for is here; nothing where the slot is given back by now.
+    pub fn redeem(&self, number: u64, platform: &Rc<Platform>) -> Option<Slot> {
+        let mut given = self.given.borrow_mut();
+        let is_here = given.get(&number).is_some_and(|given| Rc::ptr_eq(&given.platform, platform));
+        given.remove(&number).filter(|_| is_here).map(|given| given.slot)
+    }
+
     /// The request that a slot was given for has ended.
     pub fn release(&self, number: u64, sign: Option<Sign>, span: Duration) {
         let given = self.given.borrow_mut().remove(&number);
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -128,6 +128,7 @@
         binding: Default::default(),
         target: now + Duration::from_secs(20),
         patience: Duration::from_secs(20),
+        permit: None,
     }
 }
 
