--- a/crates/pointsman/src/node/aggregation.rs
+++ b/crates/pointsman/src/node/aggregation.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Whether the fleet's counts are known here, and fresh.
+    pub fn has_report(&self) -> bool {
+        self.tally.borrow().newest().is_some_and(|newest| !newest.is_stale(clock::now()))
+    }
+
     pub fn report_for(&self, known: WindowId) -> Option<ReportTold> {
         self.tally.borrow().report_for(known, clock::now())
     }
