--- a/crates/pointsman/src/dispatch/mod.rs
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -8,6 +8,8 @@
 mod direct;
 mod errand;
 mod headers;
+#[cfg(test)]
+mod long_tests;
 mod plan;
 mod pool;
 mod remote;
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -272,3 +272,55 @@
     });
     outcome.unwrap();
 }
+
+#[test]
+fn routes_that_can_wait_keep_to_their_slots_while_room_is_kept_and_no_longer() {
+    let outcome = trackbed::kernel::run(async {
+        let admission: Rc<Admission> = Rc::default();
+        admission.set_slots(4);
+        let now = clock::now();
+        let asked = |sort: u64| Errand { sort, ..errand(1) }.claim();
+        let let_in = |sort: u64| {
+            let (admission, claim) = (admission.clone(), asked(sort));
+            async move { admission.admit(&claim, now).await }
+        };
+        admission.reserve(Some((vec![7], 1)));
+        let crawl = let_in(7).await.ok().unwrap();
+        assert!(let_in(7).await.is_err_and(|away| !away.late), "at once, with slots free");
+        // Whoever cannot be late has all that is left.
+        let urgent = [let_in(1).await.ok().unwrap(), let_in(2).await.ok().unwrap(), let_in(1).await.ok().unwrap()];
+        assert_eq!(admission.counts(), (4, 0));
+        // One that can wait stands in the queue from before the room was kept: it is passed over.
+        admission.reserve(None);
+        let order: Rc<RefCell<Vec<u64>>> = Rc::default();
+        let mut waiting = Vec::new();
+        for sort in [7, 1] {
+            let (admission, order, claim) = (admission.clone(), order.clone(), asked(sort));
+            waiting.push(monoio::spawn(async move {
+                let slot = admission.admit(&claim, now).await.ok().unwrap();
+                order.borrow_mut().push(sort);
+                slot
+            }));
+        }
+        while admission.counts().1 < 2 {
+            monoio::spawn(async {}).await;
+        }
+        admission.reserve(Some((vec![7], 1)));
+        drop(urgent);
+        while order.borrow().is_empty() {
+            monoio::spawn(async {}).await;
+        }
+        assert_eq!((order.borrow().clone(), admission.counts()), (vec![1], (2, 1)));
+        // The plan is over: it goes in.
+        admission.reserve(None);
+        for task in waiting {
+            drop(task.await);
+        }
+        drop(crawl);
+        assert_eq!((order.borrow().clone(), admission.counts()), (vec![1, 7], (0, 0)));
+        // No share is so small that nothing goes.
+        admission.reserve(Some((vec![7], 0)));
+        assert!(let_in(7).await.is_ok());
+    });
+    outcome.unwrap();
+}
