--- a/crates/testtrack/tests/short.rs
+++ b/crates/testtrack/tests/short.rs
@@ -110,3 +110,14 @@
     assert_matches!(table::of_files(&[&name]), Err(TrackError::Unreadable { .. }));
     std::fs::remove_file(&path).unwrap();
 }
+
+#[test]
+fn the_page_says_what_the_recorded_runs_say() {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let page = std::fs::read_to_string(root.join("docs/CAPACITY.md")).unwrap();
+    let runs = ["run-1.jsonl", "run-2.jsonl"].map(|name| root.join("docs/capacity").join(name).display().to_string());
+    let table = table::of_files(&[&runs[0], &runs[1]]).unwrap();
+    let (_, rest) = page.split_once("<!-- table -->\n").unwrap();
+    let (shown, _) = rest.split_once("\n<!-- end of the table -->").unwrap();
+    assert_eq!(shown.trim(), table.trim(), "make the table anew with testtrack table");
+}
