--- a/crates/lineside/src/aggregation/summary.rs
+++ b/crates/lineside/src/aggregation/summary.rs
@@ -80,10 +80,6 @@
         Self { clients: sketch(CLIENTS_MERGED), routes: BTreeMap::new(), most_routes: MOST_ROUTES_MERGED }
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.clients.total_weight() == 0 && self.routes.is_empty()
-    }
-
     /// One try of a client begins.
     pub fn begun(&mut self, client: &str, service: &str, route: &str) {
         self.clients.update_ref(client);
--- a/crates/signalbox/src/forecast/forecaster.rs
+++ b/crates/signalbox/src/forecast/forecaster.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 use timetable::configuration::Routes;
 use trackbed::clock::Moment;
-use trackbed::ids::NodeName;
 use trackbed::logs::escape;
 
 /// How long before its hour a plan is ordered, and from when on it is in force.
@@ -271,8 +270,4 @@
             comma = ",";
         }
     }
-
-    pub fn heard_time(&mut self, from: &NodeName, wall_millis: u64, now: Moment) {
-        self.time.heard(from, wall_millis, now);
-    }
 }
--- a/crates/signalbox/src/forecast/tests.rs
+++ b/crates/signalbox/src/forecast/tests.rs
@@ -375,7 +375,7 @@
         self.now = self.now + Duration::from_secs(5);
         self.wall += 5000;
         for index in 0..3 {
-            self.forecaster.heard_time(&NodeName::new(&format!("c{index}")), self.wall, self.now);
+            self.forecaster.time.heard(&NodeName::new(&format!("c{index}")), self.wall, self.now);
         }
         let windows = [window(self.number, urgent)];
         if let Some(record) = self.forecaster.sealed(&windows, 5000, 4, &self.history, 3, self.now) {
--- a/crates/signalbox/src/node/forecast.rs
+++ b/crates/signalbox/src/node/forecast.rs
@@ -1,6 +1,6 @@
 //! The forecast at a core node: slots and plans are ordered by the primary, which also tells of them.
 
-use super::{Signalbox, aggregation, primary};
+use super::{Signalbox, primary};
 use crate::forecast::{Capacity, Forecaster};
 use crate::ledger::Change;
 use lineside::aggregation::{Reservations, SealedWindow, SealerTiming};
@@ -19,9 +19,9 @@
     SealerTiming::default().window.as_millis() as u32
 }
 
-/// A member's time of day.
-pub fn heard_time(node: &Signalbox, from: &NodeName, wall_millis: u64, now: Moment) {
-    node.forecaster.borrow_mut().heard_time(from, wall_millis, now);
+/// A member's time of day, which goes with its parts.
+pub fn heard_time(node: &Signalbox, from: &NodeName, wall_millis: u64) {
+    node.forecaster.borrow_mut().time.heard(from, wall_millis, clock::now());
 }
 
 /// Takes in what was sealed here, orders what comes of it, and says what is reserved now.
@@ -101,14 +101,3 @@
         _ => None,
     }
 }
-
-/// A collector's time of day goes with its parts.
-pub fn heard_with_parts(node: &Signalbox, from: &NodeName, wall_millis: u64) {
-    heard_time(node, from, wall_millis, clock::now());
-}
-
-/// This primary's own.
-pub fn heard_own(node: &Signalbox, now: Moment) {
-    let name = node.live.get().node_name.clone();
-    heard_time(node, &name, aggregation::wall_millis(), now);
-}
--- a/crates/signalbox/src/node/peers.rs
+++ b/crates/signalbox/src/node/peers.rs
@@ -41,7 +41,7 @@
             Ask::RoutesDetail { .. } => Reply::NotNow("a core node routes nothing".into()),
             Ask::Counted(counted) => aggregation::counted(&self, counted),
             Ask::Parts { from, parts, known, sealed, wall_millis } => {
-                forecast::heard_with_parts(&self, &from, wall_millis);
+                forecast::heard_time(&self, &from, wall_millis);
                 aggregation::parts(&self, &from, parts, known, sealed)
             }
             Ask::Report { known } => aggregation::report(&self, known),
