--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -230,6 +230,17 @@
         matches!(&self.role, Role::Leading(leading) if leading.is_established())
     }
 
+    /// True while a majority stands behind this member: it is the primary under its lease, or follows one in step.
+    pub fn has_majority(&self, now: Moment) -> bool {
+        match &self.role {
+            Role::Leading(_) => self.lease_holds(now),
+            Role::Following(following) => {
+                following.is_in_step(self.current) && now.since(following.heard) < self.timing.patience
+            }
+            Role::Looking { .. } => false,
+        }
+    }
+
     /// The established primary as far as known: this node, or the one it is in step with.
     pub fn primary(&self) -> Option<Voter> {
         match &self.role {
--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use timetable::configuration::{Entry, PlannedBy};
 use timetable::fleet::{FleetNews, Instance};
-use trackbed::ids::{InstanceId, NodeName, Zxid};
+use trackbed::ids::{InstanceId, MemberId, NodeName, Zxid};
 
 /// A call of the operator or an application, as one node passes it to another.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -123,6 +123,12 @@
     Forecast {
         service: Option<String>,
     },
+    /// A member of the core is about to end: done once a majority of the others holds all that was acknowledged.
+    HandOver {
+        member: MemberId,
+        /// How long the asker waits, in milliseconds.
+        limit: u32,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/signalbox/src/node/fleet_view.rs
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -80,7 +80,8 @@
         node.aggregation.collector.borrow().nodes(),
     );
     format!(
-        "{{\"primary\":{primary},{counters},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints},\"proxies\":{}}}",
+        "{{\"primary\":{primary},\"majority\":{},{counters},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints},\"proxies\":{}}}",
+        zab.has_majority(trackbed::clock::now()),
         zab.epoch(),
         fleet.zxid(),
         fleet.epoch(),
--- /dev/null
+++ b/crates/signalbox/src/node/members_tests.rs
@@ -0,0 +1,76 @@
+use super::*;
+use trackbed::ids::MemberId;
+
+fn voter(id: u64, host: u8) -> Voter {
+    Voter { id: MemberId(id), address: ([10, 0, 0, host], 1).into() }
+}
+
+fn voters(count: u64) -> Vec<Voter> {
+    (1..=count).map(|id| voter(id, id as u8)).collect()
+}
+
+fn wanted(voters: &[Voter], learners: &[Voter], silent: &[Voter], needed: usize) -> Option<Vec<Voter>> {
+    let membership = Membership { voters, learners, in_doubt: silent, silent, abandoned: &[], needed };
+    wanted_voters(&membership)
+}
+
+#[test]
+fn one_step_at_a_time() {
+    let three = voters(3);
+    let newcomer = [voter(9, 9)];
+    assert_eq!(wanted(&three, &newcomer, &[], 3).unwrap().len(), 4);
+    assert_eq!(wanted(&three, &newcomer, &three[..1], 3).unwrap(), three[1..].to_vec());
+    // A lost disk at the same address makes way at once.
+    assert_eq!(wanted(&three, &[voter(8, 2)], &[], 3).unwrap(), vec![voter(1, 1), voter(3, 3)]);
+}
+
+#[test]
+fn a_cut_shrinks_no_set_of_voters() {
+    // Were the two that are cut off let go, the next cut could leave most machines without a quorum: with three of five
+    // left as voters, two of these and the two let go would be four machines that decide nothing.
+    for count in 3..=19 {
+        let all = voters(count);
+        for silent in 1..count as usize / 2 + 1 {
+            assert_eq!(wanted(&all, &[], &all[..silent], 3), None, "{silent} of {count} silent");
+        }
+    }
+}
+
+#[test]
+fn nobody_is_brought_in_while_the_one_to_be_replaced_is_in_doubt() {
+    let three = voters(3);
+    let newcomer = [voter(9, 9)];
+    let in_doubt = &three[2..];
+    let membership =
+        Membership { voters: &three, learners: &newcomer, in_doubt, silent: &[], abandoned: &[], needed: 3 };
+    // Four voters with one of them dead could bear no second loss.
+    assert_eq!(wanted_voters(&membership), None);
+}
+
+#[test]
+fn only_what_is_abandoned_for_hours_goes_without_a_successor() {
+    let four = voters(4);
+    let membership = |abandoned| Membership {
+        voters: &four,
+        learners: &[],
+        in_doubt: abandoned,
+        silent: abandoned,
+        abandoned,
+        needed: 3,
+    };
+    assert_eq!(wanted_voters(&membership(&four[..1])), Some(four[1..].to_vec()));
+    assert_eq!(wanted_voters(&membership(&[])), None);
+    let needed = Membership { needed: 5, ..membership(&four[..1]) };
+    assert_eq!(wanted_voters(&needed), None, "as many as are needed stay");
+}
+
+#[test]
+fn a_member_that_leaves_is_let_go_where_the_others_need_fewer_without_it() {
+    let majority = |count: usize| count / 2 + 1;
+    for needed in [1, 3, 5] {
+        for count in 2..=19 {
+            let fewer = majority(count - 1) < majority(count);
+            assert_eq!(is_dispensable(count, needed), count > needed && fewer, "{count} voters, {needed} needed");
+        }
+    }
+}
--- a/crates/signalbox/src/node/peers.rs
+++ b/crates/signalbox/src/node/peers.rs
@@ -1,6 +1,6 @@
 //! What other nodes send: Zab's messages, calls, and gossip.
 
-use super::{Signalbox, aggregation, forecast, inspection, primary, turn};
+use super::{Signalbox, aggregation, forecast, inspection, members, primary, turn};
 use borsh::BorshDeserialize;
 use interlocking::zab::Envelope;
 use lineside::call::{Answering, Ask, Reply};
@@ -54,6 +54,9 @@
             Ask::Control(call) => primary::run_if_primary(&self, &call).await,
             Ask::Register(instance) => primary::register(&self, instance).await,
             Ask::SignOff(id) => primary::sign_off(&self, id).await,
+            Ask::HandOver { member, limit } => {
+                members::answer_hand_over(&self, member, Duration::from_millis(limit as u64)).await
+            }
             Ask::Heard { from, heard } => {
                 self.heard.borrow_mut().reported(from, heard, clock::now());
                 Reply::Done
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -35,10 +35,35 @@
     }
 }
 
+/// Without a majority for so long, a member says so.
+const CUT_OFF_AFTER: Duration = Duration::from_secs(2);
+
+/// Tells in the log when this member has been without a majority for long, and when it has one again.
+struct MajorityLog {
+    last: Moment,
+    told: bool,
+}
+
+impl MajorityLog {
+    fn note(&mut self, has_majority: bool, now: Moment) {
+        if has_majority {
+            if self.told {
+                log::info!("a majority stands behind this member again");
+            }
+            *self = Self { last: now, told: false };
+        } else if !self.told && now.since(self.last) > CUT_OFF_AFTER {
+            log::warn!("no majority for {} s: calls are answered 503 here", CUT_OFF_AFTER.as_secs());
+            self.told = true;
+        }
+    }
+}
+
 pub async fn keep_time(node: Rc<Signalbox>) {
     let mut turns = 0u64;
+    let mut majority = MajorityLog { last: clock::now(), told: false };
     loop {
         let now = clock::now();
+        majority.note(node.zab.borrow().has_majority(now), now);
         if turns.is_multiple_of(10) {
             refresh_contacts(&node);
         }
@@ -197,6 +222,7 @@
     while clock::now() < limit && serving.under_way.get() > 0 {
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
+    members::hand_over(node).await;
     let actions = node.zab.borrow_mut().retire(clock::now());
     act(node, actions);
     // What was said has to leave this machine before the process does.
