The steady clock goes on while a machine is suspended

Cause: the clock that leases are counted on stood still during a suspension: a primary that slept through its lease would have answered under it after waking, while another led. Change: CLOCK_BOOTTIME through the nix crate; CLOCK_MONOTONIC where there is none.

--- a/crates/trackbed/src/clock.rs
+++ b/crates/trackbed/src/clock.rs
@@ -1,8 +1,9 @@
 //! The steady clock. Nothing in the system decides by the time of day.
 
+use nix::time::{ClockId, clock_gettime};
 use std::ops::{Add, Sub};
 use std::sync::OnceLock;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A point on this process's steady clock.
 /// Invariant: never sent to another process and compared there.
@@ -40,10 +41,17 @@
     }
 }
 
-static START: OnceLock<Instant> = OnceLock::new();
+static START: OnceLock<Duration> = OnceLock::new();
 
-/// Now, counted from a second before the first call, so that "before the start" can be said.
+/// Now, counted from a second before the first call, so that "before the start" can be said. The clock goes on while
+/// the machine is suspended: a lease that ran out meanwhile must not seem to hold.
 pub fn now() -> Moment {
-    let start = START.get_or_init(Instant::now);
-    Moment(1_000_000 + start.elapsed().as_micros() as u64)
+    let now = since_boot();
+    let start = *START.get_or_init(|| now);
+    Moment(1_000_000 + now.saturating_sub(start).as_micros() as u64)
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).or_else(|_| clock_gettime(ClockId::CLOCK_MONOTONIC));
+    time.map(Duration::from).unwrap_or_default()
 }
