The work of a configuration change and of its replay goes with the change

Cause: each change cloned the configuration, parsed the JSON of every item twice (`patched` and `configure`), built the lookup table and its digest anew and packed the change once more; copies of the ledger copied everything; the log was folded only after 2 MB or 6,000 entries, so that a restart redid all of this for hundreds of changes.

Change: - Items of a configuration stand in persistent maps (rpds) with their typed values. An edit parses the items whose text differs and checks these alone: places by index, services by reference counts. Whatever fails is checked whole, so that the fault told is the one of a full parse. - The lookup table, tenants and digest leaves are changed item by item and share the rest. - A whole configuration keeps the parsed items whose text is the same (`Configuration::parse_after`, `Configuration::after`); one that was checked already is taken as it is. `FleetState::next_configuration` gives the checked next one. - Copies of the ledger share their structure; the primary's copy keeps no news tail and packs nothing. The encoding on wire and disk is as it was.

The comparison with full parses fails when removed services aren't looked at, and when a removed route stays in the digest.

The fold bounds of 2 MB and 6,000 entries are replaced by stricter ones. Inline tests of the files touched moved to test files, unchanged.

--- a/crates/signalbox/src/ledger/changes.rs
+++ b/crates/signalbox/src/ledger/changes.rs
@@ -4,6 +4,9 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use timetable::fleet::FleetChange;
 
+/// Bytes of an encoded `Change::Fleet` before the fleet's own change: the variant's number.
+pub const FLEET_HEAD: usize = 1;
+
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Change {
     Fleet(FleetChange),
--- a/crates/signalbox/src/ledger/mod.rs
+++ b/crates/signalbox/src/ledger/mod.rs
@@ -3,8 +3,12 @@
 mod cells;
 mod changes;
 mod history;
+mod snapshot;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use changes::Change;
 pub use history::{History, MOST_SERIES, Plan, PlannedService, SlotLine, SlotRecord};
+pub use snapshot::LogGrowth;
 pub use state::{Ledger, group_of};
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -3,11 +3,11 @@
 use super::disk::Write;
 use super::start::core_address;
 use super::{Signalbox, inspection, members, peers};
-use crate::ledger::{Change, Ledger};
+use crate::ledger::{Change, Ledger, LogGrowth};
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_core::Stream;
 use interlocking::storage::{FileDisk, Storage};
-use interlocking::zab::{Action, Envelope, Ticket};
+use interlocking::zab::{Action, Entry, Envelope, History, Payload, Ticket};
 use lineside::call::PeerMessage;
 use lineside::gossip::Role;
 use std::net::SocketAddr;
@@ -18,11 +18,9 @@
 use timetable::packed::Packed;
 use trackbed::clock::{self, Moment};
 use trackbed::http::Serving;
+use trackbed::ids::Zxid;
 
 const TICK: Duration = Duration::from_millis(50);
-/// History beyond this weight is folded into a new image.
-const IMAGE_EVERY_BYTES: usize = 2 << 20;
-const IMAGE_EVERY_ENTRIES: usize = 6000;
 /// Transactions kept for those a little behind.
 const TAIL_ENTRIES: usize = 1000;
 
@@ -90,7 +88,7 @@
                 let _ = node.disk.send(Write::Append { ticket, records: records.collect() });
             }
             Action::Deliver { zxid, payload } => match Packed::read::<Change>(&payload) {
-                Ok(change) => deliver(node, zxid, change, now),
+                Ok(change) => deliver(node, zxid, change, Packed::from_bytes(payload), now),
                 Err(error) => log::error!("a transaction can't be read ({error}): upgrade this node"),
             },
             Action::DeliverFrame { zxid, state } => {
@@ -135,17 +133,17 @@
         .iter()
         .map(|(lock, record)| (lock.clone(), now + Duration::from_millis(record.hold_millis)))
         .collect();
-    *node.ahead.borrow_mut() = Some(settled.clone());
+    *node.ahead.borrow_mut() = Some(settled.for_proposals());
 }
 
-fn deliver(node: &Signalbox, zxid: trackbed::ids::Zxid, change: Change, now: Moment) {
+fn deliver(node: &Signalbox, zxid: Zxid, change: Change, payload: Packed, now: Moment) {
     let group = match &change {
         Change::CellPut { name, .. } => Some(crate::ledger::group_of(name).to_owned()),
         _ => None,
     };
     let is_fleet = matches!(change, Change::Fleet(_));
     let is_configuration = matches!(change, Change::Fleet(FleetChange::Configure { .. }));
-    node.settled.borrow_mut().apply(zxid, change, now);
+    node.settled.borrow_mut().apply_delivered(zxid, change, payload, now);
     if let Some(group) = group
         && let Some(watchers) = node.watchers.borrow_mut().remove(&group)
     {
@@ -177,8 +175,8 @@
 /// Folds a long history into an image on the slot not in use.
 fn fold(node: &Signalbox) {
     let mut zab = node.zab.borrow_mut();
-    let grown = zab.history().weight().saturating_sub(node.imaged_weight.get());
-    if grown < IMAGE_EVERY_BYTES && zab.history().len() < IMAGE_EVERY_ENTRIES {
+    let growth = growth_after(zab.history(), zab.history().frame.zxid);
+    if !growth.wants_snapshot(zab.history().frame.state.len()) {
         return;
     }
     let state = node.settled.borrow().encode();
@@ -188,6 +186,18 @@
     let _ = node.disk.send(Write::Image { encoded });
 }
 
+/// What the history holds after a transaction.
+fn growth_after(history: &History, zxid: Zxid) -> LogGrowth {
+    history.after(zxid).fold(LogGrowth::default(), |growth, entry| growth.with(payload_bytes(entry)))
+}
+
+fn payload_bytes(entry: &Entry) -> usize {
+    match &entry.payload {
+        Payload::Change(bytes) => bytes.len(),
+        Payload::Voters(_) => 0,
+    }
+}
+
 /// Ends in order: no new calls, those under way get their answers.
 pub async fn leave(node: &Signalbox, serving: &Serving) {
     node.leaving.set(true);
--- a/crates/timetable/src/configuration/mod.rs
+++ b/crates/timetable/src/configuration/mod.rs
@@ -1,9 +1,12 @@
 //! The operator's configuration: read by pointers, checked, changed, and turned into routes.
 
+mod changes;
 mod checks;
 mod digest;
 mod document;
+mod items;
 mod observation;
+mod prefixes;
 mod route;
 mod table;
 mod tenant;
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -1,58 +1,169 @@
-//! Routes as requests look them up. The cost goes with the path's depth, not with the routes.
+//! Routes as requests look them up. The cost goes with the path's depth, not with the routes. A table made
+//! from another by a few changes shares the rest with it.
 
+use super::changes::TypedChanges;
 use super::checks::Fault;
+use super::digest::DigestLeaves;
 use super::observation::Observation;
+use super::prefixes::Prefixes;
 use super::route::{Limits, Route, Service};
 use super::tenant::Tenants;
-use std::collections::{BTreeMap, HashMap};
+use crate::shared::SharedMap;
+use crate::work::Work;
+use rpds::HashTrieMap;
 use std::rc::Rc;
 use trackbed::ids::{ConfigEpoch, ServiceName};
 
+/// Slashes of a path at which prefixes are looked up.
+const MOST_SLASHES: usize = 64;
+
 #[derive(Clone, Debug, Default)]
 struct Host {
     /// Prefixes that end with a slash.
-    whole: HashMap<String, Rc<Route>>,
-    /// The others, longest first.
-    open: Vec<Rc<Route>>,
+    whole: HashTrieMap<String, Rc<Route>>,
+    /// The others.
+    open: Prefixes<Rc<Route>>,
+}
+
+impl Host {
+    fn get(&self, prefix: &str) -> Option<&Rc<Route>> {
+        self.whole.get(prefix).or_else(|| self.open.get(prefix))
+    }
+
+    fn insert(&mut self, route: Rc<Route>) {
+        if route.prefix.ends_with('/') {
+            self.whole.insert_mut(route.prefix.clone(), route);
+        } else {
+            self.open.insert(&route.prefix.clone(), route);
+        }
+    }
+
+    fn remove(&mut self, prefix: &str) {
+        self.whole.remove_mut(prefix);
+        self.open.remove(prefix);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.whole.is_empty() && self.open.is_empty()
+    }
+
+    fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.whole.values().chain(self.open.values())
+    }
+}
+
+/// What a configuration holds beside its items by name.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Settings {
+    pub epoch: ConfigEpoch,
+    pub limits: Limits,
+    pub observation: Observation,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Routes {
     pub epoch: ConfigEpoch,
     pub limits: Limits,
     pub tenants: Tenants,
     pub observation: Observation,
-    services: BTreeMap<String, Service>,
-    hosts: HashMap<String, Host>,
+    services: SharedMap<String, Rc<Service>>,
+    hosts: HashTrieMap<String, Host>,
+    /// How often routes name each service.
+    references: HashTrieMap<ServiceName, u32>,
+    /// Invariant: what a walk over this table's entries comes to.
+    pub(super) leaves: DigestLeaves,
 }
 
 impl Routes {
+    /// The table of a whole configuration. Invariant: every service that a route names is among `services`.
     pub(super) fn build(
-        epoch: ConfigEpoch,
+        settings: Settings,
         routes: Vec<Rc<Route>>,
-        services: BTreeMap<String, Service>,
-        limits: Limits,
+        services: SharedMap<String, Rc<Service>>,
         tenants: Tenants,
-        observation: Observation,
     ) -> Result<Self, Fault> {
-        let mut hosts: HashMap<String, Host> = HashMap::new();
+        let Settings { epoch, limits, observation } = settings;
+        let mut table = Self { epoch, limits, tenants, observation, services, ..Self::default() };
         for route in routes {
-            let host = hosts.entry(route.hostname.clone()).or_default();
-            let other = if route.prefix.ends_with('/') {
-                host.whole.insert(route.prefix.clone(), route.clone())
-            } else {
-                let other = host.open.iter().find(|other| other.prefix == route.prefix).cloned();
-                host.open.push(route.clone());
-                other
-            };
-            if let Some(other) = other {
-                return Err(Fault::SamePlace { route: route.name.clone(), other: other.name.clone() });
+            table
+                .place(route)
+                .map_err(|(route, other)| Fault::SamePlace { route: route.name.clone(), other: other.name.clone() })?;
+        }
+        table.digest_rest();
+        Ok(table)
+    }
+
+    /// The table after some changes; `None` where they don't pass the checks. Costs O(changes · log n).
+    pub(super) fn changed(&self, settings: Settings, changes: &TypedChanges) -> Option<Self> {
+        let mut next = self.clone();
+        let rest_differs = self.limits != settings.limits || changes.concern_rest();
+        (next.epoch, next.limits, next.observation) = (settings.epoch, settings.limits, settings.observation);
+        changes.routes.iter().filter_map(|change| change.before.as_ref()).for_each(|route| next.displace(route));
+        for service in &changes.services {
+            match &service.after {
+                Some(after) => next.services.insert(service.name.clone(), after.clone()),
+                None => {
+                    next.services.remove(&service.name);
+                }
+            }
+        }
+        for route in changes.routes.iter().filter_map(|change| change.after.as_ref()) {
+            next.place(route.clone()).ok()?;
+            let knows = |(service, _): &(ServiceName, u64)| next.services.contains_key(service.as_str());
+            if !route.split.iter().all(knows) {
+                return None;
+            }
+        }
+        let removed = changes.services.iter().filter(|service| service.after.is_none());
+        if removed.into_iter().any(|service| next.references.contains_key(&ServiceName::new(&service.name))) {
+            return None;
+        }
+        next.tenants = next.tenants.changed(&changes.tenants)?;
+        if rest_differs {
+            next.digest_rest();
+        }
+        Some(next)
+    }
+
+    /// Puts a route in its place; gives it back with the other where one is there.
+    fn place(&mut self, route: Rc<Route>) -> Result<(), (Rc<Route>, Rc<Route>)> {
+        Work::record(|work| work.routes_placed += 1);
+        let mut host = self.hosts.get(&route.hostname).cloned().unwrap_or_default();
+        if let Some(other) = host.get(&route.prefix) {
+            let other = other.clone();
+            return Err((route, other));
+        }
+        self.leaves.toggle(&route);
+        for (service, _) in &route.split {
+            let count = self.references.get(service).copied().unwrap_or(0);
+            self.references.insert_mut(service.clone(), count + 1);
+        }
+        let name = route.hostname.clone();
+        host.insert(route);
+        self.hosts.insert_mut(name, host);
+        Ok(())
+    }
+
+    /// Takes a route out of its place.
+    fn displace(&mut self, route: &Route) {
+        Work::record(|work| work.routes_placed += 1);
+        let Some(mut host) = self.hosts.get(&route.hostname).cloned() else { return };
+        host.remove(&route.prefix);
+        match host.is_empty() {
+            true => {
+                self.hosts.remove_mut(&route.hostname);
             }
+            false => self.hosts.insert_mut(route.hostname.clone(), host),
         }
-        for host in hosts.values_mut() {
-            host.open.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        self.leaves.toggle(route);
+        for (service, _) in &route.split {
+            match self.references.get(service).copied() {
+                Some(count) if count > 1 => self.references.insert_mut(service.clone(), count - 1),
+                _ => {
+                    self.references.remove_mut(service);
+                }
+            }
         }
-        Ok(Self { epoch, limits, tenants, observation, services, hosts })
     }
 
     /// The route with the longest prefix that begins the path.
@@ -63,9 +174,9 @@
             Some(host) => host,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
         };
-        let open = host.open.iter().find(|route| path.starts_with(&route.prefix));
+        let open = host.open.longest(path);
         let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/').map(|(index, _)| index + 1);
-        let whole = slashes.take(64).find_map(|end| host.whole.get(&path[..end]));
+        let whole = slashes.take(MOST_SLASHES).find_map(|end| host.whole.get(&path[..end]));
         match (open, whole) {
             (Some(open), Some(whole)) if open.prefix.len() > whole.prefix.len() => Some(open),
             (_, Some(whole)) => Some(whole),
@@ -74,11 +185,11 @@
     }
 
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
-        self.services.get(name.as_str())
+        self.services.get(name.as_str()).map(Rc::as_ref)
     }
 
     pub fn services(&self) -> impl Iterator<Item = (&String, &Service)> {
-        self.services.iter()
+        self.services.iter().map(|(name, service)| (name, service.as_ref()))
     }
 
     pub(super) fn host_names(&self) -> Vec<String> {
@@ -90,10 +201,7 @@
     /// What lookups find at a host: prefix and route.
     pub(super) fn places_of(&self, host: &str) -> impl Iterator<Item = (&str, &Rc<Route>)> {
         let host = self.hosts.get(host);
-        host.into_iter().flat_map(|host| {
-            let whole = host.whole.iter().map(|(prefix, route)| (prefix.as_str(), route));
-            whole.chain(host.open.iter().map(|route| (route.prefix.as_str(), route)))
-        })
+        host.into_iter().flat_map(|host| host.routes().map(|route| (route.prefix.as_str(), route)))
     }
 
     pub(super) fn places(&self) -> impl Iterator<Item = (&str, &str, &Rc<Route>)> {
@@ -103,7 +211,7 @@
 
     /// Every route, in no order.
     pub fn each(&self) -> impl Iterator<Item = &Rc<Route>> {
-        self.hosts.values().flat_map(|host| host.whole.values().chain(&host.open))
+        self.hosts.values().flat_map(Host::routes)
     }
 
     /// Every route, by name.
--- a/crates/timetable/src/configuration/tenant.rs
+++ b/crates/timetable/src/configuration/tenant.rs
@@ -1,8 +1,12 @@
 //! Tenants, and the regions that may handle their requests.
 
+use super::changes::ItemChange;
 use super::checks::Fault;
+use super::prefixes::Prefixes;
+use crate::shared::SharedMap;
+use rpds::HashTrieMap;
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use trackbed::ids::RegionName;
 
@@ -28,9 +32,11 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Tenants {
-    by_name: BTreeMap<String, Rc<Tenant>>,
-    /// By host: prefixes, longest first. Invariant: no prefix of a host stands twice.
-    claims: BTreeMap<String, Vec<(String, Rc<Tenant>)>>,
+    by_name: SharedMap<String, Rc<Tenant>>,
+    /// By host. Invariant: no prefix of a host stands twice.
+    claims: HashTrieMap<String, Prefixes<Rc<Tenant>>>,
+    /// How many tenants name each region.
+    regions: SharedMap<RegionName, u32>,
 }
 
 fn wrong(name: &str, field: &str, wanted: &'static str) -> Fault {
@@ -70,23 +76,78 @@
 }
 
 impl Tenants {
-    pub(super) fn build(tenants: Vec<Tenant>) -> Result<Self, Fault> {
+    pub(super) fn build(tenants: Vec<Rc<Tenant>>) -> Result<Self, Fault> {
         let mut built = Self::default();
         for tenant in tenants {
-            let tenant = Rc::new(tenant);
-            for (host, prefix) in &tenant.claims {
-                let claims = built.claims.entry(host.clone()).or_default();
-                if let Some((_, other)) = claims.iter().find(|(known, _)| known == prefix) {
-                    return Err(Fault::DoubledClaim { tenant: tenant.name.clone(), other: other.name.clone() });
+            built
+                .add(tenant.clone())
+                .map_err(|other| Fault::DoubledClaim { tenant: tenant.name.clone(), other: other.name.clone() })?;
+        }
+        Ok(built)
+    }
+
+    /// The tenants after some changes; `None` where two claim the same.
+    pub(super) fn changed(&self, changes: &[ItemChange<Tenant>]) -> Option<Self> {
+        let mut next = self.clone();
+        changes.iter().filter_map(|change| change.before.as_ref()).for_each(|tenant| next.remove(tenant));
+        for tenant in changes.iter().filter_map(|change| change.after.as_ref()) {
+            next.add(tenant.clone()).ok()?;
+        }
+        Some(next)
+    }
+
+    /// Adds a tenant; gives back the one that claims the same.
+    fn add(&mut self, tenant: Rc<Tenant>) -> Result<(), Rc<Tenant>> {
+        for (host, prefix) in &tenant.claims {
+            let mut claims = self.claims.get(host).cloned().unwrap_or_default();
+            if let Some(other) = claims.get(prefix) {
+                return Err(other.clone());
+            }
+            claims.insert(prefix, tenant.clone());
+            self.claims.insert_mut(host.clone(), claims);
+        }
+        for region in tenant.regions.iter() {
+            let count = self.regions.get(region).copied().unwrap_or(0);
+            self.regions.insert(region.clone(), count + 1);
+        }
+        self.by_name.insert(tenant.name.clone(), tenant);
+        Ok(())
+    }
+
+    fn remove(&mut self, tenant: &Tenant) {
+        for (host, prefix) in &tenant.claims {
+            let Some(mut claims) = self.claims.get(host).cloned() else { continue };
+            claims.remove(prefix);
+            match claims.is_empty() {
+                true => {
+                    self.claims.remove_mut(host);
                 }
-                claims.push((prefix.clone(), tenant.clone()));
+                false => self.claims.insert_mut(host.clone(), claims),
             }
-            built.by_name.insert(tenant.name.clone(), tenant);
         }
-        for claims in built.claims.values_mut() {
-            claims.sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
+        for region in tenant.regions.iter() {
+            match self.regions.get(region).copied() {
+                Some(count) if count > 1 => self.regions.insert(region.clone(), count - 1),
+                _ => {
+                    self.regions.remove(region);
+                }
+            }
         }
-        Ok(built)
+        self.by_name.remove(&tenant.name);
+    }
+
+    /// Every region that a tenant names must be known.
+    pub(super) fn check_regions(&self, known: &dyn Fn(&RegionName) -> bool) -> Result<(), Fault> {
+        if self.regions.keys().all(known) {
+            return Ok(());
+        }
+        for tenant in self.all() {
+            if let Some(region) = tenant.regions.iter().find(|region| !known(region)) {
+                let region = region.as_str().to_owned();
+                return Err(Fault::UnknownRegion { tenant: tenant.name.clone(), region });
+            }
+        }
+        Ok(())
     }
 
     pub fn is_empty(&self) -> bool {
@@ -100,8 +161,7 @@
     /// Whose request this is, by its header, or by host and path.
     pub fn find(&self, host: &str, path: &str, named: Option<&str>) -> Result<Option<&Rc<Tenant>>, TenantDoubt> {
         let bare = host.rsplit_once(':').map(|(bare, _)| bare).unwrap_or(host).to_ascii_lowercase();
-        let claims = self.claims.get(&bare).map(Vec::as_slice).unwrap_or(&[]);
-        let claimed = claims.iter().find(|(prefix, _)| path.starts_with(prefix)).map(|(_, tenant)| tenant);
+        let claimed = self.claims.get(&bare).and_then(|claims| claims.longest(path));
         let Some(named) = named else { return Ok(claimed) };
         let named = self.by_name.get(named).ok_or(TenantDoubt::Unknown)?;
         match claimed {
--- a/crates/timetable/src/fleet/mod.rs
+++ b/crates/timetable/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod beat;
 mod changes;
 mod state;
+mod tail;
 
 pub use beat::{Beat, Post};
 pub use changes::{Charter, ConfigChange, FleetChange, Instance, Member};
--- a/crates/timetable/src/lib.rs
+++ b/crates/timetable/src/lib.rs
@@ -3,3 +3,5 @@
 pub mod configuration;
 pub mod fleet;
 pub mod packed;
+pub mod shared;
+pub mod work;
--- /dev/null
+++ b/crates/timetable/tests/encoding.rs
@@ -0,0 +1,119 @@
+//! What stands on disks and goes between members is encoded as it was when the collections were the standard ones.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::{BTreeMap, VecDeque};
+use timetable::configuration::Configuration;
+use timetable::fleet::{Charter, ConfigChange, FleetChange, FleetFrame, FleetState, Instance, Member};
+use trackbed::ids::{ConfigEpoch, InstanceId, NodeName, RegionName, ServiceName, ZoneName, Zxid};
+
+type Texts = BTreeMap<String, String>;
+
+/// A configuration as its fields were derived before.
+#[derive(Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+struct PlainConfiguration {
+    epoch: ConfigEpoch,
+    routes: Texts,
+    services: Texts,
+    tenants: Texts,
+    others: Texts,
+}
+
+/// The fleet's frame as its fields were derived before.
+#[derive(Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+struct PlainFrame {
+    zxid: Zxid,
+    configuration: Option<PlainConfiguration>,
+    instances: BTreeMap<InstanceId, Instance>,
+    ended: VecDeque<InstanceId>,
+    taken: VecDeque<(ConfigEpoch, u128)>,
+    charters: BTreeMap<RegionName, Charter>,
+}
+
+const ROUTE: &str = r#"{"hostname":"h","path_prefix":"/a/","route_type":"upload","timeout_s":1,"service_name":"s"}"#;
+
+fn texts(items: &[(&str, &str)]) -> Texts {
+    items.iter().map(|(name, text)| ((*name).to_owned(), (*text).to_owned())).collect()
+}
+
+fn plain_configuration() -> PlainConfiguration {
+    PlainConfiguration {
+        epoch: ConfigEpoch(7),
+        routes: texts(&[("a", ROUTE), ("ä \"b\"", &ROUTE.replace("/a/", "/b"))]),
+        services: texts(&[("s", "{}"), ("t", r#"{"max_connections":3}"#)]),
+        tenants: texts(&[("x", r#"{"regions":["r1"]}"#)]),
+        others: texts(&[("extra", "[1]"), ("limits", r#"{"max_body_bytes":9}"#)]),
+    }
+}
+
+fn configuration() -> Configuration {
+    borsh::from_slice::<Configuration>(&borsh::to_vec(&plain_configuration()).unwrap()).unwrap().checked().unwrap()
+}
+
+fn instance(id: &str, port: u16) -> Instance {
+    Instance {
+        id: InstanceId::new(id),
+        service: ServiceName::new("s"),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: ZoneName::new("z"),
+        node: NodeName::new("n"),
+        beside: ([10, 0, 0, 1], 9).into(),
+        slots: 4,
+        draining: false,
+    }
+}
+
+fn member() -> Member {
+    Member { node: NodeName::new("n"), life: 3, address: ([10, 0, 0, 1], 9).into() }
+}
+
+#[test]
+fn configurations_are_encoded_as_their_texts_by_name() {
+    let plain = borsh::to_vec(&plain_configuration()).unwrap();
+    assert_eq!(borsh::to_vec(&configuration()).unwrap(), plain);
+    let parsed = Configuration::parse(configuration().to_json().as_bytes()).unwrap();
+    assert_eq!(borsh::to_vec(&parsed).unwrap(), plain);
+    let change = FleetChange::Configure { change: ConfigChange::Whole(configuration()), digest: 5 };
+    let mut expected = vec![0, 0];
+    expected.extend(&plain);
+    expected.extend(5u128.to_le_bytes());
+    assert_eq!(borsh::to_vec(&change).unwrap(), expected);
+    for length in 0..plain.len() {
+        assert!(borsh::from_slice::<Configuration>(&plain[..length]).is_err());
+    }
+}
+
+#[test]
+fn frames_are_encoded_as_maps_and_queues() {
+    let mut state = FleetState::default();
+    let mut plain = PlainFrame {
+        zxid: Zxid::new(1, 1200),
+        configuration: Some(plain_configuration()),
+        instances: BTreeMap::from([(InstanceId::new("i9"), instance("i9", 9))]),
+        ended: (175..1199).map(|counter| InstanceId::new(&format!("e{counter}"))).collect(),
+        taken: VecDeque::from([(ConfigEpoch(7), 1), (ConfigEpoch(7), 2), (ConfigEpoch(7), 1)]),
+        charters: BTreeMap::new(),
+    };
+    for (counter, digest) in [(1, 1), (2, 2), (3, 1)] {
+        let change = ConfigChange::Whole(configuration());
+        state.apply(Zxid::new(1, counter), FleetChange::Configure { change, digest });
+    }
+    for counter in 4..1199 {
+        state.apply(Zxid::new(1, counter), FleetChange::End(InstanceId::new(&format!("e{counter}"))));
+    }
+    state.apply(Zxid::new(1, 1199), FleetChange::Register(instance("i9", 9)));
+    let region = RegionName::new("r");
+    let council = FleetChange::Council { region: region.clone(), members: vec![member()] };
+    state.apply(Zxid::new(1, 1200), council);
+    let charter =
+        Charter { region: region.clone(), zxid: Zxid::new(1, 1200), members: vec![member()], before: Vec::new() };
+    plain.charters.insert(region, charter);
+    let bytes = borsh::to_vec(state.frame()).unwrap();
+    assert_eq!(borsh::from_slice::<PlainFrame>(&bytes).unwrap(), plain);
+    assert_eq!(borsh::to_vec(&plain).unwrap(), bytes);
+    let frame: FleetFrame = borsh::from_slice(&bytes).unwrap();
+    let again = FleetState::from_frame(frame);
+    assert_eq!(again.frame(), state.frame());
+    assert!(again.has_taken(2) && again.has_ended(&InstanceId::new("e175")));
+    assert!(!again.has_taken(3) && !again.has_ended(&InstanceId::new("e174")));
+    assert_eq!(again.routes().unwrap().digest(), state.routes().unwrap().digest());
+}
