Lookups try only prefix lengths that exist; tests of shared collections and encodings

Change: each host knows the lengths of its prefixes, and only slashes at such a length are looked up. The comparison with full parses also holds lookups against a search of every route. Shared collections are held against the standard ones, and the ledger's bytes against the layout that was derived before.

--- a/crates/signalbox/src/ledger/tests.rs
+++ b/crates/signalbox/src/ledger/tests.rs
@@ -1,10 +1,13 @@
-//! The cost of copies, deliveries and restarts. Counted, not timed.
+//! The cost of copies, deliveries and restarts, counted and not timed; and the encoding on disk.
 
-use super::{Change, Ledger, LogGrowth};
+use super::state::LockRecord;
+use super::{Change, History, Ledger, LogGrowth, Plan};
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 use std::time::Duration;
 use timetable::configuration::{Configuration, Patch};
-use timetable::fleet::{ConfigChange, FleetChange, FleetNews, FleetState};
+use timetable::fleet::{ConfigChange, FleetChange, FleetFrame, FleetNews, FleetState};
 use timetable::packed::Packed;
 use timetable::work::Work;
 use trackbed::clock::Moment;
@@ -177,3 +180,53 @@
     delivered.fleet.news_since(Zxid::new(1, 1));
     assert_eq!(Work::since(before).values_packed, 0, "what was asked for once is kept");
 }
+
+/// A group of keys as its fields were derived before.
+#[derive(BorshSerialize, BorshDeserialize)]
+struct PlainGroup {
+    revision: u64,
+    floor: u64,
+    cells: BTreeMap<String, (String, u64)>,
+    events: VecDeque<(String, String, u64)>,
+}
+
+/// A ledger as its fields were derived before.
+#[derive(BorshSerialize, BorshDeserialize)]
+struct PlainLedger {
+    fleet: FleetFrame,
+    locks: BTreeMap<String, LockRecord>,
+    last_fence: u64,
+    numbers: BTreeMap<String, u64>,
+    groups: BTreeMap<String, PlainGroup>,
+    history: History,
+    plans: Vec<Plan>,
+}
+
+#[test]
+fn a_ledger_is_encoded_as_maps_and_queues() {
+    let mut ledger = Ledger::new(HISTORY);
+    let locked = |lock: &str, fence| Change::LockTaken { lock: lock.into(), holder: "x".into(), fence, hold_millis: 9 };
+    let number = |name: &str, value| Change::Number { name: name.into(), value };
+    let put =
+        |name: &str, value: u64, revision| Change::CellPut { name: name.into(), value: value.to_string(), revision };
+    let mut changes = vec![locked("b", 1), locked("a", 2), number("n", 4), number("m", 5), number("n", 6), whole(3)];
+    changes.extend((1..=30).map(|revision| put(["g.b", "g.a", "g.c"][revision as usize % 3], revision, revision)));
+    changes.push(put("alone", 1, 1));
+    let mut time = now();
+    for (counter, change) in (1..).zip(changes) {
+        time = time + HISTORY / 8;
+        ledger.apply(Zxid::new(1, counter), change, time);
+    }
+    let bytes = ledger.encode();
+    let plain: PlainLedger = borsh::from_slice(&bytes).unwrap();
+    assert_eq!(borsh::to_vec(&plain).unwrap(), bytes);
+    assert_eq!(plain.numbers, BTreeMap::from([("m".to_owned(), 5), ("n".to_owned(), 6)]));
+    let group = &plain.groups["g."];
+    assert_eq!((group.revision, group.cells["g.a"].clone()), (30, ("28".to_owned(), 28)));
+    let revisions: Vec<u64> = group.events.iter().map(|(_, _, revision)| *revision).collect();
+    assert!(group.floor > 0 && revisions == (group.floor + 1..=30).collect::<Vec<_>>(), "old events are forgotten");
+    let again = Ledger::decode(&bytes, HISTORY, time).unwrap();
+    assert_eq!(again.encode(), bytes);
+    let events = again.groups.get("g.").unwrap().after(group.floor + 2).unwrap();
+    assert_eq!(events.map(|event| event.revision).collect::<Vec<_>>(), revisions[2..]);
+}
--- a/crates/timetable/src/configuration/prefixes.rs
+++ b/crates/timetable/src/configuration/prefixes.rs
@@ -30,6 +30,11 @@
         self.lengths.iter().find_map(|(length, _)| self.by_prefix.get(path.get(..*length)?))
     }
 
+    /// Whether any prefix has a length: cheaper than a search for one that can't be there.
+    pub fn has_length(&self, length: usize) -> bool {
+        self.place_of(length).is_ok()
+    }
+
     pub fn values(&self) -> impl Iterator<Item = &V> {
         self.by_prefix.values()
     }
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug, Default)]
 struct Host {
     /// Prefixes that end with a slash.
-    whole: HashTrieMap<String, Rc<Route>>,
+    whole: Prefixes<Rc<Route>>,
     /// The others.
     open: Prefixes<Rc<Route>>,
 }
@@ -31,15 +31,12 @@
     }
 
     fn insert(&mut self, route: Rc<Route>) {
-        if route.prefix.ends_with('/') {
-            self.whole.insert_mut(route.prefix.clone(), route);
-        } else {
-            self.open.insert(&route.prefix.clone(), route);
-        }
+        let prefixes = if route.prefix.ends_with('/') { &mut self.whole } else { &mut self.open };
+        prefixes.insert(&route.prefix.clone(), route);
     }
 
     fn remove(&mut self, prefix: &str) {
-        self.whole.remove_mut(prefix);
+        self.whole.remove(prefix);
         self.open.remove(prefix);
     }
 
@@ -176,7 +173,8 @@
         };
         let open = host.open.longest(path);
         let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/').map(|(index, _)| index + 1);
-        let whole = slashes.take(MOST_SLASHES).find_map(|end| host.whole.get(&path[..end]));
+        let mut ends = slashes.take(MOST_SLASHES).filter(|end| host.whole.has_length(*end));
+        let whole = ends.find_map(|end| host.whole.get(&path[..end]));
         match (open, whole) {
             (Some(open), Some(whole)) if open.prefix.len() > whole.prefix.len() => Some(open),
             (_, Some(whole)) => Some(whole),
--- a/crates/timetable/src/shared/mod.rs
+++ b/crates/timetable/src/shared/mod.rs
@@ -3,6 +3,8 @@
 
 mod map;
 mod recent;
+#[cfg(test)]
+mod tests;
 
 pub use map::SharedMap;
 pub use recent::RecentKeys;
--- a/crates/timetable/tests/incremental_changes.rs
+++ b/crates/timetable/tests/incremental_changes.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use timetable::configuration::{Configuration, DigestPass, Fault, Patch, Routes, TableDigest};
+use timetable::configuration::{Configuration, DigestPass, Fault, Patch, Route, Routes, TableDigest};
 use timetable::fleet::ConfigChange;
 use trackbed::random::Random;
 
@@ -162,6 +162,13 @@
     sonic_rs::to_string(&whole).unwrap()
 }
 
+/// The route with the longest prefix that begins the path, by a look at every route.
+fn searched(routes: &Routes, host: &str, path: &str) -> Option<Rc<Route>> {
+    let name = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+    let fitting = routes.all().into_iter().filter(|route| route.hostname == name && path.starts_with(&route.prefix));
+    fitting.max_by_key(|route| route.prefix.len())
+}
+
 fn assert_same_table(incremental: &Rc<Routes>, full: &Rc<Routes>) {
     assert_eq!(incremental.digest(), full.digest());
     assert_eq!(incremental.digest(), walked(incremental), "the digest kept is that of the table's entries");
@@ -172,6 +179,7 @@
     for host in ["h", "g.example:80", "H", "i", "j", "p", "q", "none"] {
         for path in ["/", "/a", "/a/", "/a/b/c", "/äb", "/abcd", "/x/y/z/1", "/q/1", ""] {
             assert_eq!(incremental.find(host, path), full.find(host, path), "{host}{path}");
+            assert_eq!(incremental.find(host, path), searched(full, host, path).as_ref(), "{host}{path}");
             assert_eq!(incremental.tenants.find(host, path, None), full.tenants.find(host, path, None));
         }
     }
