One call reads a whole configuration against the present one; bounds of refusals

Cause: the check of a whole configuration that is put had no way to reuse what the fleet's state already holds, and no test held the work for services, tenants and refused changes.

Change: `FleetState::parse_next` reads a body against the present configuration; what it gives is not checked again when it is applied. Tests hold the work for patches of services, tenants and limits, for refused changes, and for a whole that was checked.

--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -190,6 +190,15 @@
         self.frame.instances.insert(instance.id.clone(), instance);
     }
 
+    /// Reads and checks a whole configuration that is to follow the present one. Items that are as they were
+    /// are not parsed again, and a change made of it is not checked anew when it is applied.
+    pub fn parse_next(&self, body: &[u8]) -> Result<Configuration, Fault> {
+        match &self.frame.configuration {
+            Some(present) => Configuration::parse_after(body, present),
+            None => Configuration::parse(body),
+        }
+    }
+
     /// The configuration that a change would make of the present one, checked. Costs O(items changed · log n),
     /// and for a whole configuration that was not checked yet a comparison of the texts.
     pub fn next_configuration(&self, change: &ConfigChange) -> Result<Configuration, Fault> {
--- a/crates/timetable/tests/cost_of_changes.rs
+++ b/crates/timetable/tests/cost_of_changes.rs
@@ -107,3 +107,79 @@
         }
     }
 }
+
+/// Patches that add a service with a route and a tenant, change them, and take them away again.
+fn patch_of_every_kind(routes: u64, version: u64) -> String {
+    let index = version % routes;
+    let route = route(index, version + 1).replace(&format!("\"s{}\"", index / ROUTES_PER_SERVICE), "\"new\"");
+    match version % 3 {
+        0 => format!(
+            r#"{{"version":"r{version}","upserts":{{"services":{{"new":{{}}}},"routes":{{"new":{}}},
+            "tenants":{{"new":{{"regions":["a"],"claims":[{{"hostname":"h","path_prefix":"/n"}}]}}}}}}}}"#,
+            route.replace("/p", "/new")
+        ),
+        1 => format!(
+            r#"{{"version":"r{version}","upserts":{{"services":{{"new":{{"max_connections":{version}}}}},
+            "tenants":{{"new":{{"regions":["b"]}}}},"limits":{{"max_body_bytes":{version}}}}}}}"#
+        ),
+        _ => format!(
+            r#"{{"version":"r{version}","removals":{{"services":["new"],"routes":["new"],"tenants":["new"]}}}}"#
+        ),
+    }
+}
+
+#[test]
+fn the_work_for_services_and_tenants_does_not_grow_either() {
+    for routes in ROUTE_COUNTS {
+        let changes = 300;
+        let mut state = first(routes);
+        let before = Work::so_far();
+        for version in 3..changes + 3 {
+            let text = patch_of_every_kind(routes, version);
+            let change = ConfigChange::Patch(Patch::parse(text.as_bytes()).unwrap());
+            state.apply(Zxid::new(1, version), over_the_wire(configure(change, version)));
+            assert_eq!(state.epoch().0, version);
+        }
+        assert_within(Work::since(before), changes, &format!("{changes} patches of every kind, {routes} routes"));
+    }
+}
+
+#[test]
+fn a_refused_change_parses_only_what_it_brings() {
+    for routes in ROUTE_COUNTS {
+        let state = first(routes);
+        let refusals = [
+            r#"{"version":"r2","removals":{"services":["s0"]}}"#,
+            r#"{"version":"r2","upserts":{"routes":{"r1":[]}}}"#,
+            r#"{"version":"r2","upserts":{"tenants":{"x":{"regions":[]}}}}"#,
+            r#"{"version":"r2","upserts":{"routes":{"new":{"hostname":"h0.example","path_prefix":"/p0/",
+            "route_type":"upload","service_name":"s0"}}}}"#,
+        ];
+        for refusal in refusals {
+            let change = ConfigChange::Patch(Patch::parse(refusal.as_bytes()).unwrap());
+            let before = Work::so_far();
+            assert!(state.next_configuration(&change).is_err(), "{refusal}");
+            let work = Work::since(before);
+            assert!(work.items_parsed <= MOST_WORK_PER_CHANGE, "{routes} routes: {work:?} for {refusal}");
+        }
+    }
+}
+
+#[test]
+fn a_whole_that_was_checked_is_not_checked_again() {
+    for routes in ROUTE_COUNTS {
+        let mut state = first(routes);
+        let body = whole(routes, 2);
+        let before = Work::so_far();
+        let next = state.parse_next(body.as_bytes()).unwrap();
+        assert_within(Work::since(before), 1, &format!("a whole of {routes} routes read"));
+        let mut ahead = state.without_news();
+        let before = Work::so_far();
+        let change = ConfigChange::Whole(next);
+        assert_eq!(ahead.next_configuration(&change).unwrap().epoch.0, 2);
+        ahead.apply(Zxid::new(1, 2), configure(change.clone(), 2));
+        assert_eq!(Work::since(before), Work::default(), "{routes} routes: it was checked when it was read");
+        state.apply(Zxid::new(1, 2), over_the_wire(configure(change, 2)));
+        assert_eq!(state.frame(), ahead.frame());
+    }
+}
