Storage: batches count whole, images that don't fit are given up, later formats are refused

Cause: a batch of records could be kept in part after a loss of power. A Restart without the entries and the f.a after it takes back what the member has acknowledged, under its old f.a. An image that a full disk refused was tried for ever and held up all records behind it. A slot of a later version, and two unreadable slots on a disk in use, were taken for an empty disk; a record of an unknown kind was taken for the end of the log. The parents of a new data folder were not synced.

Change: each record tells where its batch begins and whether more of it follow, in bits that older logs lack and older versions pass over; a batch without its end is cut off. A refused slot is emptied before the next append, and the writer gives an image up for waiting records. A log is emptied only after the slot that replaces its own is durable. Folders are synced by a call of its own, so that the tests' disk can lose files. Later versions and unknown content are typed errors that say what to do. Two unreadable slots are a first start only on an otherwise empty disk.

--- a/crates/interlocking/src/storage/disk.rs
+++ b/crates/interlocking/src/storage/disk.rs
@@ -12,6 +12,8 @@
     fn set_length(&mut self, name: &str, length: u64) -> io::Result<()>;
     /// What was written to the file is durable once this returns.
     fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// That the files made so far exist is durable once this returns.
+    fn sync_folder(&mut self) -> io::Result<()>;
 }
 
 /// Files under the data directory, kept open.
@@ -22,7 +24,7 @@
 
 impl FileDisk {
     pub fn open(directory: &Path) -> io::Result<Self> {
-        std::fs::create_dir_all(directory)?;
+        make_folder(directory)?;
         Ok(Self { directory: directory.to_owned(), open: Vec::new() })
     }
 
@@ -32,8 +34,6 @@
         }
         let path = self.directory.join(name);
         let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)?;
-        file.sync_all()?;
-        File::open(&self.directory)?.sync_all()?;
         self.open.push((name.to_owned(), file));
         Ok(&self.open.last().expect("pushed just now").1)
     }
@@ -55,4 +55,24 @@
     fn sync(&mut self, name: &str) -> io::Result<()> {
         self.file(name)?.sync_data()
     }
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.directory)?.sync_all()
+    }
+}
+
+/// Makes a folder and those above it that are missing, each durable in the one that holds it.
+fn make_folder(folder: &Path) -> io::Result<()> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    let above = match folder.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => parent,
+        _ => Path::new("."),
+    };
+    make_folder(above)?;
+    match std::fs::create_dir(folder) {
+        Err(error) if error.kind() != io::ErrorKind::AlreadyExists => return Err(error),
+        _ => {}
+    }
+    File::open(above)?.sync_all()
 }
--- /dev/null
+++ b/crates/interlocking/src/storage/error.rs
@@ -0,0 +1,24 @@
+//! Why storage can't go on.
+
+use derive_more::{Display, Error, From};
+use std::io;
+
+#[derive(Debug, Display, Error, From)]
+pub enum StorageError {
+    #[display("the disk refused ({_0}): it is tried again; free space or replace the disk")]
+    Io(io::Error),
+    /// Nothing on the disk was changed.
+    #[display(
+        "the data folder was written by a later version (format {version}): run the newer version here, \
+         or give this node an empty data folder and let it join as a new member"
+    )]
+    #[from(ignore)]
+    LaterVersion { version: u8 },
+    /// The checksum is right, so it isn't damage. Nothing on the disk was changed.
+    #[display(
+        "the data folder holds something whole that this version does not know: run the newer version \
+         that wrote it, or give this node an empty data folder and let it join as a new member"
+    )]
+    #[from(ignore)]
+    UnknownContent,
+}
--- a/crates/interlocking/src/storage/layout.rs
+++ b/crates/interlocking/src/storage/layout.rs
@@ -7,23 +7,22 @@
 //! this life of it is over.
 
 use super::disk::Disk;
-use crate::zab::{Entry, Frame, Image, Record};
-use borsh::{BorshDeserialize, BorshSerialize};
-use derive_more::{Display, Error, From};
-use std::io;
-use trackbed::ids::{MemberId, ZabEpoch};
+use super::error::StorageError;
+use super::records::{encode_batch, holds_records, read_log};
+use super::slot::Slot;
+use crate::zab::Image;
+use borsh::BorshDeserialize;
 
 const SLOTS: [&str; 2] = ["slot.0", "slot.1"];
 const LOGS: [&str; 2] = ["log.0", "log.1"];
-const SLOT_MARK: u64 = 0x3130_746f_6c73_6866;
-/// Length, checksum, synced-up-to.
-const RECORD_HEAD: usize = 16;
-
-#[derive(Debug, Display, Error, From)]
-pub enum StorageError {
-    #[display("the disk refused ({_0}): it is tried again; free space or replace the disk")]
-    Io(io::Error),
-}
+/// Where generations go on after a disk whose own can't be told.
+const ANEW: u64 = 1 << 40;
+
+const SLOT_LOST: &str = "the slot in use can't be read: check the disk, and replace it if this comes again";
+const RECORD_LOST: &str =
+    "a record that had been synced can't be read: check the disk, and replace it if this comes again";
+const BOTH_SLOTS_LOST: &str =
+    "neither slot can be read, and the disk was in use: check the disk, and replace it if this comes again";
 
 #[derive(Debug)]
 pub enum Recovered {
@@ -36,81 +35,99 @@
     },
 }
 
-#[derive(BorshSerialize, BorshDeserialize)]
-struct Slot {
-    generation: u64,
-    member: MemberId,
-    promised: ZabEpoch,
-    promised_to: MemberId,
-    current: ZabEpoch,
-    frame: Frame,
-    entries: Vec<Entry>,
-}
-
-/// Invariant: `synced` ≤ `length`; below `synced` the log is durable.
+/// Invariant: the log is durable up to `length`.
 pub struct Storage<D> {
     disk: D,
     generation: u64,
     length: u64,
-    synced: u64,
+    /// The log of this generation is there, and empty behind `length`.
+    log_is_ready: bool,
+    /// A write of the next generation's slot failed: it may be whole on the disk all the same.
+    has_unfinished_slot: bool,
+}
+
+/// All that a disk holds.
+struct Content {
+    slots: [Vec<u8>; 2],
+    logs: [Vec<u8>; 2],
+}
+
+impl Content {
+    fn read<D: Disk>(disk: &mut D) -> Result<Self, StorageError> {
+        Ok(Self {
+            slots: [disk.read(SLOTS[0])?, disk.read(SLOTS[1])?],
+            logs: [disk.read(LOGS[0])?, disk.read(LOGS[1])?],
+        })
+    }
+
+    fn newest_slot(&self) -> Result<Option<Slot>, StorageError> {
+        let mut newest: Option<Slot> = None;
+        for bytes in &self.slots {
+            let slot = Slot::read(bytes)?;
+            newest = newest.into_iter().chain(slot).max_by_key(|slot| slot.generation);
+        }
+        Ok(newest)
+    }
+
+    /// A first start writes the first generation's slot before anything else: with neither slot
+    /// readable, nothing else may be there.
+    fn is_of_a_first_start(&self) -> bool {
+        self.slots[0].is_empty() && self.logs.iter().all(Vec::is_empty)
+    }
+
+    /// A generation that no record left here belongs to.
+    fn unused_generation(&self) -> u64 {
+        let mut hasher = crc32fast::Hasher::new();
+        self.slots.iter().chain(&self.logs).for_each(|bytes| hasher.update(bytes));
+        ANEW + hasher.finalize() as u64
+    }
 }
 
 impl<D: Disk> Storage<D> {
-    /// Reads the disk. Nothing can be written before `begin` or after a whole image.
+    /// Reads the disk. Nothing can be appended before a whole image was found or written.
     pub fn recover(mut disk: D) -> Result<(Self, Recovered), StorageError> {
-        let mut found: Option<Slot> = None;
-        for name in SLOTS {
-            let bytes = disk.read(name)?;
-            if let Some(slot) = read_slot(&bytes)
-                && found.as_ref().is_none_or(|found| slot.generation > found.generation)
-            {
-                found = Some(slot);
-            }
-        }
-        let Some(slot) = found else {
-            let storage = Self { disk, generation: 0, length: 0, synced: 0 };
-            // Both slots torn can only be a first start that never came to its first sync.
-            return Ok((storage, Recovered::Nothing));
+        let content = Content::read(&mut disk)?;
+        let Some(slot) = content.newest_slot()? else {
+            return Ok(match content.is_of_a_first_start() {
+                true => (Self::before_an_image(disk, 0), Recovered::Nothing),
+                false => {
+                    let storage = Self::before_an_image(disk, content.unused_generation());
+                    (storage, Recovered::Damaged { what: BOTH_SLOTS_LOST })
+                }
+            });
         };
         let generation = slot.generation;
-        let mut image = Image {
-            member: slot.member,
-            promised: slot.promised,
-            promised_to: slot.promised_to,
-            current: slot.current,
-            frame: slot.frame,
-            entries: slot.entries,
-        };
-        let later = disk.read(LOGS[((generation + 1) % 2) as usize])?;
-        if record_at(&later, 0, generation + 1).is_some() {
-            let storage = Self { disk, generation: generation + 1, length: 0, synced: 0 };
-            return Ok((storage, Recovered::Damaged { what: "the slot in use can't be read" }));
+        if holds_records(&content.logs[index_of(generation + 1)], generation + 1) {
+            let storage = Self::before_an_image(disk, generation + 1);
+            return Ok((storage, Recovered::Damaged { what: SLOT_LOST }));
         }
-        let log = LOGS[(generation % 2) as usize];
-        let bytes = disk.read(log)?;
-        let (records, length, damaged) = read_log(&bytes, generation);
-        let mut storage = Self { disk, generation, length, synced: length };
-        if damaged {
-            return Ok((storage, Recovered::Damaged { what: "a record that had been synced can't be read" }));
+        let log = read_log(&content.logs[index_of(generation)], generation)?;
+        let mut storage = Self::before_an_image(disk, generation);
+        if log.is_damaged {
+            return Ok((storage, Recovered::Damaged { what: RECORD_LOST }));
         }
-        for record in records {
+        let mut image = slot.into_image();
+        for record in log.records {
             image.replay(record);
         }
-        if (bytes.len() as u64) > length {
-            storage.disk.set_length(log, length)?;
-        }
-        storage.disk.sync(log)?;
+        storage.length = log.length;
+        storage.make_log_ready()?;
         Ok((storage, Recovered::Whole(Box::new(image))))
     }
 
+    fn before_an_image(disk: D, generation: u64) -> Self {
+        Self { disk, generation, length: 0, log_is_ready: false, has_unfinished_slot: false }
+    }
+
     /// The log's length since the last image.
     pub fn log_length(&self) -> u64 {
         self.length
     }
 
-    /// Writes a whole image to the slot not in use, and starts an empty log after it.
+    /// Writes a whole image to the slot not in use, and starts an empty log after it. After an error
+    /// the slot and log before are still in use: the image may be given up, and records appended.
     pub fn write_image(&mut self, image: &Image) -> Result<(), StorageError> {
-        self.write_slot(slot_of(image))
+        self.write_slot(Slot::of(image))
     }
 
     /// The same, from an image encoded elsewhere.
@@ -120,45 +137,66 @@
     }
 
     pub fn encode_image(image: &Image) -> Vec<u8> {
-        borsh::to_vec(&slot_of(image)).expect("writing to memory can't fail")
+        borsh::to_vec(&Slot::of(image)).expect("writing to memory can't fail")
     }
 
     fn write_slot(&mut self, mut slot: Slot) -> Result<(), StorageError> {
-        let generation = self.generation + 1;
-        slot.generation = generation;
-        let body = borsh::to_vec(&slot).expect("writing to memory can't fail");
-        let mut bytes = Vec::with_capacity(body.len() + 20);
-        bytes.extend_from_slice(&SLOT_MARK.to_le_bytes());
-        bytes.extend_from_slice(&(body.len() as u64).to_le_bytes());
-        bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-        bytes.extend_from_slice(&body);
-        let index = (generation % 2) as usize;
-        // The log is emptied first: its records belong to a generation two before, which this slot replaces.
-        self.disk.set_length(LOGS[index], 0)?;
-        self.disk.sync(LOGS[index])?;
-        self.disk.write_at(SLOTS[index], 0, &bytes)?;
-        self.disk.set_length(SLOTS[index], bytes.len() as u64)?;
-        self.disk.sync(SLOTS[index])?;
-        self.generation = generation;
+        slot.generation = self.generation + 1;
+        let name = SLOTS[index_of(slot.generation)];
+        let bytes = slot.encode();
+        self.has_unfinished_slot = true;
+        self.disk.write_at(name, 0, &bytes)?;
+        self.disk.set_length(name, bytes.len() as u64)?;
+        self.disk.sync(name)?;
+        self.disk.sync_folder()?;
+        self.has_unfinished_slot = false;
+        self.generation = slot.generation;
         self.length = 0;
-        self.synced = 0;
+        self.log_is_ready = false;
+        // The old records in this log have another generation, so they harm nobody until the next append
+        // tries again.
+        if let Err(error) = self.make_log_ready() {
+            log::debug!("a log could not be emptied yet ({error}): it is tried again with the next record");
+        }
+        Ok(())
+    }
+
+    /// Cuts off what stands behind the log's end, and sees to it that the file exists.
+    fn make_log_ready(&mut self) -> Result<(), StorageError> {
+        let log = LOGS[index_of(self.generation)];
+        self.disk.set_length(log, self.length)?;
+        self.disk.sync(log)?;
+        self.disk.sync_folder()?;
+        self.log_is_ready = true;
         Ok(())
     }
 
-    /// Appends encoded records and makes them durable. After an error the same call may be made again.
+    /// A slot that may be whole would be taken for the newest, without the records to come.
+    fn drop_unfinished_slot(&mut self) -> Result<(), StorageError> {
+        let name = SLOTS[index_of(self.generation + 1)];
+        self.disk.set_length(name, 0)?;
+        self.disk.sync(name)?;
+        self.has_unfinished_slot = false;
+        Ok(())
+    }
+
+    /// Appends encoded records and makes them durable, all or none of them. After an error the same
+    /// call may be made again.
     pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
         if records.is_empty() {
             return Ok(());
         }
-        let mut bytes = Vec::new();
-        for record in records {
-            push_record(&mut bytes, record, self.generation, self.synced);
+        if self.has_unfinished_slot {
+            self.drop_unfinished_slot()?;
+        }
+        if !self.log_is_ready {
+            self.make_log_ready()?;
         }
-        let log = LOGS[(self.generation % 2) as usize];
+        let bytes = encode_batch(records, self.generation, self.length);
+        let log = LOGS[index_of(self.generation)];
         self.disk.write_at(log, self.length, &bytes)?;
         self.disk.sync(log)?;
         self.length += bytes.len() as u64;
-        self.synced = self.length;
         Ok(())
     }
 
@@ -178,68 +216,6 @@
     }
 }
 
-fn slot_of(image: &Image) -> Slot {
-    Slot {
-        generation: 0,
-        member: image.member,
-        promised: image.promised,
-        promised_to: image.promised_to,
-        current: image.current,
-        frame: image.frame.clone(),
-        entries: image.entries.clone(),
-    }
-}
-
-fn checksum(record: &[u8], generation: u64, synced: u64) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&generation.to_le_bytes());
-    hasher.update(&synced.to_le_bytes());
-    hasher.update(record);
-    hasher.finalize()
-}
-
-fn push_record(bytes: &mut Vec<u8>, record: &[u8], generation: u64, synced: u64) {
-    bytes.extend_from_slice(&(record.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&checksum(record, generation, synced).to_le_bytes());
-    bytes.extend_from_slice(&synced.to_le_bytes());
-    bytes.extend_from_slice(record);
-}
-
-fn read_slot(bytes: &[u8]) -> Option<Slot> {
-    let mark = u64::from_le_bytes(bytes.get(..8)?.try_into().ok()?);
-    let length = u64::from_le_bytes(bytes.get(8..16)?.try_into().ok()?) as usize;
-    let sum = u32::from_le_bytes(bytes.get(16..20)?.try_into().ok()?);
-    let body = bytes.get(20..20usize.checked_add(length)?)?;
-    if mark != SLOT_MARK || crc32fast::hash(body) != sum {
-        return None;
-    }
-    Slot::try_from_slice(body).ok()
-}
-
-/// The record at a place, with where the log was synced to when it was written, and its end.
-fn record_at(bytes: &[u8], at: usize, generation: u64) -> Option<(Record, u64, usize)> {
-    let head = bytes.get(at..at + RECORD_HEAD)?;
-    let length = u32::from_le_bytes(head[..4].try_into().ok()?) as usize;
-    let sum = u32::from_le_bytes(head[4..8].try_into().ok()?);
-    let synced = u64::from_le_bytes(head[8..16].try_into().ok()?);
-    let end = (at + RECORD_HEAD).checked_add(length)?;
-    let body = bytes.get(at + RECORD_HEAD..end)?;
-    if length == 0 || checksum(body, generation, synced) != sum {
-        return None;
-    }
-    Some((Record::try_from_slice(body).ok()?, synced, end))
-}
-
-/// The records that stand one after the other from the start, their end, and whether a later one
-/// tells that more had been synced.
-fn read_log(bytes: &[u8], generation: u64) -> (Vec<Record>, u64, bool) {
-    let mut records = Vec::new();
-    let mut at = 0;
-    while let Some((record, _, end)) = record_at(bytes, at, generation) {
-        records.push(record);
-        at = end;
-    }
-    let lost = (at + 1..bytes.len().saturating_sub(RECORD_HEAD))
-        .any(|later| record_at(bytes, later, generation).is_some_and(|(_, synced, _)| synced > at as u64));
-    (records, at as u64, lost)
+fn index_of(generation: u64) -> usize {
+    (generation % 2) as usize
 }
--- a/crates/interlocking/src/storage/mod.rs
+++ b/crates/interlocking/src/storage/mod.rs
@@ -1,9 +1,15 @@
 //! A member's disk: two slots that are written in turn, with a short log between.
 
 mod disk;
+mod error;
 mod layout;
+mod records;
+mod slot;
+#[cfg(test)]
+mod test_disk;
 #[cfg(test)]
 mod tests;
 
 pub use disk::{Disk, FileDisk};
-pub use layout::{Recovered, Storage, StorageError};
+pub use error::StorageError;
+pub use layout::{Recovered, Storage};
--- a/crates/signalbox/src/node/disk.rs
+++ b/crates/signalbox/src/node/disk.rs
@@ -3,9 +3,12 @@
 use futures_channel::mpsc::UnboundedSender;
 use interlocking::storage::{Disk, Storage};
 use interlocking::zab::Ticket;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::Duration;
 
+/// How long after a refusal the disk is tried again.
+const PAUSE: Duration = Duration::from_millis(50);
+
 pub enum Write {
     Append {
         ticket: Ticket,
@@ -36,7 +39,7 @@
             return;
         };
         match first {
-            Write::Image { encoded } => insist(|| storage.write_encoded_image(&encoded)),
+            Write::Image { encoded } => held = write_image(&mut storage, &encoded, &writes),
             Write::Append { mut ticket, mut records } => {
                 // All that waits goes out under one sync.
                 while let Ok(next) = writes.try_recv() {
@@ -60,6 +63,24 @@
     }
 }
 
+/// Writes an image, or tries for as long as nothing else is to be written. Slot and log before hold all
+/// that the image does, so it is given up for the next write, which is returned: a later image takes its place.
+fn write_image<D: Disk>(storage: &mut Storage<D>, encoded: &[u8], writes: &Receiver<Write>) -> Option<Write> {
+    let mut told = false;
+    while let Err(error) = storage.write_encoded_image(encoded) {
+        if !told {
+            log::error!("an image was not written, and the log grows meanwhile: {error}");
+            told = true;
+        }
+        match writes.recv_timeout(PAUSE) {
+            Ok(next) => return Some(next),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return None,
+        }
+    }
+    None
+}
+
 /// Tries until the disk takes it. Nothing is acknowledged meanwhile: this node loses its part in
 /// quorums, and the others go on.
 fn insist<E: std::fmt::Display>(mut write: impl FnMut() -> Result<(), E>) {
@@ -69,6 +90,10 @@
             log::error!("{error}");
             told = true;
         }
-        std::thread::sleep(Duration::from_millis(50));
+        std::thread::sleep(PAUSE);
     }
 }
+
+#[cfg(test)]
+#[path = "disk_tests.rs"]
+mod tests;
