--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -183,3 +183,23 @@
         span_micros: u32,
     },
 }
+
+/// What a message that can't be read was about.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum UnknownMessage {
+    Ask(u64),
+    Reply(u64),
+    Other,
+}
+
+impl UnknownMessage {
+    /// The kind's byte and the number come first, and stay where they are in later versions.
+    pub fn read(body: &[u8]) -> Self {
+        let number = body.get(1..9).and_then(|bytes| bytes.try_into().ok()).map(u64::from_le_bytes);
+        match (body.first(), number) {
+            (Some(1), Some(number)) => Self::Ask(number),
+            (Some(2), Some(number)) => Self::Reply(number),
+            _ => Self::Other,
+        }
+    }
+}
--- a/crates/lineside/src/call/mod.rs
+++ b/crates/lineside/src/call/mod.rs
@@ -2,7 +2,10 @@
 
 mod answering;
 mod caller;
+mod complaints;
 mod messages;
+#[cfg(test)]
+mod tests;
 
 pub use answering::{Answering, serve_peers};
 pub use caller::{CallError, Caller};
--- a/crates/trackbed/src/net/frames.rs
+++ b/crates/trackbed/src/net/frames.rs
@@ -1,14 +1,19 @@
-//! Length-prefixed borsh frames over a stream.
+//! Length-prefixed borsh frames over a stream, each with a checksum.
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use derive_more::{Display, Error, From};
 use monoio::io::AsyncReadRent;
 use std::cell::Cell;
 use std::io;
+use std::ops::Range;
 use std::rc::Rc;
 
 /// Longest frame taken from a peer.
 const MAX_FRAME: usize = 96 << 20;
+/// In the length: a checksum stands between it and the message. Frames of earlier versions have neither.
+const CHECKED: u32 = 1 << 31;
+const LENGTH_BYTES: usize = 4;
+const CHECKSUM_BYTES: usize = 4;
 
 #[derive(Debug, Display, Error, From)]
 pub enum FrameError {
@@ -17,19 +22,70 @@
     #[display("a frame of {_0} bytes is over the limit: the stream is closed")]
     #[from(ignore)]
     TooLong(#[error(not(source))] usize),
+    #[display(
+        "a frame's checksum is wrong: the stream is closed and dialled again; check the link if this comes again"
+    )]
+    #[from(ignore)]
+    Spoilt,
+    #[display("a frame has no checksum: the peer runs an earlier version; run the same one on all nodes")]
+    #[from(ignore)]
+    Unchecked,
+    /// The frames after it can be read.
+    #[display("a message is of a kind unknown here: it is left out; run the peer's later version on this node too")]
+    #[from(ignore)]
+    Unknown {
+        #[error(not(source))]
+        body: Vec<u8>,
+    },
     #[display("the peer closed the stream")]
     #[from(ignore)]
     Closed,
 }
 
 pub fn encode_frame<T: BorshSerialize>(message: &T) -> Vec<u8> {
-    let mut bytes = vec![0u8; 4];
+    let head = LENGTH_BYTES + CHECKSUM_BYTES;
+    let mut bytes = vec![0u8; head];
     message.serialize(&mut bytes).expect("writing to memory can't fail");
-    let length = (bytes.len() - 4) as u32;
-    bytes[..4].copy_from_slice(&length.to_le_bytes());
+    let length = (bytes.len() - head) as u32 | CHECKED;
+    let checksum = checksum(length, &bytes[head..]);
+    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
+    bytes[LENGTH_BYTES..head].copy_from_slice(&checksum.to_le_bytes());
     bytes
 }
 
+fn checksum(length: u32, body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length.to_le_bytes());
+    hasher.update(body);
+    hasher.finalize()
+}
+
+fn read_number(bytes: &[u8]) -> Option<u32> {
+    Some(u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?))
+}
+
+/// Where a frame's message stands in the bytes held; nothing while more have to come.
+fn find_body(bytes: &[u8]) -> Result<Option<Range<usize>>, FrameError> {
+    let Some(length) = read_number(bytes) else {
+        return Ok(None);
+    };
+    if length & CHECKED == 0 {
+        return Err(FrameError::Unchecked);
+    }
+    let count = (length & !CHECKED) as usize;
+    if count > MAX_FRAME {
+        return Err(FrameError::TooLong(count));
+    }
+    let start = LENGTH_BYTES + CHECKSUM_BYTES;
+    let Some(body) = bytes.get(start..start + count) else {
+        return Ok(None);
+    };
+    if read_number(&bytes[LENGTH_BYTES..]) != Some(checksum(length, body)) {
+        return Err(FrameError::Spoilt);
+    }
+    Ok(Some(start..start + count))
+}
+
 /// Reads frames one after the other.
 pub struct FrameReader<S> {
     stream: S,
@@ -52,20 +108,15 @@
     pub async fn next<T: BorshDeserialize>(&mut self) -> Result<T, FrameError> {
         loop {
             let waiting = &self.held[self.taken..];
-            if waiting.len() >= 4 {
-                let length = u32::from_le_bytes([waiting[0], waiting[1], waiting[2], waiting[3]]) as usize;
-                if length > MAX_FRAME {
-                    return Err(FrameError::TooLong(length));
-                }
-                if waiting.len() >= 4 + length {
-                    let message = T::try_from_slice(&waiting[4..4 + length])?;
-                    self.taken += 4 + length;
-                    if self.taken == self.held.len() {
-                        self.held.clear();
-                        self.taken = 0;
-                    }
-                    return Ok(message);
+            if let Some(place) = find_body(waiting)? {
+                let body = &waiting[place.clone()];
+                let message = T::try_from_slice(body).map_err(|_| FrameError::Unknown { body: body.to_vec() });
+                self.taken += place.end;
+                if self.taken == self.held.len() {
+                    self.held.clear();
+                    self.taken = 0;
                 }
+                return message;
             }
             if self.taken > 0 {
                 self.held.drain(..self.taken);
--- a/crates/trackbed/src/net/mod.rs
+++ b/crates/trackbed/src/net/mod.rs
@@ -2,6 +2,8 @@
 
 mod datagrams;
 mod frames;
+#[cfg(test)]
+mod frames_tests;
 mod sockets;
 
 pub use datagrams::{Datagrams, Tally};
