A control-plane member's decisions are a state machine of their own, signalbox::replica

Cause: what a member decides - which call is proposed, when it is answered, what the lease must back, what a deposed primary tells those who wait - was spread over the node's async code, so that no test on virtual time could run it.

Change: signalbox::replica::Replica holds Zab, the committed and the proposed state, the holds of locks, and the calls and watches that wait. Calls, messages, disk completions and ticks go in; effects come out as data, and the node carries them out. The order that changes nothing (a sign-off or a registration that is known already) is now confirmed only under the lease, as refusals are: before, a primary that was cut off could confirm it from its own old state. A watch that finds nothing ends at the first tick after its time, up to 50 ms later than before. In the resources, Desk is Context, ahead is proposed, settled is committed.

--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod forecast;
 pub mod ledger;
 pub mod node;
+pub mod replica;
 pub mod resources;
 
 use trackbed::config::{Command, ConfigError, LocalConfig};
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod aggregation;
 mod beats;
+mod calls;
 mod councils;
 mod disk;
 mod doors;
@@ -20,41 +21,39 @@
 
 use crate::forecast::Forecaster;
 use crate::ledger::Ledger;
+use crate::node::calls::OpenCalls;
 use crate::node::disk::Write;
-use futures_channel::oneshot;
+use crate::replica::Replica;
 use interlocking::zab::Zab;
 use lineside::call::Caller;
 use lineside::gossip::{Peer, Roster};
 use lineside::inspection::{Inspector, RoutesReport};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc;
 use timetable::configuration::TableDigest;
 use trackbed::clock::Moment;
-use trackbed::ids::Zxid;
 use trackbed::kernel::LiveConfig;
 use trackbed::net::Datagrams;
 
 /// All that a core node holds.
 pub struct Signalbox {
     pub live: Rc<LiveConfig>,
-    pub zab: RefCell<Zab>,
+    /// Decides every call, and holds the order of changes with the state they make.
+    pub replica: RefCell<Replica>,
+    /// The replica's own, for the duties that read it.
+    pub zab: Rc<RefCell<Zab>>,
     pub disk: mpsc::Sender<Write>,
     pub caller: Caller,
     pub roster: RefCell<Roster>,
     pub datagrams: Datagrams,
-    /// Invariant: exactly what Zab delivered here.
-    pub settled: RefCell<Ledger>,
-    /// Invariant: only while this node is the primary; `settled` and all that was proposed since.
-    pub ahead: RefCell<Option<Ledger>>,
-    /// Until when each holder may count itself holder. Only while this node is the primary.
-    pub holds: RefCell<BTreeMap<String, Moment>>,
-    /// Who waits for a transaction to be delivered.
-    pub waiting: RefCell<BTreeMap<Zxid, Vec<oneshot::Sender<()>>>>,
-    /// Who waits for something new in a group of keys.
-    pub watchers: RefCell<BTreeMap<String, Vec<oneshot::Sender<()>>>>,
+    /// The replica's committed state.
+    pub settled: Rc<RefCell<Ledger>>,
+    /// The replica's state with all that was proposed. Invariant: only while this node is the primary.
+    pub ahead: Rc<RefCell<Option<Ledger>>>,
+    /// Calls that the replica has not finished yet.
+    pub calls: OpenCalls,
     /// Weight of the history when the last image was written.
     pub imaged_weight: Cell<usize>,
     /// Which endpoints spoke here, and at the primary anywhere.
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -2,12 +2,10 @@
 
 use super::{Signalbox, turn};
 use crate::ledger::Change;
-use crate::resources::{self, Decision, Desk};
-use futures_channel::oneshot;
+use crate::replica::{Outcome, Route};
 use lineside::call::{Ask, CallError, ControlCall, ControlReturn, Reply};
 use std::time::Duration;
 use timetable::fleet::{FleetChange, FleetNews, FleetState, Instance};
-use timetable::packed::Packed;
 use trackbed::clock;
 use trackbed::ids::{InstanceId, RegionName, Zxid};
 
@@ -21,17 +19,18 @@
 pub async fn answer_anywhere(node: &Signalbox, call: ControlCall) -> ControlReturn {
     let given_up = clock::now() + ELECTION_WAIT;
     loop {
-        let primary = node.zab.borrow().primary();
-        if let Some(primary) = primary {
-            if primary.id == node.zab.borrow().me().id {
-                return run(node, &call).await;
-            }
-            let limit = limit_of(&call);
-            match node.caller.call(primary.address, Ask::Control(call.clone()), limit).await {
-                Ok(Reply::Control(answer)) => return answer,
-                Ok(Reply::NotNow(_)) | Err(CallError::NotSent) => {}
-                Ok(_) | Err(CallError::NoReply) => return ControlReturn::unknown(),
+        let route = node.replica.borrow().route();
+        match route {
+            Route::Here => return run(node, &call).await,
+            Route::Forward(primary) => {
+                let limit = limit_of(&call);
+                match node.caller.call(primary.address, Ask::Control(call.clone()), limit).await {
+                    Ok(Reply::Control(answer)) => return answer,
+                    Ok(Reply::NotNow(_)) | Err(CallError::NotSent) => {}
+                    Ok(_) | Err(CallError::NoReply) => return ControlReturn::unknown(),
+                }
             }
+            Route::NoPrimary => {}
         }
         if clock::now() >= given_up {
             return ControlReturn::not_now("no primary just now: ask again");
@@ -57,94 +56,22 @@
 }
 
 async fn run(node: &Signalbox, call: &ControlCall) -> ControlReturn {
-    let Some((resource, name)) = resources::find(&call.path) else {
-        return ControlReturn::fault(404, "no such resource");
-    };
-    let decision = {
-        let (ahead, settled) = (node.ahead.borrow(), node.settled.borrow());
-        let Some(ahead) = ahead.as_ref() else {
-            return ControlReturn::not_now("the primary has changed");
-        };
-        let mut holds = node.holds.borrow_mut();
-        let config = node.live.get();
-        let knows_region = |region: &RegionName| config.zones.values().any(|known| known == region);
-        let now = clock::now();
-        let desk = Desk { ahead, settled: &settled, holds: &mut holds, now, knows_region: &knows_region };
-        resource.decide(name, call, desk)
-    };
-    match decision {
-        Decision::Read(answer) => match lease_holds(node) {
-            true => answer,
-            false => ControlReturn::not_now("this node may no longer be the primary: ask again"),
-        },
-        Decision::Settled(answer) => {
-            let last = node.zab.borrow().history().last();
-            match settle(node, last).await && lease_holds(node) {
-                true => answer,
-                false => ControlReturn::unknown(),
-            }
-        }
-        Decision::Propose(change, answer) => match propose(node, *change) {
-            None => ControlReturn::not_now("the primary has changed"),
-            Some(zxid) => match settle(node, zxid).await {
-                true => answer,
-                false => ControlReturn::unknown(),
-            },
-        },
-        Decision::Watch { group, after, wait_millis } => watch(node, &group, after, wait_millis).await,
+    let (id, outcome) = node.calls.open();
+    let config = node.live.get();
+    let knows_region = |region: &RegionName| config.zones.values().any(|known| known == region);
+    let effects = node.replica.borrow_mut().call(id, call, &knows_region, clock::now());
+    turn::carry_out(node, effects);
+    match outcome.await {
+        Ok(Outcome::Answered(answer)) => answer,
+        _ => ControlReturn::unknown(),
     }
 }
 
+/// Whether a majority stands behind this node as the primary.
 pub fn lease_holds(node: &Signalbox) -> bool {
     node.zab.borrow().lease_holds(clock::now())
 }
 
-/// Broadcasts one change, and builds the next on it.
-fn propose(node: &Signalbox, change: Change) -> Option<Zxid> {
-    let now = clock::now();
-    let payload = Packed::pack(&change).into_bytes();
-    let (zxid, actions) = node.zab.borrow_mut().propose(vec![payload], now)?;
-    if let Some(ahead) = node.ahead.borrow_mut().as_mut() {
-        ahead.apply(zxid, change, now);
-    }
-    turn::act(node, actions);
-    Some(zxid)
-}
-
-/// Waits until a transaction is delivered here; false when this node is deposed first.
-async fn settle(node: &Signalbox, zxid: Zxid) -> bool {
-    if node.zab.borrow().delivered() >= zxid {
-        return true;
-    }
-    let (sender, receiver) = oneshot::channel();
-    node.waiting.borrow_mut().entry(zxid).or_default().push(sender);
-    receiver.await.is_ok()
-}
-
-async fn watch(node: &Signalbox, group: &str, after: u64, wait_millis: u64) -> ControlReturn {
-    let end = clock::now() + Duration::from_millis(wait_millis);
-    loop {
-        let last_look = clock::now() >= end;
-        let answer = resources::watch_look(&node.settled.borrow(), group, after, last_look);
-        if let Some(answer) = answer {
-            return match lease_holds(node) {
-                true => answer,
-                false => ControlReturn::not_now("this node may no longer be the primary: ask again"),
-            };
-        }
-        let (sender, receiver) = oneshot::channel();
-        {
-            let mut watchers = node.watchers.borrow_mut();
-            let waiting = watchers.entry(group.to_owned()).or_default();
-            waiting.retain(|sender| !sender.is_canceled());
-            waiting.push(sender);
-        }
-        if let Ok(Err(_)) = monoio::time::timeout(clock::now().until(end), receiver).await {
-            return ControlReturn::not_now("the primary has changed: ask again");
-        }
-    }
-}
-
 /// How far all that was acknowledged goes: the primary's own word, under its lease.
 pub fn assure(node: &Signalbox) -> Reply {
     let zab = node.zab.borrow();
@@ -209,7 +136,8 @@
 
 /// Orders a change that nobody waits for.
 pub fn order_change(node: &Signalbox, change: Change) {
-    propose(node, change);
+    let effects = node.replica.borrow_mut().order(change, clock::now());
+    turn::carry_out(node, effects);
 }
 
 pub async fn sign_off(node: &Signalbox, id: InstanceId) -> Reply {
@@ -217,11 +145,7 @@
     order_fleet(node, ask, |fleet| (!fleet.has_ended(&id)).then(|| FleetChange::End(id.clone()))).await
 }
 
-async fn order_fleet(
-    node: &Signalbox,
-    ask: Ask,
-    change: impl Fn(&timetable::fleet::FleetState) -> Option<FleetChange>,
-) -> Reply {
+async fn order_fleet(node: &Signalbox, ask: Ask, change: impl FnOnce(&FleetState) -> Option<FleetChange>) -> Reply {
     let Some(primary) = node.zab.borrow().primary() else {
         return Reply::NotNow("no primary just now".into());
     };
@@ -232,19 +156,12 @@
             Err(CallError::NoReply) => Reply::Unknown,
         };
     }
-    let change = match node.ahead.borrow().as_ref() {
-        Some(ahead) => change(&ahead.fleet),
-        None => return Reply::NotNow("the primary has changed".into()),
-    };
-    let zxid = match change {
-        Some(change) => match propose(node, Change::Fleet(change)) {
-            Some(zxid) => zxid,
-            None => return Reply::NotNow("the primary has changed".into()),
-        },
-        None => node.zab.borrow().history().last(),
-    };
-    match settle(node, zxid).await {
-        true => Reply::Done,
-        false => Reply::Unknown,
+    let (id, outcome) = node.calls.open();
+    let effects = node.replica.borrow_mut().order_fleet(id, change, clock::now());
+    turn::carry_out(node, effects);
+    match outcome.await {
+        Ok(Outcome::Committed) => Reply::Done,
+        Ok(Outcome::NotPrimary) => Reply::NotNow("the primary has changed".into()),
+        _ => Reply::Unknown,
     }
 }
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -1,8 +1,10 @@
 //! From settings and disk to a running node.
 
 use super::aggregation::{self, Aggregation};
+use super::calls::OpenCalls;
 use super::{NodeError, Signalbox, beats, councils, disk, doors, forecast, inspection, peers, turn};
 use crate::ledger::Ledger;
+use crate::replica::Replica;
 use futures_channel::mpsc::unbounded;
 use interlocking::storage::{FileDisk, Recovered, Storage};
 use interlocking::zab::{Image, Timing, Voter, Zab};
@@ -73,6 +75,7 @@
     let settled = Ledger::decode(&image.frame.state, config.bounds.history(), now)?;
     let me = Voter { id: image.member, address };
     let zab = Zab::start(image, me, Timing::default(), now);
+    let replica = Replica::new(zab, settled, config.bounds.history());
     let peer = Peer {
         name: config.node_name.clone(),
         incarnation: Incarnation(1),
@@ -96,16 +99,15 @@
             let live = Rc::new(LiveConfig::new(command.path, config));
             let node = Rc::new(Signalbox {
                 live: live.clone(),
-                zab: RefCell::new(zab),
+                zab: replica.zab().clone(),
+                settled: replica.committed().clone(),
+                ahead: replica.proposed().clone(),
+                replica: RefCell::new(replica),
+                calls: OpenCalls::default(),
                 disk,
                 caller: Caller::default(),
                 roster: RefCell::new(roster),
                 datagrams: Datagrams::bind(address)?,
-                settled: RefCell::new(settled),
-                ahead: RefCell::new(None),
-                holds: RefCell::default(),
-                waiting: RefCell::default(),
-                watchers: RefCell::default(),
                 imaged_weight: Cell::new(0),
                 heard: RefCell::default(),
                 own_address: address,
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -2,21 +2,20 @@
 
 use super::disk::Write;
 use super::start::core_address;
-use super::{Signalbox, inspection, members, peers};
-use crate::ledger::{Change, Ledger};
+use super::{Signalbox, members, peers};
+use crate::replica::Effect;
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_core::Stream;
 use interlocking::storage::{FileDisk, Storage};
-use interlocking::zab::{Action, Envelope, Ticket};
+use interlocking::zab::{Action, Ticket};
 use lineside::call::PeerMessage;
 use lineside::gossip::Role;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use timetable::fleet::FleetChange;
-use timetable::packed::Packed;
-use trackbed::clock::{self, Moment};
+use timetable::configuration::Routes;
+use trackbed::clock;
 use trackbed::http::Serving;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -30,8 +29,8 @@
     loop {
         let next = std::future::poll_fn(|context| Pin::new(&mut completions).poll_next(context)).await;
         let Some(ticket) = next else { return };
-        let actions = node.zab.borrow_mut().durable(ticket, clock::now());
-        act(&node, actions);
+        let effects = node.replica.borrow_mut().durable(ticket, clock::now());
+        carry_out(&node, effects);
     }
 }
 
@@ -42,8 +41,8 @@
         if turns.is_multiple_of(10) {
             refresh_contacts(&node);
         }
-        let actions = node.zab.borrow_mut().tick(now);
-        act(&node, actions);
+        let effects = node.replica.borrow_mut().tick(now);
+        carry_out(&node, effects);
         if turns.is_multiple_of(2) {
             let actions = node.roster.borrow_mut().tick(now);
             peers::gossip(&node, actions);
@@ -67,98 +66,49 @@
     contacts.sort();
     contacts.dedup();
     node.zab.borrow_mut().set_contacts(contacts);
+    node.replica.borrow_mut().set_history(config.bounds.history());
     node.roster.borrow_mut().set_seeds(seeds);
 }
 
-/// Carries out what Zab wants.
+/// Takes in what Zab did, and carries out what comes of it.
 pub fn act(node: &Signalbox, actions: Vec<Action>) {
     if actions.is_empty() {
         return;
     }
-    let now = clock::now();
-    for action in actions {
-        match action {
-            Action::Send { to, message } => {
-                let from = node.zab.borrow().me().clone();
-                let envelope = Envelope { from, to: to.id, message };
+    let effects = node.replica.borrow_mut().advance(actions, clock::now());
+    carry_out(node, effects);
+}
+
+/// Carries out what the replica wants.
+pub fn carry_out(node: &Signalbox, effects: Vec<Effect>) {
+    for effect in effects {
+        match effect {
+            Effect::Send { to, envelope } => {
                 let bytes = borsh::to_vec(&envelope).expect("writing to memory can't fail");
-                node.caller.tell(to.address, &PeerMessage::Zab(bytes));
+                node.caller.tell(to, &PeerMessage::Zab(bytes));
             }
-            Action::Persist { ticket, records } => {
+            Effect::Persist { ticket, records } => {
                 let records = records.iter().map(|record| borsh::to_vec(record).expect("writing to memory can't fail"));
                 // The writer ends only with the process.
                 let _ = node.disk.send(Write::Append { ticket, records: records.collect() });
             }
-            Action::Deliver { zxid, payload } => match Packed::read::<Change>(&payload) {
-                Ok(change) => deliver(node, zxid, change, now),
-                Err(error) => log::error!("a transaction can't be read ({error}): upgrade this node"),
-            },
-            Action::DeliverFrame { zxid, state } => {
-                match Ledger::decode(&state, node.live.get().bounds.history(), now) {
-                    Ok(ledger) => *node.settled.borrow_mut() = ledger,
-                    Err(error) => log::error!("the frame at {zxid} can't be read ({error}): upgrade this node"),
-                }
-                inspection::adopt(node);
-                tell_fleet(node);
-            }
-            Action::Ready { epoch } => {
+            Effect::Finish { call, outcome } => node.calls.finish(call, outcome),
+            Effect::ConfigurationCommitted(routes) => adopt_routes(node, &routes),
+            Effect::FleetMoved => tell_fleet(node),
+            Effect::BecamePrimary { epoch } => {
                 log::info!("primary of epoch {epoch}");
-                take_over(node, now);
-                node.heard.borrow_mut().start_anew(now);
-            }
-            Action::Deposed => {
-                log::info!("no longer primary");
-                node.ahead.borrow_mut().take();
-                node.waiting.borrow_mut().clear();
-                node.watchers.borrow_mut().clear();
-                node.holds.borrow_mut().clear();
+                node.heard.borrow_mut().start_anew(clock::now());
             }
-        }
-    }
-    let delivered = node.zab.borrow().delivered();
-    let mut waiting = node.waiting.borrow_mut();
-    while let Some(first) = waiting.first_entry() {
-        if *first.key() > delivered {
-            break;
-        }
-        for sender in first.remove() {
-            let _ = sender.send(());
+            Effect::Deposed => log::info!("no longer primary"),
         }
     }
 }
 
-/// Every hold is counted anew: what the last primary granted without an order ends before this does.
-fn take_over(node: &Signalbox, now: Moment) {
-    let settled = node.settled.borrow();
-    *node.holds.borrow_mut() = settled
-        .locks
-        .iter()
-        .map(|(lock, record)| (lock.clone(), now + Duration::from_millis(record.hold_millis)))
-        .collect();
-    *node.ahead.borrow_mut() = Some(settled.clone());
-}
-
-fn deliver(node: &Signalbox, zxid: trackbed::ids::Zxid, change: Change, now: Moment) {
-    let group = match &change {
-        Change::CellPut { name, .. } => Some(crate::ledger::group_of(name).to_owned()),
-        _ => None,
-    };
-    let is_fleet = matches!(change, Change::Fleet(_));
-    let is_configuration = matches!(change, Change::Fleet(FleetChange::Configure { .. }));
-    node.settled.borrow_mut().apply(zxid, change, now);
-    if let Some(group) = group
-        && let Some(watchers) = node.watchers.borrow_mut().remove(&group)
-    {
-        for watcher in watchers {
-            let _ = watcher.send(());
-        }
-    }
-    if is_configuration {
-        inspection::adopt(node);
-    }
-    if is_fleet {
-        tell_fleet(node);
-    }
+/// A table was committed: it is what proxies are held against from now on.
+fn adopt_routes(node: &Signalbox, routes: &Rc<Routes>) {
+    let digest = routes.digest();
+    node.inspector.borrow_mut().adopt(digest.epoch, digest.root(), clock::now());
+    *node.meant.borrow_mut() = Some(digest);
 }
 
 fn tell_fleet(node: &Signalbox) {
--- a/crates/signalbox/src/resources/configuration.rs
+++ b/crates/signalbox/src/resources/configuration.rs
@@ -1,6 +1,6 @@
 //! The operator's configuration.
 
-use super::{Decision, Desk, Resource, ResourcePlug, not_allowed};
+use super::{Context, Decision, Resource, ResourcePlug, not_allowed};
 use crate::ledger::Change;
 use lineside::call::{ControlCall, ControlReturn};
 use timetable::configuration::{Configuration as Whole, Fault, Patch};
@@ -16,13 +16,13 @@
         "/v1/configuration"
     }
 
-    fn decide(&self, _: &str, call: &ControlCall, desk: Desk<'_>) -> Decision {
+    fn decide(&self, _: &str, call: &ControlCall, context: Context<'_>) -> Decision {
         match call.method.as_str() {
-            "GET" => Decision::Read(match desk.settled.fleet.configuration() {
+            "GET" => Decision::Read(match context.committed.fleet.configuration() {
                 Some(configuration) => ControlReturn::new(200, configuration.to_json()),
                 None => ControlReturn::fault(404, "no configuration was taken yet: put one with If-Match 0"),
             }),
-            "PUT" | "PATCH" => change(call, &desk),
+            "PUT" | "PATCH" => change(call, &context),
             _ => not_allowed(),
         }
     }
@@ -38,19 +38,19 @@
 }
 
 fn invalid(fault: &Fault) -> Decision {
-    Decision::Settled(ControlReturn::fault(400, &fault.to_string()))
+    Decision::Committed(ControlReturn::fault(400, &fault.to_string()))
 }
 
-fn change(call: &ControlCall, desk: &Desk<'_>) -> Decision {
-    let fleet = &desk.ahead.fleet;
+fn change(call: &ControlCall, context: &Context<'_>) -> Decision {
+    let fleet = &context.proposed.fleet;
     let digest = digest(call);
     let done = || ControlReturn::new(200, "{}".into());
     if fleet.has_taken(digest) {
-        return Decision::Settled(done());
+        return Decision::Committed(done());
     }
     let Some(base) = call.if_match.as_deref().and_then(ConfigEpoch::parse) else {
         let message = "If-Match is missing or no version: name the version this builds on, or 0 for the first";
-        return Decision::Settled(ControlReturn::fault(400, message));
+        return Decision::Committed(ControlReturn::fault(400, message));
     };
     // Read first, so that what can't be read is told as such whatever it builds on.
     let read = match call.method.as_str() {
@@ -64,18 +64,18 @@
     let current = fleet.epoch();
     if base != current {
         let message = format!("{current} is in place: build on it");
-        return Decision::Settled(ControlReturn::fault(412, &message));
+        return Decision::Committed(ControlReturn::fault(412, &message));
     }
     if epoch <= current {
         let message = format!("/version {epoch} does not rise above {current}: choose a higher one");
-        return Decision::Settled(ControlReturn::fault(400, &message));
+        return Decision::Committed(ControlReturn::fault(400, &message));
     }
     let next = match (&change, fleet.configuration()) {
         (ConfigChange::Whole(whole), _) => Ok(whole.clone()),
         (ConfigChange::Patch(patch), Some(configuration)) => configuration.patched(patch),
         (ConfigChange::Patch(patch), None) => Whole::default().patched(patch),
     };
-    if let Err(fault) = next.and_then(|next| next.check_regions(desk.knows_region)) {
+    if let Err(fault) = next.and_then(|next| next.check_regions(context.knows_region)) {
         return invalid(&fault);
     }
     Decision::Propose(Box::new(Change::Fleet(FleetChange::Configure { change, digest })), done())
--- a/crates/signalbox/src/resources/locks.rs
+++ b/crates/signalbox/src/resources/locks.rs
@@ -1,6 +1,6 @@
 //! Locks: one holder at a time, by fences that only rise.
 
-use super::{Body, Decision, Desk, Resource, ResourcePlug, bad, not_allowed};
+use super::{Body, Context, Decision, Resource, ResourcePlug, bad, not_allowed};
 use crate::ledger::Change;
 use lineside::call::{ControlCall, ControlReturn};
 use std::time::Duration;
@@ -21,7 +21,7 @@
         "/v1/locks/"
     }
 
-    fn decide(&self, name: &str, call: &ControlCall, desk: Desk<'_>) -> Decision {
+    fn decide(&self, name: &str, call: &ControlCall, context: Context<'_>) -> Decision {
         let Some(body) = Body::read(&call.body) else {
             return bad("the body is not JSON");
         };
@@ -30,15 +30,15 @@
         };
         match call.method.as_str() {
             "POST" => match body.millis("hold_s") {
-                Some(hold_millis) => take(name, holder, hold_millis, desk),
+                Some(hold_millis) => take(name, holder, hold_millis, context),
                 None => bad("hold_s is missing: give a time in seconds"),
             },
             "PUT" => match (body.number("fence_token"), body.millis("hold_s")) {
-                (Some(fence), Some(hold_millis)) => renew(name, holder, fence, hold_millis, desk),
+                (Some(fence), Some(hold_millis)) => renew(name, holder, fence, hold_millis, context),
                 _ => bad("fence_token or hold_s is missing"),
             },
             "DELETE" => match body.number("fence_token") {
-                Some(fence) => release(name, holder, fence, desk),
+                Some(fence) => release(name, holder, fence, context),
                 None => bad("fence_token is missing"),
             },
             _ => not_allowed(),
@@ -47,27 +47,27 @@
 }
 
 /// The holder's time runs from now at least, whatever was granted before.
-fn extend(name: &str, hold_millis: u64, desk: &mut Desk<'_>) {
-    let until = desk.now + Duration::from_millis(hold_millis);
-    let known = desk.holds.entry(name.to_owned()).or_insert(until);
+fn extend(name: &str, hold_millis: u64, context: &mut Context<'_>) {
+    let until = context.now + Duration::from_millis(hold_millis);
+    let known = context.holds.entry(name.to_owned()).or_insert(until);
     *known = (*known).max(until);
 }
 
-fn take(name: &str, holder: &str, hold_millis: u64, mut desk: Desk<'_>) -> Decision {
-    if let Some(record) = desk.ahead.locks.get(name) {
+fn take(name: &str, holder: &str, hold_millis: u64, mut context: Context<'_>) -> Decision {
+    if let Some(record) = context.proposed.locks.get(name) {
         if record.holder == holder {
             let fence = record.fence;
             let known = record.hold_millis;
-            extend(name, hold_millis, &mut desk);
+            extend(name, hold_millis, &mut context);
             return lengthened(name, holder, fence, known, hold_millis);
         }
-        if desk.holds.get(name).is_none_or(|until| desk.now <= *until) {
-            return Decision::Settled(held());
+        if context.holds.get(name).is_none_or(|until| context.now <= *until) {
+            return Decision::Committed(held());
         }
     }
-    let fence = desk.ahead.last_fence + 1;
+    let fence = context.proposed.last_fence + 1;
     // A new holder's time starts here; the last one's has run out.
-    desk.holds.insert(name.to_owned(), desk.now + Duration::from_millis(hold_millis));
+    context.holds.insert(name.to_owned(), context.now + Duration::from_millis(hold_millis));
     let change = Change::LockTaken { lock: name.to_owned(), holder: holder.to_owned(), fence, hold_millis };
     Decision::Propose(Box::new(change), granted(fence))
 }
@@ -75,29 +75,29 @@
 /// A hold longer than the ordered one is ordered too: the next primary must count it.
 fn lengthened(name: &str, holder: &str, fence: u64, known: u64, hold_millis: u64) -> Decision {
     if hold_millis <= known {
-        return Decision::Settled(granted(fence));
+        return Decision::Committed(granted(fence));
     }
     let change = Change::LockTaken { lock: name.to_owned(), holder: holder.to_owned(), fence, hold_millis };
     Decision::Propose(Box::new(change), granted(fence))
 }
 
-fn renew(name: &str, holder: &str, fence: u64, hold_millis: u64, mut desk: Desk<'_>) -> Decision {
-    match desk.ahead.locks.get(name) {
+fn renew(name: &str, holder: &str, fence: u64, hold_millis: u64, mut context: Context<'_>) -> Decision {
+    match context.proposed.locks.get(name) {
         Some(record) if record.holder == holder && record.fence == fence => {
             let known = record.hold_millis;
-            extend(name, hold_millis, &mut desk);
+            extend(name, hold_millis, &mut context);
             lengthened(name, holder, fence, known, hold_millis)
         }
-        _ => Decision::Settled(ControlReturn::fault(409, "this lock is lost: take it anew")),
+        _ => Decision::Committed(ControlReturn::fault(409, "this lock is lost: take it anew")),
     }
 }
 
-fn release(name: &str, holder: &str, fence: u64, desk: Desk<'_>) -> Decision {
+fn release(name: &str, holder: &str, fence: u64, context: Context<'_>) -> Decision {
     let done = ControlReturn::new(200, "{}".into());
-    match desk.ahead.locks.get(name) {
+    match context.proposed.locks.get(name) {
         Some(record) if record.holder == holder && record.fence == fence => {
             Decision::Propose(Box::new(Change::LockFreed { lock: name.to_owned(), fence }), done)
         }
-        _ => Decision::Settled(done),
+        _ => Decision::Committed(done),
     }
 }
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -17,11 +17,11 @@
 use trackbed::ids::RegionName;
 
 /// What a primary has at hand to decide a call.
-pub struct Desk<'a> {
+pub struct Context<'a> {
     /// All that was proposed, committed or not: changes are built on it.
-    pub ahead: &'a Ledger,
+    pub proposed: &'a Ledger,
     /// All that was committed: reads are answered from it.
-    pub settled: &'a Ledger,
+    pub committed: &'a Ledger,
     /// Until when each lock's holder may count itself holder, on this primary's steady clock.
     /// Invariant: never moves back for a holder.
     pub holds: &'a mut BTreeMap<String, Moment>,
@@ -35,7 +35,7 @@
     /// Answered from what is committed, under the lease.
     Read(ControlReturn),
     /// Answered once all that was proposed so far is committed: the answer rests on it.
-    Settled(ControlReturn),
+    Committed(ControlReturn),
     Propose(Box<Change>, ControlReturn),
     /// Waits for events of a group above a revision.
     Watch {
@@ -45,11 +45,11 @@
     },
 }
 
-/// Invariant: decides from the desk alone, so that the same call is decided the same way anywhere.
+/// Invariant: decides from the context alone, so that the same call is decided the same way anywhere.
 pub trait Resource: Sync {
     /// The part of the path after which the name stands.
     fn prefix(&self) -> &'static str;
-    fn decide(&self, name: &str, call: &ControlCall, desk: Desk<'_>) -> Decision;
+    fn decide(&self, name: &str, call: &ControlCall, context: Context<'_>) -> Decision;
 }
 
 pub struct ResourcePlug(pub &'static dyn Resource);
--- a/crates/signalbox/src/resources/numbers.rs
+++ b/crates/signalbox/src/resources/numbers.rs
@@ -1,6 +1,6 @@
 //! Numbers that only rise.
 
-use super::{Decision, Desk, Resource, ResourcePlug, not_allowed};
+use super::{Context, Decision, Resource, ResourcePlug, not_allowed};
 use crate::ledger::Change;
 use lineside::call::{ControlCall, ControlReturn};
 
@@ -12,11 +12,11 @@
         "/v1/numbers/"
     }
 
-    fn decide(&self, name: &str, call: &ControlCall, desk: Desk<'_>) -> Decision {
+    fn decide(&self, name: &str, call: &ControlCall, context: Context<'_>) -> Decision {
         if call.method != "POST" {
             return not_allowed();
         }
-        let value = desk.ahead.numbers.get(name).copied().unwrap_or(0) + 1;
+        let value = context.proposed.numbers.get(name).copied().unwrap_or(0) + 1;
         let answer = ControlReturn::new(200, format!("{{\"value\":{value}}}"));
         Decision::Propose(Box::new(Change::Number { name: name.to_owned(), value }), answer)
     }
--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -8,7 +8,7 @@
 use trackbed::ids::Zxid;
 use trackbed::random::Random;
 
-/// A primary's desk without the network: what it proposed is committed later, or lost with it.
+/// A primary's context without the network: what it proposed is committed later, or lost with it.
 struct Core {
     settled: Ledger,
     ahead: Ledger,
@@ -37,18 +37,18 @@
     /// Decides a call. Answers that are due come back by `commit`.
     fn call(&mut self, number: usize, call: &ControlCall) -> Option<ControlReturn> {
         let (resource, name) = find(&call.path).expect("a known resource");
-        let desk = Desk {
-            ahead: &self.ahead,
-            settled: &self.settled,
+        let context = Context {
+            proposed: &self.ahead,
+            committed: &self.settled,
             holds: &mut self.holds,
             now: self.now,
             knows_region: &|_| true,
         };
-        match resource.decide(name, call, desk) {
+        match resource.decide(name, call, context) {
             Decision::Read(answer) => Some(answer),
-            Decision::Settled(answer) if self.open.is_empty() => Some(answer),
+            Decision::Committed(answer) if self.open.is_empty() => Some(answer),
             // It rests on what is open: answered after that, like a proposal that changes nothing.
-            Decision::Settled(answer) => {
+            Decision::Committed(answer) => {
                 let (zxid, change, _, _) = self.open.last().expect("looked at just now").clone();
                 self.open.push((zxid, change, number, answer));
                 None
--- a/crates/signalbox/src/resources/watch.rs
+++ b/crates/signalbox/src/resources/watch.rs
@@ -1,6 +1,6 @@
 //! Watches of a group of keys.
 
-use super::{Decision, Desk, Resource, ResourcePlug, bad, not_allowed};
+use super::{Context, Decision, Resource, ResourcePlug, bad, not_allowed};
 use crate::ledger::Ledger;
 use lineside::call::{ControlCall, ControlReturn};
 use trackbed::logs::escape;
@@ -15,7 +15,7 @@
         "/v1/watch/"
     }
 
-    fn decide(&self, name: &str, call: &ControlCall, desk: Desk<'_>) -> Decision {
+    fn decide(&self, name: &str, call: &ControlCall, context: Context<'_>) -> Decision {
         if call.method != "GET" {
             return not_allowed();
         }
@@ -30,7 +30,7 @@
             return bad("after and wait_ms must be whole numbers");
         };
         if after == 0 {
-            let revision = desk.settled.groups.get(name).map(|group| group.revision).unwrap_or(0);
+            let revision = context.committed.groups.get(name).map(|group| group.revision).unwrap_or(0);
             return Decision::Read(ControlReturn::new(200, format!("{{\"events\":[],\"revision\":{revision}}}")));
         }
         Decision::Watch { group: name.to_owned(), after, wait_millis: wait_millis.min(LONGEST_WAIT_MILLIS) }
