--- a/crates/signalbox/src/resources/configuration.rs
+++ b/crates/signalbox/src/resources/configuration.rs
@@ -3,10 +3,10 @@
 use super::{Context, Decision, Resource, ResourcePlug, not_allowed};
 use crate::ledger::Change;
 use lineside::call::{ControlCall, ControlReturn};
+use sha2::{Digest, Sha256};
 use timetable::configuration::{Configuration as Whole, Fault, Patch};
 use timetable::fleet::{ConfigChange, FleetChange};
 use trackbed::ids::ConfigEpoch;
-use trackbed::random::stable_hash;
 
 struct Configuration;
 inventory::submit! { ResourcePlug(&Configuration) }
@@ -28,13 +28,33 @@
     }
 }
 
-/// Names a call by all that it says.
-fn digest(call: &ControlCall) -> u128 {
-    let text = String::from_utf8_lossy(&call.body);
-    let head = format!("{} {}", call.method, call.if_match.as_deref().unwrap_or(""));
-    let first = stable_hash(&format!("{head}\n{text}"));
-    let second = stable_hash(&format!("{text}\n{head}"));
-    (first as u128) << 64 | second as u128
+/// Names an order by all that it says, so that its repeat is known for what it is.
+///
+/// This is SHA-256 over method, `If-Match` and the raw bytes of the body, each behind its length so
+/// that no two orders encode alike, cut off to the 128 bits that the fleet's state keeps. Two orders
+/// with one name would have to be found by about 2^64 trials.
+pub(super) fn digest(call: &ControlCall) -> u128 {
+    let mut hasher = Sha256::new();
+    hash_field(&mut hasher, Some(call.method.as_bytes()));
+    hash_field(&mut hasher, call.if_match.as_deref().map(str::as_bytes));
+    hash_field(&mut hasher, Some(&call.body));
+    let mut kept = [0; size_of::<u128>()];
+    kept.copy_from_slice(&hasher.finalize()[..size_of::<u128>()]);
+    u128::from_be_bytes(kept)
+}
+
+/// Takes in whether the field is there, its length, and its bytes.
+fn hash_field(hasher: &mut Sha256, field: Option<&[u8]>) {
+    hasher.update([field.is_some() as u8]);
+    let bytes = field.unwrap_or_default();
+    hasher.update((bytes.len() as u64).to_be_bytes());
+    hasher.update(bytes);
+}
+
+/// An order that may have been taken so long ago that this is forgotten.
+fn forgotten() -> Decision {
+    let message = "whether this was taken can't be told any more: read the configuration back";
+    Decision::Committed(ControlReturn::fault(504, message))
 }
 
 fn invalid(fault: &Fault) -> Decision {
@@ -62,6 +82,9 @@
         Err(fault) => return invalid(&fault),
     };
     let current = fleet.epoch();
+    if fleet.oldest_remembered_order().is_some_and(|oldest| base < oldest) {
+        return forgotten();
+    }
     if base != current {
         let message = format!("{current} is in place: build on it");
         return Decision::Committed(ControlReturn::fault(412, &message));
--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -323,3 +323,69 @@
     assert_eq!(core.call(3, &whole(2, "a/")).map(|answer| answer.status), Some(400));
     assert_eq!(core.settled.fleet.epoch().0, 3);
 }
+
+fn configuration(base: &str, version: u64, path: &str) -> ControlCall {
+    let route =
+        format!("{{\"hostname\":\"h\",\"path_prefix\":\"{path}\",\"route_type\":\"upload\",\"service_name\":\"s\"}}");
+    let body = format!("{{\"version\":\"r{version}\",\"routes\":{{\"a\":{route}}},\"services\":{{\"s\":{{}}}}}}");
+    ControlCall { if_match: Some(base.into()), ..call("PUT", "/v1/configuration", body) }
+}
+
+/// Takes a number of configurations, each on top of the last.
+fn core_with_taken(count: u64) -> Core {
+    let mut core = Core::new();
+    APPLIED.with(|applied| applied.set(Zxid::ZERO));
+    for version in 1..=count {
+        let order = configuration(&format!("r{}", version - 1), version, "/a/");
+        assert!(core.call(0, &order).is_none(), "version {version} is proposed");
+        assert_eq!(core.commit(1)[0].1.status, 200);
+    }
+    core
+}
+
+#[test]
+fn a_repeat_is_acknowledged_or_unknown_however_late_it_comes() {
+    let mut core = core_with_taken(1024 + 200);
+    for version in [1, 2, 199, 200] {
+        let late = core.call(0, &configuration(&format!("r{}", version - 1), version, "/a/"));
+        assert_eq!(late.map(|answer| answer.status), Some(504), "version {version} is forgotten");
+    }
+    for version in [201, 1000, 1224] {
+        let repeat = core.call(0, &configuration(&format!("r{}", version - 1), version, "/a/"));
+        assert_eq!(repeat.map(|answer| answer.status), Some(200), "version {version} is remembered");
+    }
+    let loser = core.call(0, &configuration("r1222", 1300, "/b/"));
+    assert_eq!(loser.map(|answer| answer.status), Some(412), "the order that won is remembered, and it is another");
+}
+
+#[test]
+fn while_nothing_is_forgotten_an_old_base_is_refused() {
+    let mut core = core_with_taken(40);
+    let loser = core.call(0, &configuration("0", 50, "/b/"));
+    assert_eq!(loser.map(|answer| answer.status), Some(412));
+}
+
+#[test]
+fn orders_that_differ_in_bytes_that_are_no_text_are_two() {
+    let order = |byte: u8| ControlCall { body: vec![byte], ..configuration("0", 1, "/a/") };
+    assert_ne!(configuration::digest(&order(0xfe)), configuration::digest(&order(0xff)));
+    // What belongs to the number and what to the body is told apart.
+    let split = |base: &str, body: &str| ControlCall {
+        if_match: Some(base.into()),
+        body: body.into(),
+        ..configuration("0", 1, "/a/")
+    };
+    assert_ne!(configuration::digest(&split("1\n2", "3")), configuration::digest(&split("1", "2\n3")));
+    let missing = ControlCall { if_match: None, ..split("", "3") };
+    assert_ne!(configuration::digest(&missing), configuration::digest(&split("", "3")));
+}
+
+#[test]
+fn of_two_operators_at_one_number_one_wins_and_the_other_is_refused() {
+    let mut core = core_with_taken(3);
+    assert!(core.call(1, &configuration("r3", 4, "/one/")).is_none());
+    assert!(core.call(2, &configuration("r3", 4, "/two/")).is_none());
+    let answers: Vec<(usize, u16)> =
+        core.commit(2).into_iter().map(|(number, answer)| (number, answer.status)).collect();
+    assert_eq!(answers, [(1, 200), (2, 412)]);
+}
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -104,6 +104,12 @@
     pub fn has_taken(&self, digest: u128) -> bool {
         self.frame.taken.iter().any(|(_, taken)| *taken == digest)
     }
+    /// The version that the oldest remembered call made, once calls before it may be forgotten. Of a
+    /// call that builds on an older version it can't be told any more whether it was taken.
+    pub fn oldest_remembered_order(&self) -> Option<ConfigEpoch> {
+        let (epoch, _) = self.frame.taken.front()?;
+        (self.frame.taken.len() >= REMEMBERED).then_some(*epoch)
+    }
     pub fn charter(&self, region: &RegionName) -> Option<&Charter> {
         self.frame.charters.get(region)
     }
