The control plane is tested on virtual time, with its real state machines and checked histories

Cause: what clients of the control plane rely on - no old configuration, one outcome for an order, one holder of a lock - was tested on Zab alone and on the resources alone, never on members with a network, disks, clocks and retrying clients.

Change: crates/signalbox/tests/simulation runs the replica of the node on virtual time, with delays, losses, cuts both ways and one way, broken connections, slow disks, lost power, wiped disks and clocks that run apart. Histories of operators and applications are checked by the Wing-Gong-Lowe checker of todc-utils (a new dev-dependency). How a call is forwarded to the primary is a state machine too, signalbox::replica::Forwarding, which node and simulation share. docs/design/simulation.md says what is covered and what is not.

--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -2,50 +2,39 @@
 
 use super::{Signalbox, turn};
 use crate::ledger::Change;
-use crate::replica::{Outcome, Route};
+use crate::replica::{CALL_LIMIT, ForwardReply, Forwarding, Outcome, Step};
+use interlocking::zab::Voter;
 use lineside::call::{Ask, CallError, ControlCall, ControlReturn, Reply};
 use std::time::Duration;
 use timetable::fleet::{FleetChange, FleetNews, FleetState, Instance};
 use trackbed::clock;
 use trackbed::ids::{InstanceId, RegionName, Zxid};
 
-/// A caller of its own moves on after a second of silence.
-const CALL_LIMIT: Duration = Duration::from_millis(900);
-const CONFIGURATION_LIMIT: Duration = Duration::from_millis(2500);
-/// How long a call waits for an election to end.
-const ELECTION_WAIT: Duration = Duration::from_millis(350);
-
 /// Answers a call that came to this node, wherever the primary is.
 pub async fn answer_anywhere(node: &Signalbox, call: ControlCall) -> ControlReturn {
-    let given_up = clock::now() + ELECTION_WAIT;
+    let forwarding = Forwarding::begin(&call, clock::now());
     loop {
         let route = node.replica.borrow().route();
-        match route {
-            Route::Here => return run(node, &call).await,
-            Route::Forward(primary) => {
-                let limit = limit_of(&call);
-                match node.caller.call(primary.address, Ask::Control(call.clone()), limit).await {
-                    Ok(Reply::Control(answer)) => return answer,
-                    Ok(Reply::NotNow(_)) | Err(CallError::NotSent) => {}
-                    Ok(_) | Err(CallError::NoReply) => return ControlReturn::unknown(),
-                }
-            }
-            Route::NoPrimary => {}
+        let mut step = forwarding.next(route, clock::now());
+        if let Step::Ask { primary, limit } = step {
+            let reply = ask_primary(node, &call, &primary, limit).await;
+            step = forwarding.after(reply, clock::now());
         }
-        if clock::now() >= given_up {
-            return ControlReturn::not_now("no primary just now: ask again");
+        match step {
+            Step::DecideHere => return run(node, &call).await,
+            Step::Answer(answer) => return answer,
+            Step::Pause(pause) => monoio::time::sleep(pause).await,
+            Step::Ask { .. } => {}
         }
-        monoio::time::sleep(Duration::from_millis(60)).await;
     }
 }
 
-fn limit_of(call: &ControlCall) -> Duration {
-    if call.path.starts_with("/v1/watch/") {
-        let wait = call.query.split('&').find_map(|pair| pair.strip_prefix("wait_ms="));
-        let wait = wait.and_then(|wait| wait.parse().ok()).unwrap_or(0u64).min(60_000);
-        return CALL_LIMIT + Duration::from_millis(wait);
+async fn ask_primary(node: &Signalbox, call: &ControlCall, primary: &Voter, limit: Duration) -> ForwardReply {
+    match node.caller.call(primary.address, Ask::Control(call.clone()), limit).await {
+        Ok(Reply::Control(answer)) => ForwardReply::Answered(answer),
+        Ok(Reply::NotNow(_)) | Err(CallError::NotSent) => ForwardReply::NotNow,
+        Ok(_) | Err(CallError::NoReply) => ForwardReply::NoReply,
     }
-    if call.path.starts_with("/v1/configuration") { CONFIGURATION_LIMIT } else { CALL_LIMIT }
 }
 
 pub async fn run_if_primary(node: &Signalbox, call: &ControlCall) -> Reply {
--- a/crates/signalbox/src/replica/mod.rs
+++ b/crates/signalbox/src/replica/mod.rs
@@ -6,7 +6,9 @@
 //! and disk, and the simulation in this crate's tests over virtual ones.
 
 mod effect;
+mod forwarding;
 mod state;
 
 pub use effect::{CallId, Effect, Outcome, Route};
+pub use forwarding::{CALL_LIMIT, ForwardReply, Forwarding, Step};
 pub use state::Replica;
