--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -112,6 +112,12 @@
     pub fn has_taken(&self, digest: u128) -> bool {
         self.frame.taken.contains(&digest)
     }
+    /// The version that the oldest remembered call made, once calls before it may be forgotten. Of a
+    /// call that builds on an older version it can't be told any more whether it was taken.
+    pub fn oldest_remembered_order(&self) -> Option<ConfigEpoch> {
+        let oldest = self.frame.taken.oldest_mark()?;
+        (self.frame.taken.len() >= REMEMBERED).then_some(*oldest)
+    }
     pub fn charter(&self, region: &RegionName) -> Option<&Charter> {
         self.frame.charters.get(region)
     }
--- a/crates/timetable/src/shared/recent.rs
+++ b/crates/timetable/src/shared/recent.rs
@@ -23,6 +23,19 @@
         self.counts.contains_key(key)
     }
 
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// The mark of the oldest key that is remembered.
+    pub fn oldest_mark(&self) -> Option<&M> {
+        self.order.peek().map(|(mark, _)| mark)
+    }
+
     /// Adds a key, and forgets the oldest ones beyond a number.
     pub fn push(&mut self, mark: M, key: K, most: usize) {
         self.append(mark, key);
