Items are parsed in place, and hosts changed in place, when all is read anew

Items were put into their map a second time once they were parsed, and hosts were copied for each route put into the table.

Change: an item keeps its typed value in a cell that is filled when it is first asked for; hosts and reference counts are changed in place where nobody shares them.

It is done once at a start and for the first whole configuration; changes after that cost O(what differs).

--- a/crates/timetable/src/configuration/document.rs
+++ b/crates/timetable/src/configuration/document.rs
@@ -174,15 +174,18 @@
         }
     }
 
-    /// Checks all of it.
+    /// This configuration with all of it checked.
     pub fn checked(mut self) -> Result<Self, Fault> {
+        self.check()?;
+        Ok(self)
+    }
+
+    /// Checks all of it, and keeps the lookup table.
+    pub fn check(&mut self) -> Result<(), Fault> {
         if self.table.is_none() {
-            self.routes.parse_rest();
-            self.services.parse_rest();
-            self.tenants.parse_rest();
             self.table = Some(Rc::new(self.build()?));
         }
-        Ok(self)
+        Ok(())
     }
 
     /// Makes every check and builds the lookup table; the first fault in the order of names is told.
--- a/crates/timetable/src/configuration/items.rs
+++ b/crates/timetable/src/configuration/items.rs
@@ -8,6 +8,7 @@
 use crate::work::Work;
 use borsh::{BorshDeserialize, BorshSerialize};
 use sonic_rs::Value;
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::rc::Rc;
@@ -41,23 +42,25 @@
 /// One item. Encoded as its text alone; two are equal when their texts are.
 #[derive(Debug)]
 pub(super) struct Item<T> {
-    pub text: Rc<str>,
-    /// Invariant: what the text says; `None` before it was parsed, and where it fails the checks.
-    value: Option<Rc<T>>,
+    text: Rc<str>,
+    /// Invariant: what the text says; empty before it was parsed, and where it fails the checks.
+    value: OnceCell<Rc<T>>,
 }
 
-impl<T: TypedItem> Item<T> {
-    fn parse(name: &str, text: Rc<str>) -> Self {
-        let value = parse_text(&text).and_then(|value| T::read(name, &value)).ok().map(Rc::new);
-        Self { text, value }
+impl<T> Item<T> {
+    fn new(text: Rc<str>) -> Self {
+        Self { text, value: OnceCell::new() }
     }
+}
 
-    /// The typed value, or why there is none.
+impl<T: TypedItem> Item<T> {
+    /// The typed value, parsed once; or why there is none.
     pub fn typed(&self, name: &str) -> Result<Rc<T>, Fault> {
-        match &self.value {
-            Some(value) => Ok(value.clone()),
-            None => T::read(name, &parse_text(&self.text)?).map(Rc::new),
+        if let Some(value) = self.value.get() {
+            return Ok(value.clone());
         }
+        let value = Rc::new(T::read(name, &parse_text(&self.text)?)?);
+        Ok(self.value.get_or_init(|| value).clone())
     }
 }
 
@@ -82,7 +85,7 @@
 
 impl<T> BorshDeserialize for Item<T> {
     fn deserialize_reader<R: Read>(reader: &mut R) -> io::Result<Self> {
-        Ok(Self { text: Rc::from(String::deserialize_reader(reader)?), value: None })
+        String::deserialize_reader(reader).map(|text| Self::new(Rc::from(text)))
     }
 }
 
@@ -155,26 +158,16 @@
         if before.map(|item| &item.text) == text.as_ref() {
             return Some(None);
         }
-        let before = before.and_then(|item| item.value.clone());
+        let before = before.and_then(|item| item.value.get().cloned());
         let Some(text) = text else {
             self.0.remove(&name);
             return Some(Some(ItemChange { name, before, after: None }));
         };
-        let item = Item::<T>::parse(&name, text);
-        let after = item.value.clone();
+        let item = Item::new(text);
+        let after = item.typed(&name).ok();
         self.0.insert(name.clone(), item);
         after.is_some().then_some(Some(ItemChange { name, before, after }))
     }
-
-    /// Parses what was not parsed yet.
-    pub fn parse_rest(&mut self) {
-        let unparsed = self.0.iter().filter(|(_, item)| item.value.is_none());
-        let unparsed: Vec<(String, Rc<str>)> = unparsed.map(|(name, item)| (name.clone(), item.text.clone())).collect();
-        for (name, text) in unparsed {
-            let item = Item::parse(&name, text);
-            self.0.insert(name, item);
-        }
-    }
 }
 
 /// The edits that make the texts of a map the ones given, which come in the order of their names. Only what
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -125,41 +125,54 @@
     /// Puts a route in its place; gives it back with the other where one is there.
     fn place(&mut self, route: Rc<Route>) -> Result<(), (Rc<Route>, Rc<Route>)> {
         Work::record(|work| work.routes_placed += 1);
-        let mut host = self.hosts.get(&route.hostname).cloned().unwrap_or_default();
-        if let Some(other) = host.get(&route.prefix) {
-            let other = other.clone();
+        let other = self.hosts.get(&route.hostname).and_then(|host| host.get(&route.prefix)).cloned();
+        if let Some(other) = other {
             return Err((route, other));
         }
         self.leaves.toggle(&route);
         for (service, _) in &route.split {
-            let count = self.references.get(service).copied().unwrap_or(0);
-            self.references.insert_mut(service.clone(), count + 1);
+            self.refer(service);
+        }
+        match self.hosts.get_mut(&route.hostname) {
+            Some(host) => host.insert(route),
+            None => {
+                let name = route.hostname.clone();
+                let mut host = Host::default();
+                host.insert(route);
+                self.hosts.insert_mut(name, host);
+            }
         }
-        let name = route.hostname.clone();
-        host.insert(route);
-        self.hosts.insert_mut(name, host);
         Ok(())
     }
 
     /// Takes a route out of its place.
     fn displace(&mut self, route: &Route) {
         Work::record(|work| work.routes_placed += 1);
-        let Some(mut host) = self.hosts.get(&route.hostname).cloned() else { return };
+        let Some(host) = self.hosts.get_mut(&route.hostname) else { return };
         host.remove(&route.prefix);
-        match host.is_empty() {
-            true => {
-                self.hosts.remove_mut(&route.hostname);
-            }
-            false => self.hosts.insert_mut(route.hostname.clone(), host),
+        if host.is_empty() {
+            self.hosts.remove_mut(&route.hostname);
         }
         self.leaves.toggle(route);
         for (service, _) in &route.split {
-            match self.references.get(service).copied() {
-                Some(count) if count > 1 => self.references.insert_mut(service.clone(), count - 1),
-                _ => {
-                    self.references.remove_mut(service);
-                }
-            }
+            self.unrefer(service);
+        }
+    }
+
+    /// Counts one more route that names a service.
+    fn refer(&mut self, service: &ServiceName) {
+        match self.references.get_mut(service) {
+            Some(count) => *count += 1,
+            None => self.references.insert_mut(service.clone(), 1),
+        }
+    }
+
+    /// Counts one route less that names a service.
+    fn unrefer(&mut self, service: &ServiceName) {
+        let Some(count) = self.references.get_mut(service) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.references.remove_mut(service);
         }
     }
 
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -67,11 +67,8 @@
 impl FleetState {
     pub fn from_frame(mut frame: FleetFrame) -> Self {
         let tail = NewsTail::starting_at(frame.zxid);
-        if let Some(configuration) = &frame.configuration
-            && let Ok(checked) = configuration.clone().checked()
-        {
-            frame.configuration = Some(checked);
-        }
+        // One that fails the checks of this version is kept all the same, and no request is sent by it.
+        let _ = frame.configuration.as_mut().map(Configuration::check);
         let routes = frame.configuration.as_ref().and_then(Configuration::table).cloned();
         let mut state = Self { frame, routes, tail, ..Self::default() };
         let instances: Vec<Rc<Instance>> = state.frame.instances.values().cloned().collect();
