--- a/crates/signalbox/src/ledger/snapshot.rs
+++ b/crates/signalbox/src/ledger/snapshot.rs
@@ -11,6 +11,9 @@
 //!   about twice in all. Short ones cost `ENTRY_COST` more, which is less than the disk block that a sync
 //!   of their own record writes.
 
+use interlocking::zab::{History, Payload};
+use trackbed::ids::Zxid;
+
 /// Growth of the log below which no snapshot is written.
 const LEAST_GROWTH: usize = 256 << 10;
 /// What one entry counts beside its payload, for the work that any entry takes in a replay.
@@ -24,6 +27,13 @@
 }
 
 impl LogGrowth {
+    /// What a snapshot of the state delivered so far would fold. Entries after it are not counted: a snapshot
+    /// leaves them in the log, and must not be written over and over while they wait for a quorum.
+    pub fn of(history: &History, delivered: Zxid) -> Self {
+        let entries = history.after(history.frame.zxid).take_while(|entry| entry.zxid <= delivered);
+        entries.fold(Self::default(), |growth, entry| growth.with(payload_bytes(&entry.payload)))
+    }
+
     /// Adds one entry.
     pub fn with(self, payload_bytes: usize) -> Self {
         Self { bytes: self.bytes + payload_bytes, entries: self.entries + 1 }
@@ -34,3 +44,10 @@
         self.bytes + self.entries * ENTRY_COST >= LEAST_GROWTH.max(last_snapshot_bytes)
     }
 }
+
+fn payload_bytes(payload: &Payload) -> usize {
+    match payload {
+        Payload::Change(bytes) => bytes.len(),
+        Payload::Voters(_) => 0,
+    }
+}
--- a/crates/signalbox/src/ledger/tests.rs
+++ b/crates/signalbox/src/ledger/tests.rs
@@ -3,6 +3,7 @@
 use super::state::LockRecord;
 use super::{Change, History, Ledger, LogGrowth, Plan};
 use borsh::{BorshDeserialize, BorshSerialize};
+use interlocking::zab::{Entry, Frame, History as Log, Payload};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 use std::time::Duration;
@@ -181,6 +182,20 @@
     assert_eq!(Work::since(before).values_packed, 0, "what was asked for once is kept");
 }
 
+#[test]
+fn what_waits_for_a_quorum_asks_for_no_snapshot() {
+    let entry = |counter| Entry { zxid: Zxid::new(1, counter), payload: Payload::Change(vec![0; 10_000]) };
+    let mut log = Log::new(Frame { zxid: Zxid::ZERO, voters: Vec::new(), state: Vec::new() });
+    (1..=100).for_each(|counter| log.append(entry(counter)));
+    assert!(!LogGrowth::of(&log, Zxid::ZERO).wants_snapshot(0));
+    assert_eq!(LogGrowth::of(&log, Zxid::new(1, 30)), LogGrowth { bytes: 300_000, entries: 30 });
+    assert!(LogGrowth::of(&log, Zxid::new(1, 30)).wants_snapshot(0));
+    assert!(!LogGrowth::of(&log, Zxid::new(1, 30)).wants_snapshot(400_000), "a large state is written less often");
+    log.compact(Zxid::new(1, 30), vec![0; 10], 10);
+    assert_eq!(LogGrowth::of(&log, Zxid::new(1, 30)), LogGrowth::default());
+    assert_eq!(LogGrowth::of(&log, Zxid::new(1, 31)).entries, 1);
+}
+
 /// A group of keys as its fields were derived before.
 #[derive(BorshSerialize, BorshDeserialize)]
 struct PlainGroup {
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -7,7 +7,7 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_core::Stream;
 use interlocking::storage::{FileDisk, Storage};
-use interlocking::zab::{Action, Entry, Envelope, History, Payload, Ticket};
+use interlocking::zab::{Action, Envelope, Ticket};
 use lineside::call::PeerMessage;
 use lineside::gossip::Role;
 use std::net::SocketAddr;
@@ -175,7 +175,7 @@
 /// Folds a long history into an image on the slot not in use.
 fn fold(node: &Signalbox) {
     let mut zab = node.zab.borrow_mut();
-    let growth = growth_after(zab.history(), zab.history().frame.zxid);
+    let growth = LogGrowth::of(zab.history(), zab.delivered());
     if !growth.wants_snapshot(zab.history().frame.state.len()) {
         return;
     }
@@ -186,18 +186,6 @@
     let _ = node.disk.send(Write::Image { encoded });
 }
 
-/// What the history holds after a transaction.
-fn growth_after(history: &History, zxid: Zxid) -> LogGrowth {
-    history.after(zxid).fold(LogGrowth::default(), |growth, entry| growth.with(payload_bytes(entry)))
-}
-
-fn payload_bytes(entry: &Entry) -> usize {
-    match &entry.payload {
-        Payload::Change(bytes) => bytes.len(),
-        Payload::Voters(_) => 0,
-    }
-}
-
 /// Ends in order: no new calls, those under way get their answers.
 pub async fn leave(node: &Signalbox, serving: &Serving) {
     node.leaving.set(true);
