Zab's messages go on streams of their own

Cause: a configuration passed on to the primary, or any long call, went on the same stream as heartbeats and acknowledgements, and held them up on a narrow link. Change: core nodes keep a second set of streams for replication; the fleet's view counts both.

--- a/crates/signalbox/src/node/fleet_view.rs
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -70,13 +70,13 @@
         text.push('}');
         text
     }));
-    let (datagrams, calls) = (node.datagrams.tally(), node.caller.tally());
+    let (datagrams, calls, replication) = (node.datagrams.tally(), node.caller.tally(), node.replication.tally());
     let counters = format!(
         "\"datagrams_sent\":{},\"datagram_bytes_sent\":{},\"calls_sent\":{},\"call_bytes_sent\":{},\"nodes_collected\":{}",
         datagrams.sent,
         datagrams.sent_bytes,
-        calls.sent,
-        calls.sent_bytes,
+        calls.sent + replication.sent,
+        calls.sent_bytes + replication.sent_bytes,
         node.aggregation.collector.borrow().nodes(),
     );
     format!(
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -46,6 +46,8 @@
     pub zab: Rc<RefCell<Zab>>,
     pub disk: mpsc::Sender<Write>,
     pub caller: Caller,
+    /// Carries Zab's messages, on streams of their own: a long call must not hold up a heartbeat.
+    pub replication: Caller,
     pub roster: RefCell<Roster>,
     pub datagrams: Datagrams,
     /// The replica's committed state.
@@ -54,8 +56,6 @@
     pub ahead: Rc<RefCell<Option<Ledger>>>,
     /// Calls that the replica has not finished yet.
     pub calls: OpenCalls,
-    /// Weight of the history when the last image was written.
-    pub imaged_weight: Cell<usize>,
     /// Which endpoints spoke here, and at the primary anywhere.
     pub heard: RefCell<beats::Heard>,
     /// Where peers call this node.
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -8,7 +8,7 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_core::Stream;
 use interlocking::storage::{FileDisk, Storage};
-use interlocking::zab::{Action, Entry, History, Payload, Ticket};
+use interlocking::zab::{Action, Ticket};
 use lineside::call::PeerMessage;
 use lineside::gossip::Role;
 use std::net::SocketAddr;
@@ -18,7 +18,6 @@
 use timetable::configuration::Routes;
 use trackbed::clock::{self, Moment};
 use trackbed::http::Serving;
-use trackbed::ids::Zxid;
 
 const TICK: Duration = Duration::from_millis(50);
 /// Transactions kept for those a little behind.
@@ -75,7 +74,8 @@
             fold(&node);
         }
         if turns.is_multiple_of(200) {
-            log::info!("own datagrams {:?}; calls {:?}", node.datagrams.tally(), node.caller.tally());
+            let (calls, replication) = (node.caller.tally(), node.replication.tally());
+            log::info!("own datagrams {:?}; calls {calls:?}; replication {replication:?}", node.datagrams.tally());
         }
         turns += 1;
         monoio::time::sleep(TICK).await;
@@ -108,7 +108,7 @@
     for effect in effects {
         match effect {
             Effect::Send { to, envelope } => {
-                node.caller.tell(to, &PeerMessage::Zab(envelope.encode()));
+                node.replication.tell(to, &PeerMessage::Zab(envelope.encode()));
             }
             Effect::Persist { ticket, records } => {
                 let records = records.iter().map(|record| borsh::to_vec(record).expect("writing to memory can't fail"));
@@ -150,29 +150,16 @@
 /// Folds a long history into an image on the slot not in use.
 fn fold(node: &Signalbox) {
     let mut zab = node.zab.borrow_mut();
-    let growth = growth_after(zab.history(), zab.history().frame.zxid);
+    let growth = LogGrowth::of(zab.history(), zab.delivered());
     if !growth.wants_snapshot(zab.history().frame.state.len()) {
         return;
     }
     let state = node.settled.borrow().encode();
     zab.compact(state, TAIL_ENTRIES);
-    node.imaged_weight.set(zab.history().weight());
     let encoded = Storage::<FileDisk>::encode_image(&zab.image());
     let _ = node.disk.send(Write::Image { encoded });
 }
 
-/// What the history holds after a transaction.
-fn growth_after(history: &History, zxid: Zxid) -> LogGrowth {
-    history.after(zxid).fold(LogGrowth::default(), |growth, entry| growth.with(payload_bytes(entry)))
-}
-
-fn payload_bytes(entry: &Entry) -> usize {
-    match &entry.payload {
-        Payload::Change(bytes) => bytes.len(),
-        Payload::Voters(_) => 0,
-    }
-}
-
 /// Ends in order: no new calls, those under way get their answers.
 pub async fn leave(node: &Signalbox, serving: &Serving) {
     node.leaving.set(true);
