Data plane: numbers of slots given out are a process's own; tests of late and doubled answers

Cause: numbers of slots given to other gateways began at zero in each process. A release that was under way while a home restarted, or that met another node at the same address, gave back the slot of another request, and the endpoint got more than its slots at once.

Change: the numbers begin at a random place.

--- a/crates/pointsman/src/dispatch/long_tests.rs
+++ b/crates/pointsman/src/dispatch/long_tests.rs
@@ -3,7 +3,7 @@
 use super::direct::deliver_long;
 use super::{Errand, Outcome, Passed};
 use crate::node::{Launched, Pointsman, launch};
-use crate::platform::{Claim, Life};
+use crate::platform::{Claim, Life, Permits};
 use assert_matches::assert_matches;
 use lineside::call::{Permit, Reply};
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
@@ -180,6 +180,17 @@
         assert!(receiver.permits.redeem(number, &sender.platform).is_none(), "another endpoint's");
         assert_eq!(receiver.platform.admission.counts().0, 0);
         assert_eq!(bytes.get(), BODY, "no more than the one that had a slot");
+
+        // What is told of an earlier process's slot gives none of this one's back.
+        let earlier = Permits::default();
+        let Reply::Permitted { number: old, .. } = earlier.ask(&receiver, permit.clone()).await else { panic!("free") };
+        drop(earlier);
+        let later = Permits::default();
+        let Reply::Permitted { number, .. } = later.ask(&receiver, permit.clone()).await else { panic!("free") };
+        later.release(old, None, Duration::ZERO);
+        assert_eq!(receiver.platform.admission.counts().0, 1, "a slot of an earlier process was given back");
+        later.release(number, None, Duration::ZERO);
+        assert_eq!(receiver.platform.admission.counts().0, 0);
     });
     ended.unwrap();
 }
--- a/crates/pointsman/src/dispatch/mod.rs
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -14,6 +14,8 @@
 mod pool;
 mod remote;
 #[cfg(test)]
+mod remote_tests;
+#[cfg(test)]
 mod tests;
 
 pub use balance::Balance;
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -4,6 +4,8 @@
 mod admission;
 mod beats;
 mod exchange;
+#[cfg(test)]
+mod exchange_tests;
 mod health;
 mod homes;
 mod permits;
--- a/crates/pointsman/src/platform/permits.rs
+++ b/crates/pointsman/src/platform/permits.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock::{self, Moment};
+use trackbed::random::Random;
 
 /// How long past its horizon a request's slot is kept, for the word that it ended.
 const LAST_WORD: Duration = Duration::from_millis(50);
@@ -22,13 +23,19 @@
     slot: Slot,
 }
 
-/// Invariant: a slot given out comes back by its release, or when its request's horizon has passed.
-#[derive(Default)]
+/// Invariant: a slot given out comes back by its release, or when its request's horizon has passed. Numbers
+/// begin anywhere, so that a late word for an earlier process, or for another node at this address, names none.
 pub struct Permits {
     given: RefCell<BTreeMap<u64, Given>>,
     next: Cell<u64>,
 }
 
+impl Default for Permits {
+    fn default() -> Self {
+        Self { given: RefCell::default(), next: Cell::new(Random::from_system().draw() >> 1) }
+    }
+}
+
 impl Permits {
     /// Answers another gateway that asks for a slot.
     pub async fn ask(&self, node: &Pointsman, permit: Permit) -> Reply {
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -14,7 +14,7 @@
     ran: RefCell<HashSet<String>>,
 }
 
-fn answer(attempt: &str, body: &str, extra: &str) -> String {
+pub(super) fn answer(attempt: &str, body: &str, extra: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nFerryhinge-Attempt-Id: {attempt}\r\nFerryhinge-Server-Stamp: s.{attempt}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
         body.len()
@@ -83,7 +83,7 @@
     }
 }
 
-fn platform(address: SocketAddr) -> Platform {
+pub(super) fn platform(address: SocketAddr) -> Platform {
     let platform = Platform::new(Some(address), Rc::default());
     let instance = Instance {
         id: InstanceId::new("i-1"),
@@ -101,7 +101,7 @@
     platform
 }
 
-fn errand(number: usize) -> Errand {
+pub(super) fn errand(number: usize) -> Errand {
     let attempt = format!("a{number}");
     let mut headers = http::HeaderMap::new();
     headers.insert("host", http::HeaderValue::from_static("h"));
