--- a/crates/interlocking/src/zab/tests/properties.rs
+++ b/crates/interlocking/src/zab/tests/properties.rs
@@ -28,7 +28,7 @@
 fn the_properties_hold_under_random_trouble() {
     let mut acknowledged = 0;
     let seeds = seeds(60);
-    let enough = 80 * (seeds.end - seeds.start) as usize;
+    let enough = 84 * (seeds.end - seeds.start) as usize;
     for seed in seeds {
         println!("FERRYHINGE_SEED={seed} replays this run");
         let mut world = World::new(seed, 3 + (seed % 3) as Host, 3);
