Storage: a data folder found at the start is made durable in the one above it too

Cause: a start that was cut off between making the data folder and syncing the one above left it to chance; the next start found the folder and synced nothing above.

Change: the folder above is synced at every start; where it may not be read, that is logged.

--- a/crates/interlocking/src/storage/disk.rs
+++ b/crates/interlocking/src/storage/disk.rs
@@ -56,23 +56,30 @@
         self.file(name)?.sync_data()
     }
     fn sync_folder(&mut self) -> io::Result<()> {
-        File::open(&self.directory)?.sync_all()
+        sync_folder(&self.directory)
     }
 }
 
 /// Makes a folder and those above it that are missing, each durable in the one that holds it.
 fn make_folder(folder: &Path) -> io::Result<()> {
-    if folder.is_dir() {
-        return Ok(());
-    }
     let above = match folder.parent() {
         Some(parent) if !parent.as_os_str().is_empty() => parent,
         _ => Path::new("."),
     };
+    if folder.is_dir() {
+        // A start before may have been cut off right after it made the folder.
+        if let Err(error) = sync_folder(above) {
+            log::debug!("the folder above the data could not be synced: {error}");
+        }
+        return Ok(());
+    }
     make_folder(above)?;
     match std::fs::create_dir(folder) {
-        Err(error) if error.kind() != io::ErrorKind::AlreadyExists => return Err(error),
-        _ => {}
+        Err(error) if error.kind() != io::ErrorKind::AlreadyExists => Err(error),
+        _ => sync_folder(above),
     }
-    File::open(above)?.sync_all()
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
 }
