Simulated clients learn at other members what a primary that stood still has missed

Cause: with the lease check for refusals and repeats taken out by hand, no simulated run failed: operators at the member that stood still knew no more than it did.

Change: in the scenario of a primary that stands still, two operators and two applications call every member.

--- a/crates/signalbox/tests/simulation/scenarios.rs
+++ b/crates/signalbox/tests/simulation/scenarios.rs
@@ -139,6 +139,11 @@
         for role in [Role::Operator, Role::Reader, Role::Application] {
             world.add_client(role, vec![first], THINK);
         }
+        // These learn at the others what the one that stands still does not know yet.
+        for role in [Role::Operator, Role::Operator, Role::Application, Role::Application] {
+            let hosts = all(&world);
+            world.add_client(role, hosts, THINK);
+        }
         for _ in 0..STALLS {
             let lone = primary_of(&mut world);
             world.run(Duration::from_secs(1));
