--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -10,8 +10,8 @@
 
 /// A primary's context without the network: what it proposed is committed later, or lost with it.
 struct Core {
-    settled: Ledger,
-    ahead: Ledger,
+    committed: Ledger,
+    proposed: Ledger,
     holds: BTreeMap<String, Moment>,
     /// Proposed and not yet committed, with what is to be answered then.
     open: Vec<(Zxid, Change, usize, ControlReturn)>,
@@ -24,8 +24,8 @@
     fn new() -> Self {
         let ledger = Ledger::new(Duration::from_secs(20));
         Self {
-            settled: ledger.clone(),
-            ahead: ledger,
+            committed: ledger.clone(),
+            proposed: ledger,
             holds: BTreeMap::new(),
             open: Vec::new(),
             epoch: 1,
@@ -38,8 +38,8 @@
     fn call(&mut self, number: usize, call: &ControlCall) -> Option<ControlReturn> {
         let (resource, name) = find(&call.path).expect("a known resource");
         let context = Context {
-            proposed: &self.ahead,
-            committed: &self.settled,
+            proposed: &self.proposed,
+            committed: &self.committed,
             holds: &mut self.holds,
             now: self.now,
             knows_region: &|_| true,
@@ -56,7 +56,7 @@
             Decision::Propose(change, answer) => {
                 self.counter += 1;
                 let zxid = Zxid::new(self.epoch, self.counter);
-                self.ahead.apply(zxid, (*change).clone(), self.now);
+                self.proposed.apply(zxid, (*change).clone(), self.now);
                 self.open.push((zxid, *change, number, answer));
                 None
             }
@@ -68,15 +68,15 @@
         let due: Vec<_> = self.open.drain(..count).collect();
         let mut answers = Vec::new();
         for (zxid, change, number, answer) in due {
-            if self.settled_before(zxid) {
-                apply(&mut self.settled, zxid, change, self.now);
+            if self.committed_before(zxid) {
+                apply(&mut self.committed, zxid, change, self.now);
             }
             answers.push((number, answer));
         }
         answers
     }
 
-    fn settled_before(&self, zxid: Zxid) -> bool {
+    fn committed_before(&self, zxid: Zxid) -> bool {
         APPLIED.with(|applied| applied.get() < zxid)
     }
 
@@ -87,9 +87,9 @@
         self.open.clear();
         self.epoch += 1;
         self.counter = 0;
-        self.ahead = self.settled.clone();
+        self.proposed = self.committed.clone();
         self.holds = self
-            .settled
+            .committed
             .locks
             .iter()
             .map(|(lock, record)| (lock.clone(), self.now + Duration::from_millis(record.hold_millis)))
@@ -321,7 +321,7 @@
     assert_eq!(answers.iter().map(|(_, answer)| answer.status).collect::<Vec<_>>(), [200, 412]);
     assert_eq!(core.call(2, &whole(3, "/a/")).map(|answer| answer.status), Some(200), "the same call again");
     assert_eq!(core.call(3, &whole(2, "a/")).map(|answer| answer.status), Some(400));
-    assert_eq!(core.settled.fleet.epoch().0, 3);
+    assert_eq!(core.committed.fleet.epoch().0, 3);
 }
 
 fn configuration(base: &str, version: u64, path: &str) -> ControlCall {
