A member that is cut off acknowledges no beats

Cause: an unchanged beat, or one of an ended life, was acknowledged from the state committed here, also by a member that had been without a majority for long; an endpoint taken off the list meanwhile went on beating there. Change: without a majority for 2 s a member answers beats 503, so that the endpoint goes on to another node.

--- a/crates/signalbox/src/node/beats.rs
+++ b/crates/signalbox/src/node/beats.rs
@@ -95,6 +95,10 @@
     if id.is_empty() || id.len() > 200 {
         return Return::fault(404, "no such resource: beats go to /v1/instances/ID");
     }
+    if node.majority.borrow().is_cut_off() {
+        // What is committed elsewhere is not known here: an endpoint could count as listed though it was taken off.
+        return told(Reply::NotNow("no majority stands behind this node".into()));
+    }
     let id = InstanceId::new(id);
     match request.method.as_str() {
         "PUT" => beat(node, id, request).await,
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod fleet_view;
 mod forecast;
 mod inspection;
+mod majority;
 mod members;
 mod peers;
 mod primary;
@@ -23,6 +24,7 @@
 use crate::ledger::Ledger;
 use crate::node::calls::OpenCalls;
 use crate::node::disk::Write;
+use crate::node::majority::Majority;
 use crate::replica::Replica;
 use interlocking::zab::Zab;
 use lineside::call::{Caller, Complaints};
@@ -74,6 +76,7 @@
     pub to_knock: RefCell<Vec<Peer>>,
     pub next_members: Cell<Moment>,
     pub leaving: Cell<bool>,
+    pub majority: RefCell<Majority>,
     /// Messages of members that can't be read.
     pub complaints: Complaints,
 }
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -2,6 +2,7 @@
 
 use super::aggregation::{self, Aggregation};
 use super::calls::OpenCalls;
+use super::majority::Majority;
 use super::{NodeError, Signalbox, beats, councils, disk, doors, forecast, inspection, peers, turn};
 use crate::ledger::Ledger;
 use crate::replica::Replica;
@@ -119,6 +120,7 @@
                 to_knock: RefCell::default(),
                 next_members: Cell::new(now),
                 leaving: Cell::new(false),
+                majority: RefCell::new(Majority::new(now)),
                 complaints: Complaints::default(),
             });
             monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -32,35 +32,19 @@
     }
 }
 
-/// Without a majority for so long, a member says so.
-const CUT_OFF_AFTER: Duration = Duration::from_secs(2);
-
-/// Tells in the log when this member has been without a majority for long, and when it has one again.
-struct MajorityLog {
-    last: Moment,
-    told: bool,
-}
-
-impl MajorityLog {
-    fn note(&mut self, has_majority: bool, now: Moment) {
-        if has_majority {
-            if self.told {
-                log::info!("a majority stands behind this member again");
-            }
-            *self = Self { last: now, told: false };
-        } else if !self.told && now.since(self.last) > CUT_OFF_AFTER {
-            log::warn!("no majority for {} s: calls are answered 503 here", CUT_OFF_AFTER.as_secs());
-            self.told = true;
-        }
+/// Notes whether a majority stands behind this member, and tells in the log when that changes for long.
+fn note_majority(node: &Signalbox, now: Moment) {
+    let has_majority = node.replica.borrow().zab().borrow().has_majority(now);
+    if let Some(change) = node.majority.borrow_mut().note(has_majority, now) {
+        log::warn!("{change}");
     }
 }
 
 pub async fn keep_time(node: Rc<Signalbox>) {
     let mut turns = 0u64;
-    let mut majority = MajorityLog { last: clock::now(), told: false };
     loop {
         let now = clock::now();
-        majority.note(node.zab.borrow().has_majority(now), now);
+        note_majority(&node, now);
         if turns.is_multiple_of(10) {
             refresh_contacts(&node);
         }
