--- a/crates/interlocking/src/zab/actions.rs
+++ b/crates/interlocking/src/zab/actions.rs
@@ -6,11 +6,11 @@
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 
 /// Names a write. Completions come in the order of tickets.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
 
 /// One thing on disk, after the image that a slot holds.
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub enum Record {
     /// f.p, and the leader it was promised to: an epoch's number belongs to one leader only.
     Promised(ZabEpoch, MemberId),
@@ -23,7 +23,7 @@
     Restart(Frame),
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Action {
     Send {
         to: Voter,
--- a/crates/interlocking/src/zab/following.rs
+++ b/crates/interlocking/src/zab/following.rs
@@ -10,7 +10,7 @@
 
 const ASK_EVERY: Duration = Duration::from_millis(150);
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Following {
     pub leader: Voter,
     /// The epoch promised to this very leader in this very attempt.
--- a/crates/interlocking/src/zab/history.rs
+++ b/crates/interlocking/src/zab/history.rs
@@ -5,13 +5,13 @@
 use std::net::SocketAddr;
 use trackbed::ids::{MemberId, Zxid};
 
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Voter {
     pub id: MemberId,
     pub address: SocketAddr,
 }
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub enum Payload {
     /// A change of the application's state.
     Change(Vec<u8>),
@@ -28,13 +28,13 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Entry {
     pub zxid: Zxid,
     pub payload: Payload,
 }
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Frame {
     pub zxid: Zxid,
     pub voters: Vec<Voter>,
@@ -43,7 +43,7 @@
 
 /// Invariants: entries rise by zxid; the first comes right after `base`; `base` ≤ the frame's zxid;
 /// everything up to the frame is committed.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct History {
     pub frame: Frame,
     base: Zxid,
--- a/crates/interlocking/src/zab/leading.rs
+++ b/crates/interlocking/src/zab/leading.rs
@@ -12,7 +12,7 @@
 /// Share of the lease that a leader trusts: clocks run at slightly different speeds.
 const LEASE_TRUST: f64 = 0.9;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Hash)]
 enum Stage {
     /// Waits for a quorum of CEPOCH.
     Discovery,
@@ -23,7 +23,7 @@
     Broadcast,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 struct Follower {
     voter: Voter,
     promised: ZabEpoch,
@@ -39,7 +39,7 @@
     stamp: Moment,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Leading {
     stage: Stage,
     epoch: ZabEpoch,
--- a/crates/interlocking/src/zab/messages.rs
+++ b/crates/interlocking/src/zab/messages.rs
@@ -4,7 +4,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Envelope {
     pub from: Voter,
     /// Zero for whoever is at the address; else a message to an earlier life of a disk is dropped.
@@ -12,7 +12,7 @@
     pub message: Message,
 }
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub enum PollState {
     Looking,
     /// Leads an attempt that is not established yet.
@@ -24,7 +24,7 @@
     Leading,
 }
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub enum Message {
     /// Election: how far this member is, and whom it follows.
     Poll {
--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -10,7 +10,7 @@
 use trackbed::clock::Moment;
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 pub struct Timing {
     /// Between heartbeats.
     pub beat: Duration,
@@ -31,7 +31,7 @@
 }
 
 /// What a member finds on its disk.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Image {
     pub member: MemberId,
     pub promised: ZabEpoch,
@@ -72,7 +72,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) enum Role {
     Looking { since: Moment },
     Following(Following),
@@ -80,7 +80,7 @@
 }
 
 /// What another member said of itself in the election, and when.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Heard {
     pub voter: Voter,
     pub promised: ZabEpoch,
@@ -91,7 +91,7 @@
 }
 
 /// What to do once a write is durable.
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) enum Then {
     Nothing,
     Tell {
@@ -104,6 +104,7 @@
     OwnAck(ZabEpoch, Zxid),
 }
 
+#[derive(Clone, Debug, Hash)]
 pub struct Zab {
     pub(super) me: Voter,
     pub(super) timing: Timing,
--- a/crates/trackbed/src/clock.rs
+++ b/crates/trackbed/src/clock.rs
@@ -6,7 +6,7 @@
 
 /// A point on this process's steady clock.
 /// Invariant: never sent to another process and compared there.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Moment(pub u64);
 
 impl Moment {
