--- a/crates/interlocking/src/zab/following.rs
+++ b/crates/interlocking/src/zab/following.rs
@@ -22,7 +22,7 @@
 const MISSING_QUESTIONS: u32 = 8;
 
 /// One attempt to follow a leader.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Following {
     pub leader: Voter,
     pub attempt: Attempt,
--- a/crates/interlocking/src/zab/leading.rs
+++ b/crates/interlocking/src/zab/leading.rs
@@ -22,7 +22,7 @@
 /// Such proposals sent at once. What is still lacking then is asked for again.
 const RESEND_MESSAGES: usize = 4;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Hash)]
 enum Stage {
     /// Waits for a quorum of CEPOCH.
     Discovery,
@@ -34,7 +34,7 @@
 }
 
 /// One attempt of a member to follow this leader.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct Follower {
     voter: Voter,
     attempt: Attempt,
@@ -68,7 +68,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Leading {
     stage: Stage,
     epoch: ZabEpoch,
--- a/crates/interlocking/src/zab/messages.rs
+++ b/crates/interlocking/src/zab/messages.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Envelope {
     pub from: Voter,
     /// Zero for whoever is at the address; else a message to an earlier life of a disk is dropped.
@@ -44,7 +44,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub enum PollState {
     Looking,
     /// Leads an attempt that is not established yet.
@@ -74,7 +74,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub enum Message {
     /// Election: how far this member is, and whom it follows.
     Poll {
--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -11,7 +11,7 @@
 use trackbed::clock::Moment;
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 pub struct Timing {
     /// Between heartbeats.
     pub beat: Duration,
@@ -32,7 +32,7 @@
 }
 
 /// What a member finds on its disk.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Image {
     pub member: MemberId,
     pub promised: ZabEpoch,
@@ -73,7 +73,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) enum Role {
     Looking { since: Moment },
     Following(Following),
@@ -81,7 +81,7 @@
 }
 
 /// What another member said of itself in the election, and when.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct Heard {
     pub voter: Voter,
     pub promised: ZabEpoch,
@@ -92,7 +92,7 @@
 }
 
 /// What to do once a write is durable.
-#[derive(Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) enum Then {
     Tell {
         to: Voter,
@@ -111,6 +111,7 @@
     OwnAck(ZabEpoch, Zxid),
 }
 
+#[derive(Clone, Debug, Hash)]
 pub struct Zab {
     pub(super) me: Voter,
     pub(super) timing: Timing,
--- a/crates/interlocking/src/zab/transfer.rs
+++ b/crates/interlocking/src/zab/transfer.rs
@@ -3,7 +3,7 @@
 use super::history::{Entry, Frame};
 use borsh::{BorshDeserialize, BorshSerialize};
 use derive_more::{Display, Error};
-use std::rc::Rc;
+use std::sync::Arc;
 use trackbed::ids::Zxid;
 
 /// Bytes of history in one message. One part is under way at a time, and heartbeats go between two parts.
@@ -13,7 +13,7 @@
 
 /// The history that a follower lacks: all after `previous`, and the snapshot at `previous` where the leader no
 /// longer has the entries that lead there.
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Missed {
     pub frame: Option<Frame>,
     pub previous: Zxid,
@@ -21,7 +21,7 @@
 }
 
 /// What a follower still holds of a transfer that broke off.
-#[derive(Clone, Copy, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Held {
     pub bytes: u64,
     /// CRC-32 of these bytes: the transfer goes on only where the leader's begins with the very same.
@@ -29,7 +29,7 @@
 }
 
 /// One part of a transfer.
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Part {
     pub offset: u64,
     /// Bytes of the whole transfer, and their CRC-32.
@@ -49,12 +49,12 @@
 }
 
 /// A transfer as the leader holds it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct Outgoing {
     pub previous: Zxid,
     pub last: Zxid,
     pub has_frame: bool,
-    bytes: Rc<Vec<u8>>,
+    bytes: Arc<Vec<u8>>,
     checksum: u32,
 }
 
@@ -63,7 +63,7 @@
         let bytes = borsh::to_vec(missed).expect("writing to memory can't fail");
         let last = missed.entries.last().map(|entry| entry.zxid).unwrap_or(missed.previous);
         let (previous, has_frame) = (missed.previous, missed.frame.is_some());
-        Self { previous, last, has_frame, checksum: crc32fast::hash(&bytes), bytes: Rc::new(bytes) }
+        Self { previous, last, has_frame, checksum: crc32fast::hash(&bytes), bytes: Arc::new(bytes) }
     }
 
     /// Where to go on: after what the follower holds, if that is how this transfer begins.
@@ -81,7 +81,7 @@
 }
 
 /// A transfer as the follower gathers it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Hash)]
 pub struct Incoming {
     bytes: Vec<u8>,
 }
