The core node's fields and functions bear the standard terms

Cause: `settled`, `ahead`, `heard` and the like, and "doors" for a listener, had to be looked up to be understood. Change: in crates/signalbox/src/node `settled` is `committed`, `ahead` is `proposed`, `heard` is `heartbeats`, `doors.rs` is `listeners.rs`, `knock` is `probe_over_stream`; `told` is `report` of the forecast and `to_response` of a reply. Names of other crates (`DoorLimits`, `Ask::Knock`, `Ask::Heard`) and everything on the wire stay.

--- a/crates/signalbox/src/node/aggregation.rs
+++ b/crates/signalbox/src/node/aggregation.rs
@@ -139,7 +139,7 @@
     };
     let wall_millis = wall_millis();
     let taken = if primary.id == own {
-        forecast::heard_time(node, &name, wall_millis);
+        forecast::record_member_time(node, &name, wall_millis);
         take(node, &name, parts, known, sealed, now)
     } else {
         let ask = Ask::Parts { from: name, parts, known, sealed, wall_millis };
--- a/crates/signalbox/src/node/beats.rs
+++ b/crates/signalbox/src/node/beats.rs
@@ -24,14 +24,14 @@
 /// Endpoints taken off the list at once.
 const AT_ONCE: usize = 8;
 
-/// Who was heard here, and what the primary was told.
+/// Heartbeats of endpoints received here and, at the primary, those reported by all core nodes.
 #[derive(Default)]
-pub struct Heard {
+pub struct EndpointHeartbeats {
     /// The highest sequence of each life. Invariant: a beat that is not above it changes nothing.
     sequences: HashMap<InstanceId, u64>,
-    /// Heard here since the last report.
+    /// Hashes of the endpoints whose heartbeats arrived here since the last report.
     fresh: BTreeSet<u64>,
-    /// At the primary only: when each was last heard anywhere.
+    /// At the primary only: when any core node last received a heartbeat of each.
     last: HashMap<u64, Moment>,
     /// At the primary only: when each core node last reported.
     reports: BTreeMap<SocketAddr, Moment>,
@@ -39,7 +39,7 @@
     counted_from: Moment,
 }
 
-impl Heard {
+impl EndpointHeartbeats {
     /// A new primary, or one that was cut off, knows of nobody's silence.
     pub fn start_anew(&mut self, now: Moment) {
         self.last.clear();
@@ -83,7 +83,7 @@
     Return::json(200, "{}".into())
 }
 
-fn told(reply: Reply) -> Return {
+fn to_response(reply: Reply) -> Return {
     match reply {
         Reply::Done => acknowledged(),
         _ => Return::fault(503, "the order can't be reached just now: beat again").with_header("retry-after", "0.2"),
@@ -97,12 +97,12 @@
     }
     if node.majority.borrow().is_cut_off() {
         // What is committed elsewhere is not known here: an endpoint could count as listed though it was taken off.
-        return told(Reply::NotNow("no majority stands behind this node".into()));
+        return to_response(Reply::NotNow("no majority stands behind this node".into()));
     }
     let id = InstanceId::new(id);
     match request.method.as_str() {
         "PUT" => beat(node, id, request).await,
-        "DELETE" => told(primary::sign_off(node, id).await),
+        "DELETE" => to_response(primary::sign_off(node, id).await),
         _ => Return::fault(405, "use PUT to beat and DELETE to sign off"),
     }
 }
@@ -115,21 +115,21 @@
     };
     let id = beat.instance.id.clone();
     {
-        let mut heard = node.heard.borrow_mut();
-        heard.fresh.insert(stable_hash(id.as_str()));
-        let known = heard.sequences.entry(id.clone()).or_insert(0);
+        let mut heartbeats = node.heartbeats.borrow_mut();
+        heartbeats.fresh.insert(stable_hash(id.as_str()));
+        let known = heartbeats.sequences.entry(id.clone()).or_insert(0);
         if beat.sequence < *known {
             return acknowledged();
         }
         *known = beat.sequence;
     }
     let ordered = {
-        let settled = node.settled.borrow();
-        settled.fleet.has_ended(&id) || settled.fleet.instance(&id) == Some(&beat.instance)
+        let committed = node.committed.borrow();
+        committed.fleet.has_ended(&id) || committed.fleet.instance(&id) == Some(&beat.instance)
     };
     match ordered {
         true => acknowledged(),
-        false => told(primary::register(node, beat.instance).await),
+        false => to_response(primary::register(node, beat.instance).await),
     }
 }
 
@@ -140,16 +140,16 @@
         let now = clock::now();
         let primary = node.zab.borrow().primary();
         let Some(primary) = primary else { continue };
-        let heard: Vec<u64> = std::mem::take(&mut node.heard.borrow_mut().fresh).into_iter().collect();
+        let heard: Vec<u64> = std::mem::take(&mut node.heartbeats.borrow_mut().fresh).into_iter().collect();
         if primary.id != node.zab.borrow().me().id {
-            let any = node.settled.borrow().fleet.instances().any(|instance| !instance.has_node_beside());
+            let any = node.committed.borrow().fleet.instances().any(|instance| !instance.has_node_beside());
             if any {
                 let ask = Ask::Heard { from: node.own_address, heard };
                 let _ = node.caller.call(primary.address, ask, REPORT_EVERY / 2).await;
             }
             continue;
         }
-        node.heard.borrow_mut().reported(node.own_address, heard, now);
+        node.heartbeats.borrow_mut().reported(node.own_address, heard, now);
         take_off_the_silent(&node, now);
     }
 }
@@ -158,10 +158,10 @@
     let core = node.zab.borrow().voters().len();
     let longest = (node.live.get().heartbeat * BEATS_MISSED).max(SHORTEST_SILENCE);
     let silent = {
-        let settled = node.settled.borrow();
-        let mut heard = node.heard.borrow_mut();
-        heard.sequences.retain(|id, _| settled.fleet.instance(id).is_some());
-        heard.silent(&settled.fleet, core, longest, now)
+        let committed = node.committed.borrow();
+        let mut heartbeats = node.heartbeats.borrow_mut();
+        heartbeats.sequences.retain(|id, _| committed.fleet.instance(id).is_some());
+        heartbeats.silent(&committed.fleet, core, longest, now)
     };
     for id in silent {
         log::warn!("endpoint {id} has been silent for over {} s: it is taken off the list", longest.as_secs());
@@ -203,9 +203,9 @@
         let fleet = fleet(10);
         let name = |index: usize| stable_hash(&format!("i{index}"));
         let longest = Duration::from_secs(12);
-        let mut heard = Heard::default();
+        let mut heartbeats = EndpointHeartbeats::default();
         let mut now = Moment::from_micros(1_000_000);
-        heard.start_anew(now);
+        heartbeats.start_anew(now);
         let mut gone = Vec::new();
         for second in 0..60 {
             now = now + Duration::from_secs(1);
@@ -214,11 +214,11 @@
             let cut = (20..40).contains(&second);
             let dark = second >= 45;
             let speaking = (0..10).filter(|index| !dark && (*index != 3 || second < 10)).map(name).collect();
-            heard.reported(core(0), speaking, now);
+            heartbeats.reported(core(0), speaking, now);
             if !cut {
-                heard.reported(core(1), Vec::new(), now);
+                heartbeats.reported(core(1), Vec::new(), now);
             }
-            for id in heard.silent(&fleet, 2, longest, now) {
+            for id in heartbeats.silent(&fleet, 2, longest, now) {
                 gone.push((second, id));
             }
         }
--- a/crates/signalbox/src/node/councils.rs
+++ b/crates/signalbox/src/node/councils.rs
@@ -42,7 +42,7 @@
             continue;
         }
         for (region, sitters) in sitters(&node, now) {
-            let charter = node.settled.borrow().fleet.charter(&region).cloned();
+            let charter = node.committed.borrow().fleet.charter(&region).cloned();
             if let Some(charter) = &charter {
                 let entry = known.entry(region.clone()).or_insert((charter.zxid, now));
                 if entry.0 != charter.zxid {
--- a/crates/signalbox/src/node/disk.rs
+++ b/crates/signalbox/src/node/disk.rs
@@ -66,11 +66,11 @@
 /// Writes an image, or tries for as long as nothing else is to be written. Slot and log before hold all
 /// that the image does, so it is given up for the next write, which is returned: a later image takes its place.
 fn write_image<D: Disk>(storage: &mut Storage<D>, encoded: &[u8], writes: &Receiver<Write>) -> Option<Write> {
-    let mut told = false;
+    let mut has_warned = false;
     while let Err(error) = storage.write_encoded_image(encoded) {
-        if !told {
+        if !has_warned {
             log::error!("an image was not written, and the log grows meanwhile: {error}");
-            told = true;
+            has_warned = true;
         }
         match writes.recv_timeout(PAUSE) {
             Ok(next) => return Some(next),
@@ -84,11 +84,11 @@
 /// Tries until the disk takes it. Nothing is acknowledged meanwhile: this node loses its part in
 /// quorums, and the others go on.
 fn insist<E: std::fmt::Display>(mut write: impl FnMut() -> Result<(), E>) {
-    let mut told = false;
+    let mut has_warned = false;
     while let Err(error) = write() {
-        if !told {
+        if !has_warned {
             log::error!("{error}");
-            told = true;
+            has_warned = true;
         }
         std::thread::sleep(PAUSE);
     }
--- a/crates/signalbox/src/node/fleet_view.rs
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -30,8 +30,8 @@
 
 /// `verdicts`: what the primary makes of proxies' tables, where a majority stands behind it.
 pub fn write(node: &Signalbox, verdicts: Option<String>) -> String {
-    let (zab, roster, settled) = (node.zab.borrow(), node.roster.borrow(), node.settled.borrow());
-    let fleet = &settled.fleet;
+    let (zab, roster, committed) = (node.zab.borrow(), node.roster.borrow(), node.committed.borrow());
+    let fleet = &committed.fleet;
     let primary = zab.primary().map(|primary| format!("\"{}\"", primary.address)).unwrap_or_else(|| "null".into());
     let members = list(zab.voters().iter().map(|voter| {
         let own = voter.id == zab.me().id;
@@ -52,7 +52,7 @@
         )
     }));
     let endpoints = list(fleet.instances().map(|instance| {
-        let told = roster.occupancy_of(&instance.node).filter(|(told, _)| told.instance == instance.id);
+        let occupancy = roster.occupancy_of(&instance.node).filter(|(occupancy, _)| occupancy.instance == instance.id);
         let mut text = format!(
             "{{\"instance_id\":\"{}\",\"service_name\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"node_name\":\"{}\",\"capacity_slots\":{},\"draining\":{}",
             escape(instance.id.as_str()),
@@ -63,9 +63,9 @@
             instance.slots,
             instance.draining,
         );
-        if let Some((told, _)) = told {
-            let seconds = told.service_micros as f64 / 1e6;
-            let _ = write!(text, ",\"running\":{},\"queued\":{},\"service_s\":{seconds}", told.running, told.queued);
+        if let Some((occupancy, _)) = occupancy {
+            let seconds = occupancy.service_micros as f64 / 1e6;
+            let _ = write!(text, ",\"running\":{},\"queued\":{},\"service_s\":{seconds}", occupancy.running, occupancy.queued);
         }
         text.push('}');
         text
--- a/crates/signalbox/src/node/forecast.rs
+++ b/crates/signalbox/src/node/forecast.rs
@@ -19,8 +19,8 @@
     SealerTiming::default().window.as_millis() as u32
 }
 
-/// A member's time of day, which goes with its parts.
-pub fn heard_time(node: &Signalbox, from: &NodeName, wall_millis: u64) {
+/// Records a member's time of day, which comes with its part of the counts.
+pub fn record_member_time(node: &Signalbox, from: &NodeName, wall_millis: u64) {
     node.forecaster.borrow_mut().time.heard(from, wall_millis, clock::now());
 }
 
@@ -28,35 +28,35 @@
 pub fn sealed(node: &Signalbox, windows: &[SealedWindow], of: u32, now: Moment) -> Reservations {
     let members = node.zab.borrow().voters().len();
     let record = {
-        let ahead = node.ahead.borrow();
-        let Some(ahead) = ahead.as_ref() else { return Reservations::default() };
-        node.forecaster.borrow_mut().sealed(windows, window_millis(), of, &ahead.history, members, now)
+        let proposed = node.proposed.borrow();
+        let Some(proposed) = proposed.as_ref() else { return Reservations::default() };
+        node.forecaster.borrow_mut().sealed(windows, window_millis(), of, &proposed.history, members, now)
     };
     if let Some(record) = record {
         primary::order_change(node, Change::Slot(record));
     }
     let plan = {
-        let ahead = node.ahead.borrow();
-        let routes = ahead.as_ref().and_then(|ahead| ahead.fleet.routes().cloned());
-        let (Some(ahead), Some(routes)) = (ahead.as_ref(), routes) else { return Reservations::default() };
+        let proposed = node.proposed.borrow();
+        let routes = proposed.as_ref().and_then(|proposed| proposed.fleet.routes().cloned());
+        let (Some(proposed), Some(routes)) = (proposed.as_ref(), routes) else { return Reservations::default() };
         if !routes.observation.reservations {
             return Reservations::default();
         }
-        node.forecaster.borrow_mut().plan(&ahead.plans, &routes, &capacity(node), members, now)
+        node.forecaster.borrow_mut().plan(&proposed.plans, &routes, &capacity(node), members, now)
     };
     if let Some(plan) = plan {
         log::info!("room is kept in hour {} for {} services", plan.hour, plan.services.len());
         primary::order_change(node, Change::Plan(plan));
     }
     // Only what is committed is in force.
-    let settled = node.settled.borrow();
-    node.forecaster.borrow_mut().in_force(&settled.plans, window_millis(), members, now)
+    let committed = node.committed.borrow();
+    node.forecaster.borrow_mut().in_force(&committed.plans, window_millis(), members, now)
 }
 
 /// What the endpoints there are now can do in an hour.
 fn capacity(node: &Signalbox) -> Capacity {
     let mut capacity = Capacity::new();
-    for instance in node.settled.borrow().fleet.instances().filter(|instance| !instance.draining) {
+    for instance in node.committed.borrow().fleet.instances().filter(|instance| !instance.draining) {
         *capacity.entry(instance.service.as_str().to_owned()).or_default() += instance.slots as f64 * 3600.0;
     }
     capacity
@@ -73,26 +73,26 @@
             *node.forecaster.borrow_mut() = Forecaster::default();
         }
         if is_primary {
-            let history = node.settled.borrow().history.clone();
+            let history = node.committed.borrow().history.clone();
             let since = |moment: Moment| Duration::from_micros(moment.micros());
             node.forecaster.borrow_mut().fit_one(&history, || since(clock::now()));
         }
     }
 }
 
-/// What this primary foresees; nothing elsewhere, or without a majority.
-pub fn told(node: &Signalbox, service: Option<&str>) -> Option<String> {
+/// The forecast of this primary as JSON; none at another node, or without a majority.
+pub fn report(node: &Signalbox, service: Option<&str>) -> Option<String> {
     let is_primary = node.zab.borrow().is_primary() && primary::lease_holds(node);
     is_primary.then(|| {
-        let settled = node.settled.borrow();
-        node.forecaster.borrow().told(&settled.history, &settled.plans, &capacity(node), service)
+        let committed = node.committed.borrow();
+        node.forecaster.borrow().told(&committed.history, &committed.plans, &capacity(node), service)
     })
 }
 
-/// The same, asked at any core node.
-pub async fn told_anywhere(node: &Signalbox, service: Option<&str>) -> Option<String> {
-    if let Some(told) = told(node, service) {
-        return Some(told);
+/// The forecast as JSON, fetched from the primary when this node is another.
+pub async fn report_anywhere(node: &Signalbox, service: Option<&str>) -> Option<String> {
+    if let Some(report) = report(node, service) {
+        return Some(report);
     }
     let primary = node.zab.borrow().primary()?;
     let ask = Ask::Forecast { service: service.map(str::to_owned) };
--- a/crates/signalbox/src/node/inspection.rs
+++ b/crates/signalbox/src/node/inspection.rs
@@ -17,15 +17,15 @@
 
 /// A table was committed: it is what proxies are held against from now on.
 pub fn adopt(node: &Signalbox) {
-    let digest = node.settled.borrow().fleet.routes().map(|routes| routes.digest());
+    let digest = node.committed.borrow().fleet.routes().map(|routes| routes.digest());
     if let Some(digest) = digest {
         node.inspector.borrow_mut().adopt(digest.epoch, digest.root(), clock::now());
         *node.meant.borrow_mut() = Some(digest);
     }
 }
 
-/// A proxy's own word.
-pub fn heard(node: &Signalbox, report: RoutesReport) -> Reply {
+/// Takes the report that a proxy made of its own routes.
+pub fn receive_report(node: &Signalbox, report: RoutesReport) -> Reply {
     // Whoever tells is told whether a majority stands behind this node.
     let backed = {
         let zab = node.zab.borrow();
@@ -45,8 +45,8 @@
     }
 }
 
-/// What another core node heard.
-pub fn heard_elsewhere(node: &Signalbox, reports: Vec<(RoutesReport, u32)>) -> Reply {
+/// Takes the reports that another core node received and forwards to the primary.
+pub fn receive_forwarded_reports(node: &Signalbox, reports: Vec<(RoutesReport, u32)>) -> Reply {
     let now = clock::now();
     let mut inspector = node.inspector.borrow_mut();
     for (report, ago) in reports {
@@ -105,7 +105,7 @@
     let Some(meant) = meant else { return };
     let ask = Ask::RoutesDetail { root: want.root, leaves: meant.leaves.clone() };
     let Ok(Reply::RoutesDetail(found)) = node.caller.call_for_much(want.address, ask, ASK_LIMIT).await else { return };
-    let routes = node.settled.borrow().fleet.routes().cloned();
+    let routes = node.committed.borrow().fleet.routes().cloned();
     let Some(routes) = routes.filter(|routes| routes.epoch == want.epoch) else { return };
     // Of the meant entries only those count whose leaves the proxy spoke of; leaves it left out are equal.
     let all: Vec<u32> = (0..meant.leaves.len() as u32).collect();
--- a/crates/signalbox/src/node/doors.rs
+++ b/crates/signalbox/src/node/listeners.rs
@@ -1,4 +1,4 @@
-//! The door for operators and applications.
+//! The HTTP listener of the control API, for operators and applications.
 
 use super::{Signalbox, aggregation, beats, fleet_view, forecast, inspection, primary};
 use lineside::call::ControlCall;
@@ -8,16 +8,22 @@
 use trackbed::http::{DoorLimits, Handler, JsonReturn, Request, Return, Serving, serve_listener};
 use trackbed::net::bind_tcp;
 
-struct ControlDoor(Rc<Signalbox>);
+/// Answers the requests of the control API.
+struct ControlListener(Rc<Signalbox>);
 
+/// Binds `address` and serves the control API there until the node ends.
+///
+/// # Errors
+///
+/// The error of the bind, such as an address that is in use already.
 pub fn open(address: SocketAddr, node: &Rc<Signalbox>) -> std::io::Result<Rc<Serving>> {
     let serving = Rc::new(Serving::default());
     serving.most_open.set((node.live.get().limits.file_descriptors as usize).saturating_sub(400).max(64));
-    monoio::spawn(serve_listener(bind_tcp(address)?, serving.clone(), Rc::new(ControlDoor(node.clone()))));
+    monoio::spawn(serve_listener(bind_tcp(address)?, serving.clone(), Rc::new(ControlListener(node.clone()))));
     Ok(serving)
 }
 
-impl Handler for ControlDoor {
+impl Handler for ControlListener {
     fn limits(&self) -> DoorLimits {
         DoorLimits {
             header_bytes: 32 << 10,
@@ -42,8 +48,8 @@
         }
         if request.path() == forecast::PATH && request.method == http::Method::GET {
             let service = request.query().split('&').find_map(|pair| pair.strip_prefix("service="));
-            return Some(match forecast::told_anywhere(&self.0, service).await {
-                Some(told) => Return::json(200, told),
+            return Some(match forecast::report_anywhere(&self.0, service).await {
+                Some(report) => Return::json(200, report),
                 None => Return::fault(503, "no primary with a majority just now: ask again")
                     .with_header("retry-after", "0.5"),
             });
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -5,11 +5,11 @@
 mod calls;
 mod councils;
 mod disk;
-mod doors;
 mod error;
 mod fleet_view;
 mod forecast;
 mod inspection;
+mod listeners;
 mod majority;
 mod members;
 mod peers;
@@ -53,13 +53,13 @@
     pub roster: RefCell<Roster>,
     pub datagrams: Datagrams,
     /// The replica's committed state.
-    pub settled: Rc<RefCell<Ledger>>,
-    /// The replica's state with all that was proposed. Invariant: only while this node is the primary.
-    pub ahead: Rc<RefCell<Option<Ledger>>>,
+    pub committed: Rc<RefCell<Ledger>>,
+    /// The committed state with all proposals applied. Invariant: present only while this node is the primary.
+    pub proposed: Rc<RefCell<Option<Ledger>>>,
     /// Calls that the replica has not finished yet.
     pub calls: OpenCalls,
-    /// Which endpoints spoke here, and at the primary anywhere.
-    pub heard: RefCell<beats::Heard>,
+    /// Heartbeats of endpoints: those received here and, at the primary, those of all core nodes.
+    pub heartbeats: RefCell<beats::EndpointHeartbeats>,
     /// Where peers call this node.
     pub own_address: SocketAddr,
     /// Judges proxies' tables. At nodes other than the primary it holds what the primary knows.
@@ -72,8 +72,8 @@
     pub aggregation: aggregation::Aggregation,
     /// Only at the primary does it hold anything.
     pub forecaster: RefCell<Forecaster>,
-    /// Silent peers to be asked over a stream.
-    pub to_knock: RefCell<Vec<Peer>>,
+    /// Peers that leave datagrams unanswered, to be probed over a stream.
+    pub to_probe_over_stream: RefCell<Vec<Peer>>,
     pub next_members: Cell<Moment>,
     pub leaving: Cell<bool>,
     pub majority: RefCell<Majority>,
--- a/crates/signalbox/src/node/peers.rs
+++ b/crates/signalbox/src/node/peers.rs
@@ -25,14 +25,14 @@
     async fn answer(self: Rc<Self>, ask: Ask) -> Reply {
         match ask {
             Ask::News { since, assured: false } => {
-                let settled = self.settled.borrow();
-                Reply::News { news: settled.fleet.news_since(since), zxid: settled.fleet.zxid() }
+                let committed = self.committed.borrow();
+                Reply::News { news: committed.fleet.news_since(since), zxid: committed.fleet.zxid() }
             }
             Ask::News { since, assured: true } => primary::assured_news(&self, since).await,
             Ask::Knock => Reply::Done,
             Ask::Whole => primary::assured_whole(&self).await,
-            Ask::Routes(report) => inspection::heard(&self, report),
-            Ask::RoutesHeard(reports) => inspection::heard_elsewhere(&self, reports),
+            Ask::Routes(report) => inspection::receive_report(&self, report),
+            Ask::RoutesHeard(reports) => inspection::receive_forwarded_reports(&self, reports),
             Ask::RoutesVerdicts => match inspection::verdicts(&self) {
                 Some(text) => Reply::Text(text),
                 None => Reply::NotNow("this node is not the primary".into()),
@@ -41,11 +41,11 @@
             Ask::RoutesDetail { .. } => Reply::NotNow("a core node routes nothing".into()),
             Ask::Counted(counted) => aggregation::counted(&self, counted),
             Ask::Parts { from, parts, known, sealed, wall_millis } => {
-                forecast::heard_time(&self, &from, wall_millis);
+                forecast::record_member_time(&self, &from, wall_millis);
                 aggregation::parts(&self, &from, parts, known, sealed)
             }
             Ask::Report { known } => aggregation::report(&self, known),
-            Ask::Forecast { service } => match forecast::told(&self, service.as_deref()) {
+            Ask::Forecast { service } => match forecast::report(&self, service.as_deref()) {
                 Some(text) => Reply::Text(text),
                 None => Reply::NotNow("this node is not the primary".into()),
             },
@@ -58,14 +58,14 @@
                 members::answer_hand_over(&self, member, Duration::from_millis(limit as u64)).await
             }
             Ask::Heard { from, heard } => {
-                self.heard.borrow_mut().reported(from, heard, clock::now());
+                self.heartbeats.borrow_mut().reported(from, heard, clock::now());
                 Reply::Done
             }
         }
     }
 }
 
-const KNOCK_LIMIT: Duration = Duration::from_millis(900);
+const STREAM_PROBE_LIMIT: Duration = Duration::from_millis(900);
 
 pub async fn listen(node: Rc<Signalbox>) {
     loop {
@@ -85,18 +85,18 @@
                 let bytes = borsh::to_vec(&datagram).expect("writing to memory can't fail");
                 node.datagrams.send(&bytes, to);
             }
-            GossipAction::Knock { peer } => node.to_knock.borrow_mut().push(peer),
+            GossipAction::Knock { peer } => node.to_probe_over_stream.borrow_mut().push(peer),
             GossipAction::Ahead { .. } => {}
         }
     }
 }
 
-/// Asks those that datagrams don't reach over a stream.
-pub fn knock(node: &Rc<Signalbox>) {
-    for peer in std::mem::take(&mut *node.to_knock.borrow_mut()) {
+/// Probes over a stream the peers that leave datagrams unanswered.
+pub fn probe_over_stream(node: &Rc<Signalbox>) {
+    for peer in std::mem::take(&mut *node.to_probe_over_stream.borrow_mut()) {
         let node = node.clone();
         monoio::spawn(async move {
-            if node.caller.call(peer.address, Ask::Knock, KNOCK_LIMIT).await == Ok(Reply::Done) {
+            if node.caller.call(peer.address, Ask::Knock, STREAM_PROBE_LIMIT).await == Ok(Reply::Done) {
                 node.roster.borrow_mut().vouch(&peer.name, clock::now());
             }
         });
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -67,7 +67,7 @@
     if !zab.is_primary() || !zab.lease_holds(clock::now()) {
         return Reply::NotNow("this node may no longer be the primary".into());
     }
-    Reply::Upto(node.settled.borrow().fleet.zxid())
+    Reply::Upto(node.committed.borrow().fleet.zxid())
 }
 
 /// All that was acknowledged before the call, out of what this node holds: the primary only says how
@@ -96,10 +96,10 @@
         Err(error) => return Reply::NotNow(error.to_string()),
     };
     for _ in 0..10 {
-        let behind = node.settled.borrow().fleet.zxid() < upto;
+        let behind = node.committed.borrow().fleet.zxid() < upto;
         if !behind {
-            let settled = node.settled.borrow();
-            return Reply::News { news: news(&settled.fleet), zxid: settled.fleet.zxid() };
+            let committed = node.committed.borrow();
+            return Reply::News { news: news(&committed.fleet), zxid: committed.fleet.zxid() };
         }
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -3,7 +3,7 @@
 use super::aggregation::{self, Aggregation};
 use super::calls::OpenCalls;
 use super::majority::Majority;
-use super::{NodeError, Signalbox, beats, councils, disk, doors, forecast, inspection, peers, turn};
+use super::{NodeError, Signalbox, beats, councils, disk, forecast, inspection, listeners, peers, turn};
 use crate::ledger::Ledger;
 use crate::replica::Replica;
 use futures_channel::mpsc::unbounded;
@@ -73,10 +73,10 @@
     log::info!("member {} starts at epoch {}, {} records", image.member, image.current, image.entries.len());
     let now = clock::now();
     let address = SocketAddr::new(config.ip_address, config.core_port());
-    let settled = Ledger::decode(&image.frame.state, config.bounds.history(), now)?;
+    let committed = Ledger::decode(&image.frame.state, config.bounds.history(), now)?;
     let me = Voter { id: image.member, address };
     let zab = Zab::start(image, me, Timing::default(), random.draw(), now);
-    let replica = Replica::new(zab, settled, config.bounds.history());
+    let replica = Replica::new(zab, committed, config.bounds.history());
     let peer = Peer {
         name: config.node_name.clone(),
         incarnation: Incarnation(1),
@@ -101,8 +101,8 @@
             let node = Rc::new(Signalbox {
                 live: live.clone(),
                 zab: replica.zab().clone(),
-                settled: replica.committed().clone(),
-                ahead: replica.proposed().clone(),
+                committed: replica.committed().clone(),
+                proposed: replica.proposed().clone(),
                 replica: RefCell::new(replica),
                 calls: OpenCalls::default(),
                 disk,
@@ -110,21 +110,21 @@
                 replication: Caller::default(),
                 roster: RefCell::new(roster),
                 datagrams: Datagrams::bind(address)?,
-                heard: RefCell::default(),
+                heartbeats: RefCell::default(),
                 own_address: address,
                 inspector: RefCell::new(Inspector::new(timing)),
                 meant: RefCell::default(),
                 reports: RefCell::default(),
                 aggregation: Aggregation::new(&mut Random::from_system()),
                 forecaster: RefCell::default(),
-                to_knock: RefCell::default(),
+                to_probe_over_stream: RefCell::default(),
                 next_members: Cell::new(now),
                 leaving: Cell::new(false),
                 majority: RefCell::new(Majority::new(now)),
                 complaints: Complaints::default(),
             });
             monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
-            let serving = doors::open(control_plane, &node)?;
+            let serving = listeners::open(control_plane, &node)?;
             monoio::spawn(turn::watch_disk(node.clone(), completions));
             monoio::spawn(turn::keep_time(node.clone()));
             monoio::spawn(peers::listen(node.clone()));
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -53,7 +53,7 @@
         if turns.is_multiple_of(2) {
             let actions = node.roster.borrow_mut().tick(now);
             peers::gossip(&node, actions);
-            peers::knock(&node);
+            peers::probe_over_stream(&node);
             members::tend(&node, now);
             fold(&node);
         }
@@ -104,7 +104,7 @@
             Effect::FleetMoved => tell_fleet(node),
             Effect::BecamePrimary { epoch } => {
                 log::info!("primary of epoch {epoch}");
-                node.heard.borrow_mut().start_anew(clock::now());
+                node.heartbeats.borrow_mut().start_anew(clock::now());
             }
             Effect::Deposed => log::info!("no longer primary"),
         }
@@ -120,8 +120,8 @@
 
 fn tell_fleet(node: &Signalbox) {
     let (zxid, epoch) = {
-        let settled = node.settled.borrow();
-        (settled.fleet.zxid(), settled.fleet.epoch())
+        let committed = node.committed.borrow();
+        (committed.fleet.zxid(), committed.fleet.epoch())
     };
     let actions = {
         let mut roster = node.roster.borrow_mut();
@@ -138,7 +138,7 @@
     if !growth.wants_snapshot(zab.history().frame.state.len()) {
         return;
     }
-    let state = node.settled.borrow().encode();
+    let state = node.committed.borrow().encode();
     zab.compact(state, TAIL_ENTRIES);
     let encoded = Storage::<FileDisk>::encode_image(&zab.image());
     let _ = node.disk.send(Write::Image { encoded });
