--- a/crates/interlocking/src/storage/disk.rs
+++ b/crates/interlocking/src/storage/disk.rs
@@ -5,10 +5,17 @@
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
+/// The operations on files that [`Storage`](super::Storage) needs. Files are named by their names in the data folder.
 pub trait Disk {
     /// A file's bytes; empty where there is none.
     fn read(&mut self, name: &str) -> io::Result<Vec<u8>>;
+    /// Writes the bytes at an offset, in bytes, and makes the file if there is none.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system; any part of the bytes may be written then.
     fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()>;
+    /// Cuts or extends the file to a length in bytes, and makes it if there is none.
     fn set_length(&mut self, name: &str, length: u64) -> io::Result<()>;
     /// What was written to the file is durable once this returns.
     fn sync(&mut self, name: &str) -> io::Result<()>;
@@ -23,6 +30,11 @@
 }
 
 impl FileDisk {
+    /// Opens a data folder, and makes it if there is none.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system when the folder can't be made.
     pub fn open(directory: &Path) -> io::Result<Self> {
         make_folder(directory)?;
         Ok(Self { directory: directory.to_owned(), open: Vec::new() })
--- a/crates/interlocking/src/storage/error.rs
+++ b/crates/interlocking/src/storage/error.rs
@@ -3,8 +3,10 @@
 use derive_more::{Display, Error, From};
 use std::io;
 
+/// Why the data folder can't be read or written.
 #[derive(Debug, Display, Error, From)]
 pub enum StorageError {
+    /// An operation on a file failed.
     #[display("the disk refused ({_0}): it is tried again; free space or replace the disk")]
     Io(io::Error),
     /// Nothing on the disk was changed.
@@ -13,7 +15,10 @@
          or give this node an empty data folder and let it join as a new member"
     )]
     #[from(ignore)]
-    LaterVersion { version: u8 },
+    LaterVersion {
+        /// The version of the format found.
+        version: u8,
+    },
     /// The checksum is right, so it isn't damage. Nothing on the disk was changed.
     #[display(
         "the data folder holds something whole that this version does not know: run the newer version \
--- a/crates/interlocking/src/storage/layout.rs
+++ b/crates/interlocking/src/storage/layout.rs
@@ -24,13 +24,16 @@
 const BOTH_SLOTS_LOST: &str =
     "neither slot can be read, and the disk was in use: check the disk, and replace it if this comes again";
 
+/// What was found in the data folder.
 #[derive(Debug)]
 pub enum Recovered {
     /// Nothing was ever kept here.
     Nothing,
+    /// The image with all records that follow it.
     Whole(Box<Image>),
     /// Something acknowledged is lost. The member must go on as a new one.
     Damaged {
+        /// What is lost, and what to do about it.
         what: &'static str,
     },
 }
@@ -85,6 +88,11 @@
 
 impl<D: Disk> Storage<D> {
     /// Reads the disk. Nothing can be appended before a whole image was found or written.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Io`] of the disk; [`StorageError::LaterVersion`] and [`StorageError::UnknownContent`] for what
+    /// is whole and yet not known here. What is lost is no error but [`Recovered::Damaged`].
     pub fn recover(mut disk: D) -> Result<(Self, Recovered), StorageError> {
         let content = Content::read(&mut disk)?;
         let Some(slot) = content.newest_slot()? else {
@@ -119,23 +127,32 @@
         Self { disk, generation, length: 0, log_is_ready: false, has_unfinished_slot: false }
     }
 
-    /// The log's length since the last image.
+    /// The log's length since the last image, in bytes.
     pub fn log_length(&self) -> u64 {
         self.length
     }
 
     /// Writes a whole image to the slot not in use, and starts an empty log after it. After an error
     /// the slot and log before are still in use: the image may be given up, and records appended.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Io`] of the disk.
     pub fn write_image(&mut self, image: &Image) -> Result<(), StorageError> {
         self.write_slot(Slot::of(image))
     }
 
     /// The same, from an image encoded elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Io`] of the disk, or for bytes that are no encoded image.
     pub fn write_encoded_image(&mut self, encoded: &[u8]) -> Result<(), StorageError> {
         let slot = Slot::try_from_slice(encoded).map_err(StorageError::Io)?;
         self.write_slot(slot)
     }
 
+    /// Encodes an image for [`Storage::write_encoded_image`].
     pub fn encode_image(image: &Image) -> Vec<u8> {
         borsh::to_vec(&Slot::of(image)).expect("writing to memory can't fail")
     }
@@ -182,6 +199,10 @@
 
     /// Appends encoded records and makes them durable, all or none of them. After an error the same
     /// call may be made again.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Io`] of the disk.
     pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
         if records.is_empty() {
             return Ok(());
@@ -200,16 +221,19 @@
         Ok(())
     }
 
+    /// The disk, with what was written to it.
     #[cfg(test)]
     pub fn into_disk(self) -> D {
         self.disk
     }
 
+    /// The disk, to be looked at.
     #[cfg(test)]
     pub fn disk_reference(&self) -> &D {
         &self.disk
     }
 
+    /// The disk, to be changed or made to fail.
     #[cfg(test)]
     pub fn disk_mut(&mut self) -> &mut D {
         &mut self.disk
--- a/crates/interlocking/src/zab/actions.rs
+++ b/crates/interlocking/src/zab/actions.rs
@@ -16,6 +16,7 @@
     Promised(ZabEpoch, MemberId),
     /// f.a
     Current(ZabEpoch),
+    /// An entry at the end of the history.
     Append(Entry),
     /// The history ends at this zxid.
     Truncate(Zxid),
@@ -23,28 +24,40 @@
     Restart(Frame),
 }
 
+/// What the caller of the state machine is to do, in order.
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub enum Action {
+    /// Send a message to a member.
     Send {
+        /// The receiver.
         to: Voter,
+        /// The message.
         message: Message,
     },
+    /// Write records and make them durable, then call [`Zab::durable`](super::Zab::durable).
     Persist {
+        /// Names the write.
         ticket: Ticket,
+        /// The records, which are written all or none.
         records: Vec<Record>,
     },
     /// abdeliver
     Deliver {
+        /// The transaction's place in the history.
         zxid: Zxid,
+        /// The change, as it was proposed.
         payload: Vec<u8>,
     },
     /// The state at a frame replaces what was delivered.
     DeliverFrame {
+        /// The last transaction that the state holds.
         zxid: Zxid,
+        /// The application's state.
         state: Vec<u8>,
     },
     /// ready(e): this node is the primary of the epoch.
     Ready {
+        /// The epoch that this node leads.
         epoch: ZabEpoch,
     },
     /// This node is no longer the primary.
--- a/crates/interlocking/src/zab/history.rs
+++ b/crates/interlocking/src/zab/history.rs
@@ -5,12 +5,16 @@
 use std::net::SocketAddr;
 use trackbed::ids::{MemberId, Zxid};
 
+/// A member that votes, or may come to vote.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Voter {
+    /// Its identity, which ends with its disk.
     pub id: MemberId,
+    /// Where it takes messages.
     pub address: SocketAddr,
 }
 
+/// What a transaction holds.
 #[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub enum Payload {
     /// A change of the application's state.
@@ -28,23 +32,33 @@
     }
 }
 
+/// One transaction of a history.
 #[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Entry {
+    /// Its place in the order: the epoch it was proposed in, and its counter there.
     pub zxid: Zxid,
+    /// What it holds.
     pub payload: Payload,
 }
 
+/// A snapshot of the state, which stands for all transactions up to a place.
 #[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Frame {
+    /// The last transaction that the snapshot holds.
     pub zxid: Zxid,
+    /// The voters in force at that place.
     pub voters: Vec<Voter>,
+    /// The application's state.
     pub state: Vec<u8>,
 }
 
+/// The transactions that a member holds: a snapshot, and the entries after it.
+///
 /// Invariants: entries rise by zxid; the first comes right after `base`; `base` ≤ the frame's zxid;
 /// everything up to the frame is committed.
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct History {
+    /// The newest snapshot.
     pub frame: Frame,
     base: Zxid,
     entries: VecDeque<Entry>,
@@ -54,23 +68,28 @@
 }
 
 impl History {
+    /// A history of a snapshot and no transactions after it.
     pub fn new(frame: Frame) -> Self {
         let voters = frame.voters.clone();
         Self { base: frame.zxid, frame, entries: VecDeque::new(), weight: 0, voters }
     }
 
+    /// The last transaction, or the place where the history begins.
     pub fn last(&self) -> Zxid {
         self.entries.back().map(|entry| entry.zxid).unwrap_or(self.base).max(self.base)
     }
 
+    /// The size of the entries in bytes, with an allowance for each.
     pub fn weight(&self) -> usize {
         self.weight
     }
 
+    /// Number of entries.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
+    /// Whether there are no entries.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
@@ -97,10 +116,16 @@
         Some(if index == 0 { self.base } else { self.entries[index - 1].zxid })
     }
 
+    /// The entries after a place, in order.
     pub fn after(&self, zxid: Zxid) -> impl Iterator<Item = &Entry> {
         self.entries.iter().skip(self.index_after(zxid))
     }
 
+    /// Adds an entry at the end.
+    ///
+    /// # Panics
+    ///
+    /// When the entry does not follow the last one in the order of zxids.
     pub fn append(&mut self, entry: Entry) {
         assert!(entry.zxid > self.last(), "a history only grows upwards");
         self.weight += entry.payload.weight() + 32;
--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -11,6 +11,7 @@
 use trackbed::clock::Moment;
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 
+/// The intervals of elections, heartbeats and leases.
 #[derive(Clone, Copy, Debug, Hash)]
 pub struct Timing {
     /// Between heartbeats.
@@ -34,15 +35,22 @@
 /// What a member finds on its disk.
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Image {
+    /// The member's identity.
     pub member: MemberId,
+    /// The latest epoch that it promised.
     pub promised: ZabEpoch,
+    /// The leader to which that was promised.
     pub promised_to: MemberId,
+    /// The epoch whose history it last adopted.
     pub current: ZabEpoch,
+    /// The snapshot that the history begins with.
     pub frame: Frame,
+    /// The entries after the snapshot.
     pub entries: Vec<Entry>,
 }
 
 impl Image {
+    /// The image of a member that has neither promised nor stored anything.
     pub fn empty(member: MemberId, voters: Vec<Voter>) -> Self {
         let frame = Frame { zxid: Zxid::ZERO, voters, state: Vec::new() };
         Self {
@@ -111,6 +119,7 @@
     OwnAck(ZabEpoch, Zxid),
 }
 
+/// One member's protocol state.
 #[derive(Clone, Debug, Hash)]
 pub struct Zab {
     pub(super) me: Voter,
@@ -184,27 +193,35 @@
         }
     }
 
+    /// This member.
     pub fn me(&self) -> &Voter {
         &self.me
     }
+    /// Sets the addresses that are asked when no voter is known or reachable.
     pub fn set_contacts(&mut self, contacts: Vec<std::net::SocketAddr>) {
         self.contacts = contacts;
     }
+    /// The voters in force at the end of the history, committed or not.
     pub fn voters(&self) -> &Vec<Voter> {
         self.history.voters()
     }
+    /// Whether this member is among the voters.
     pub fn is_voter(&self) -> bool {
         self.voters().iter().any(|voter| voter.id == self.me.id)
     }
+    /// The history that this member holds.
     pub fn history(&self) -> &History {
         &self.history
     }
+    /// The last transaction that was delivered.
     pub fn delivered(&self) -> Zxid {
         self.delivered
     }
+    /// f.a of the paper: the epoch whose history was last adopted.
     pub fn epoch(&self) -> ZabEpoch {
         self.current
     }
+    /// f.p of the paper: the latest epoch that was promised.
     pub fn promised(&self) -> ZabEpoch {
         self.promised
     }
@@ -251,6 +268,7 @@
         }
     }
 
+    /// Takes a message that arrived at `now`, and returns what is to be done.
     pub fn handle(&mut self, envelope: Envelope, now: Moment) -> Vec<Action> {
         self.now = now;
         let Envelope { from, to, message } = envelope;
@@ -288,6 +306,7 @@
         self.finish()
     }
 
+    /// Does what is due at `now`, and returns what is to be done. To be called several times a heartbeat.
     pub fn tick(&mut self, now: Moment) -> Vec<Action> {
         self.now = now;
         if self.retired {
--- a/crates/interlocking/src/zab/transfer.rs
+++ b/crates/interlocking/src/zab/transfer.rs
@@ -23,6 +23,7 @@
 /// What a follower still holds of a transfer that broke off.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Held {
+    /// Bytes from the start of the transfer.
     pub bytes: u64,
     /// CRC-32 of these bytes: the transfer goes on only where the leader's begins with the very same.
     pub checksum: u32,
@@ -31,10 +32,13 @@
 /// One part of a transfer.
 #[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Part {
+    /// Where the part begins, in bytes from the start of the transfer.
     pub offset: u64,
     /// Bytes of the whole transfer, and their CRC-32.
     pub total: u64,
+    /// CRC-32 of the whole transfer.
     pub checksum: u32,
+    /// The bytes of this part.
     pub bytes: Vec<u8>,
 }
 
