Decisions about the voters are a module without sockets and clock

Cause: who votes, and how a member that leaves hands over, was decided in the middle of the node's asynchronous code, where no simulation reaches it. Change: `replica::membership` takes the state and gives the next set of voters, and each step of a hand-over at the leaving member and at the primary. `node::members` only carries them out; what is decided is as before.

--- a/crates/signalbox/src/node/members_tests.rs
+++ b/crates/signalbox/src/replica/membership/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use interlocking::zab::{Image, Timing, Voter, Zab};
+use trackbed::clock::Moment;
 use trackbed::ids::MemberId;
 
 fn voter(id: u64, host: u8) -> Voter {
@@ -74,3 +76,58 @@
         }
     }
 }
+
+fn start() -> Moment {
+    Moment::from_micros(1_000_000)
+}
+
+fn departure(member: u64) -> Departure {
+    let founders = Image::empty(MemberId(1), voters(3));
+    let zab = Zab::start(founders, voter(1, 1), Timing::default(), 1, start());
+    Departure::begin(&zab, MemberId(member), HAND_OVER_LIMIT, start())
+}
+
+fn state(voters: Vec<Voter>) -> DepartureState {
+    DepartureState {
+        is_primary: true,
+        lease_holds: true,
+        is_change_pending: false,
+        is_durable: true,
+        voters,
+        needed: 3,
+    }
+}
+
+#[test]
+fn a_member_is_released_only_when_the_others_hold_everything() {
+    let held = state(voters(3));
+    assert_eq!(departure(2).decide(&held, start()), DepartureStep::Released);
+    let missing = DepartureState { is_durable: false, ..held };
+    assert_eq!(departure(2).decide(&missing, start()), DepartureStep::Wait);
+    assert_eq!(departure(2).decide(&missing, start() + HAND_OVER_LIMIT), DepartureStep::NotReleased);
+}
+
+#[test]
+fn a_dispensable_member_is_released_once_the_voters_without_it_are_committed() {
+    let four = state(voters(4));
+    let without = [voter(1, 1), voter(3, 3), voter(4, 4)].to_vec();
+    assert_eq!(departure(2).decide(&four, start()), DepartureStep::ChangeVoters(without.clone()));
+    let unsure = DepartureState { lease_holds: false, ..four.clone() };
+    assert_eq!(departure(2).decide(&unsure, start()), DepartureStep::Wait);
+    let deposed = DepartureState { is_primary: false, ..four };
+    assert_eq!(departure(2).decide(&deposed, start()), DepartureStep::NotReleased);
+    let on_the_way = DepartureState { is_change_pending: true, is_durable: false, ..state(without.clone()) };
+    assert_eq!(departure(2).decide(&on_the_way, start()), DepartureStep::Wait);
+    assert_eq!(departure(2).decide(&state(without), start()), DepartureStep::Released);
+}
+
+#[test]
+fn a_leaving_member_turns_to_the_primary_until_its_time_is_up() {
+    let leaver = voter(2, 2);
+    let hand_over = HandOver::begin(leaver.id, start());
+    let (limit, primary) = (HAND_OVER_LIMIT, voter(1, 1));
+    assert_eq!(hand_over.next(Some(primary.clone()), true, start()), HandOverStep::AskPrimary { primary, limit });
+    assert_eq!(hand_over.next(Some(leaver.clone()), true, start()), HandOverStep::ReleaseHere { limit });
+    assert_eq!(hand_over.next(Some(leaver.clone()), false, start()), HandOverStep::NotNeeded);
+    assert_eq!(hand_over.next(Some(leaver), true, start() + HAND_OVER_LIMIT), HandOverStep::GiveUp);
+}
--- /dev/null
+++ b/crates/signalbox/src/replica/membership/voters.rs
@@ -0,0 +1,70 @@
+//! The next set of voters.
+//!
+//! Any two majorities of voter sets that differ by one member share a node, and a change is
+//! proposed only when the last one is committed. So no two sets in force, or on the way, can
+//! decide apart.
+//!
+//! A voter is not let go because it is silent: after a cut that shrank the set, the next cut could leave most of the
+//! machines on the side without a quorum. It goes when a newcomer stands in its place, when it leaves in order and
+//! more voters are there than the losses allowed for ask, or after so long a silence that nobody mends it any more.
+
+use interlocking::zab::{Voter, Zab};
+use std::time::Duration;
+
+/// How often the primary looks whether the voters are right.
+pub const TEND_EVERY: Duration = Duration::from_millis(200);
+/// A voter silent for longer may be one that a newcomer is to replace: nobody is brought in until that is known.
+const IN_DOUBT_AFTER: Duration = Duration::from_millis(400);
+/// Silence after which a newcomer takes a voter's place.
+const REPLACED_AFTER: Duration = Duration::from_millis(1500);
+/// Silence after which a voter beyond the number needed is let go without anybody in its place: longer than any cut
+/// or repair that is waited for.
+const ABANDONED_AFTER: Duration = Duration::from_secs(2 * 3600);
+
+/// What the primary knows of its voters and of those who would be.
+pub struct Membership<'a> {
+    pub voters: &'a [Voter],
+    /// In step, and no voters yet.
+    pub learners: &'a [Voter],
+    pub in_doubt: &'a [Voter],
+    pub silent: &'a [Voter],
+    pub abandoned: &'a [Voter],
+    /// Voters that the losses allowed for ask.
+    pub needed: usize,
+}
+
+/// The set of voters that a primary is to propose next; `None` at any other member, while the last change is not yet
+/// committed, and where the present set is right.
+pub fn next_voters(zab: &Zab, needed: usize) -> Option<Vec<Voter>> {
+    if !zab.is_primary() || zab.voters_change_pending() {
+        return None;
+    }
+    wanted_voters(&Membership {
+        voters: zab.voters(),
+        learners: &zab.caught_up_learners(),
+        in_doubt: &zab.silent_voters(IN_DOUBT_AFTER),
+        silent: &zab.silent_voters(REPLACED_AFTER),
+        abandoned: &zab.silent_voters(ABANDONED_AFTER),
+        needed,
+    })
+}
+
+/// The next set of voters, one step from the present one; `None` when it is right as it is.
+pub fn wanted_voters(membership: &Membership) -> Option<Vec<Voter>> {
+    let voters = membership.voters;
+    let without = |gone: &Voter| voters.iter().filter(|voter| *voter != gone).cloned().collect::<Vec<_>>();
+    // A learner at a voter's address proves that the voter's disk is gone for good.
+    let is_replaced = |voter: &&Voter| membership.learners.iter().any(|learner| learner.address == voter.address);
+    if let Some(gone) = voters.iter().find(is_replaced).filter(|_| voters.len() > 1) {
+        return Some(without(gone));
+    }
+    if let Some(learner) = membership.learners.first() {
+        // The place of a silent one is cleared first, so that the quorum never needs it.
+        return match membership.silent.first().filter(|_| voters.len() > 2) {
+            Some(gone) => Some(without(gone)),
+            None if !membership.in_doubt.is_empty() && voters.len() > 2 => None,
+            None => Some(voters.iter().cloned().chain(std::iter::once(learner.clone())).collect()),
+        };
+    }
+    membership.abandoned.first().filter(|_| voters.len() > membership.needed.max(3)).map(without)
+}
--- a/crates/signalbox/src/replica/mod.rs
+++ b/crates/signalbox/src/replica/mod.rs
@@ -7,6 +7,7 @@
 
 mod effect;
 mod forwarding;
+pub mod membership;
 mod state;
 
 pub use effect::{CallId, Effect, Outcome, Route};
