The simulation tends voters, adds machines and lets members leave

Cause: the simulation proposed no change of the voters, so that replacements, losses right after them and hand-overs were tried only on real processes. Change: simulated members run the node's own decisions about voters every 200 ms; machines join with empty disks at other addresses; members leave in order. Seven named faults with three and five members, and for each a run with its rule broken. `a_primary_that_leaves_is_followed_at_once` compares with a primary that just vanishes.

--- a/crates/signalbox/tests/simulation/clients.rs
+++ b/crates/signalbox/tests/simulation/clients.rs
@@ -87,6 +87,18 @@
     pub clear_answers: usize,
 }
 
+impl Client {
+    /// It calls one more member from now on.
+    pub fn reach_also(&mut self, host: Host) {
+        self.hosts.push(host);
+    }
+
+    /// It calls a member no more.
+    pub fn reach_no_more(&mut self, host: Host) {
+        self.hosts.retain(|known| *known != host);
+    }
+}
+
 impl World {
     /// Adds a client that starts at once; it pauses for up to `think` between operations.
     pub fn add_client(&mut self, role: Role, hosts: Vec<Host>, think: Duration) -> ClientId {
--- a/crates/signalbox/tests/simulation/main.rs
+++ b/crates/signalbox/tests/simulation/main.rs
@@ -8,4 +8,6 @@
 mod histories;
 mod random_runs;
 mod scenarios;
+mod voter_scenarios;
+mod voters;
 mod world;
--- a/crates/signalbox/tests/simulation/scenarios.rs
+++ b/crates/signalbox/tests/simulation/scenarios.rs
@@ -13,19 +13,19 @@
 const STALLS: usize = 4;
 const THINK: Duration = Duration::from_millis(150);
 /// Time for every client to finish what is under way, or to give it up.
-const AFTERMATH: Duration = Duration::from_secs(14);
+pub const AFTERMATH: Duration = Duration::from_secs(14);
 
-fn settled_world(seed: u64, members: usize) -> World {
+pub fn settled_world(seed: u64, members: usize) -> World {
     let mut world = World::new(seed, members);
     world.run(SETTLING);
     world
 }
 
-fn all(world: &World) -> Vec<Host> {
+pub fn all(world: &World) -> Vec<Host> {
     (0..world.member_count()).collect()
 }
 
-fn all_but(world: &World, host: Host) -> Vec<Host> {
+pub fn all_but(world: &World, host: Host) -> Vec<Host> {
     (0..world.member_count()).filter(|other| *other != host).collect()
 }
 
@@ -46,7 +46,7 @@
     (version_in(&answer.body), order_in(&answer.body))
 }
 
-fn finish(world: &mut World) {
+pub fn finish(world: &mut World) {
     world.heal();
     world.stop_clients();
     world.run(AFTERMATH);
@@ -82,7 +82,7 @@
 }
 
 /// The primary under its lease. That may lapse for a moment where messages overtake one another.
-fn primary_of(world: &mut World) -> Host {
+pub fn primary_of(world: &mut World) -> Host {
     let end = world.now + SETTLING;
     while world.primary().is_none() && world.now < end {
         world.run(Duration::from_millis(10));
--- a/crates/signalbox/tests/simulation/world.rs
+++ b/crates/signalbox/tests/simulation/world.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Client;
 use crate::histories::Histories;
+use crate::voters::{Departures, HandOverEnd, LeaveRule, Leaver, Leaving, VoterRule};
 use interlocking::zab::{Envelope, Image, Record, Ticket, Timing, Voter, Zab};
 use lineside::call::{ControlCall, ControlReturn};
 use signalbox::ledger::Ledger;
@@ -54,7 +55,7 @@
     asked: u64,
 }
 
-enum Event {
+pub enum Event {
     Message { host: Host, life: u32, envelope: Envelope },
     Written { host: Host, life: u32 },
     Tick { host: Host, life: u32 },
@@ -66,6 +67,11 @@
     Answer { client: ClientId, attempt: u64, answer: ControlReturn },
     ClientWakes { client: ClientId },
     ClientLimit { client: ClientId, attempt: u64 },
+    HandOverStep { host: Host, life: u32 },
+    ReleaseAsked { host: Host, leaver: Leaver, limit: Duration },
+    ReleaseAnswered { leaver: Leaver, is_released: bool },
+    DepartureStep { host: Host, life: u32, number: u64 },
+    ProcessEnds { host: Host, life: u32 },
 }
 
 impl Event {
@@ -79,7 +85,12 @@
             | Event::DoorStep { host, .. }
             | Event::Passed { host, .. }
             | Event::PassedBack { host, .. }
-            | Event::PassLimit { host, .. } => Some(*host),
+            | Event::PassLimit { host, .. }
+            | Event::HandOverStep { host, .. }
+            | Event::ReleaseAsked { host, .. }
+            | Event::DepartureStep { host, .. }
+            | Event::ProcessEnds { host, .. } => Some(*host),
+            Event::ReleaseAnswered { leaver, .. } => Some(leaver.host),
             Event::Answer { .. } | Event::ClientWakes { .. } | Event::ClientLimit { .. } => None,
         }
     }
@@ -124,6 +135,10 @@
     clock_rate: f64,
     doors: BTreeMap<u64, Door>,
     deciding: BTreeMap<CallId, (Origin, u64)>,
+    /// When it looks at the voters next, where it is the primary.
+    next_tend: Moment,
+    leaving: Option<Leaving>,
+    departures: Departures,
 }
 
 impl Member {
@@ -148,6 +163,12 @@
     pub script_answers: BTreeMap<u64, ControlReturn>,
     /// Names the run: two runs of one seed have the same.
     pub trace: u64,
+    pub voter_rule: VoterRule,
+    /// Voters that the losses allowed for ask.
+    pub needed_voters: usize,
+    pub leave_rule: LeaveRule,
+    /// How the hand-overs of members that left ended.
+    pub hand_over_ends: BTreeMap<Host, HandOverEnd>,
     members: Vec<Member>,
     events: BinaryHeap<Timed>,
     sequence: u64,
@@ -166,27 +187,9 @@
     pub fn with_timings(seed: u64, timings: Vec<Timing>) -> Self {
         let voters: Vec<Voter> =
             (0..timings.len()).map(|host| Voter { id: MemberId(host as u64 + 1), address: address(host) }).collect();
-        let mut random = Random::seeded(seed);
-        let members = timings
-            .into_iter()
-            .enumerate()
-            .map(|(host, timing)| Member {
-                replica: None,
-                life: 0,
-                timing,
-                image: Image::empty(MemberId(host as u64 + 1), voters.clone()),
-                pending: VecDeque::new(),
-                slow_disk: false,
-                stalled_until: Moment::default(),
-                clock_start: 10_000_000 + random.below(1_000_000_000),
-                clock_rate: 1.0 - MOST_DRIFT / 2.0 + MOST_DRIFT * random.below(1000) as f64 / 1000.0,
-                doors: BTreeMap::new(),
-                deciding: BTreeMap::new(),
-            })
-            .collect();
         let mut world = Self {
             now: Moment::from_micros(10_000_000),
-            random,
+            random: Random::seeded(seed),
             clients: Vec::new(),
             histories: Histories::default(),
             loss: 0.0,
@@ -194,17 +197,93 @@
             led_with: Vec::new(),
             script_answers: BTreeMap::new(),
             trace: 0,
-            members,
+            voter_rule: VoterRule::default(),
+            needed_voters: timings.len(),
+            leave_rule: LeaveRule::default(),
+            hand_over_ends: BTreeMap::new(),
+            members: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
             cuts: BTreeSet::new(),
             resets: BTreeMap::new(),
             last_id: 0,
         };
+        for (host, timing) in timings.into_iter().enumerate() {
+            world.push_member(Image::empty(MemberId(host as u64 + 1), voters.clone()), timing);
+        }
         (0..world.members.len()).for_each(|host| world.start(host));
         world
     }
 
+    /// Adds a machine that is not started yet.
+    pub fn push_member(&mut self, image: Image, timing: Timing) -> Host {
+        self.members.push(Member {
+            replica: None,
+            life: 0,
+            timing,
+            image,
+            pending: VecDeque::new(),
+            slow_disk: false,
+            stalled_until: Moment::default(),
+            clock_start: 10_000_000 + self.random.below(1_000_000_000),
+            clock_rate: 1.0 - MOST_DRIFT / 2.0 + MOST_DRIFT * self.random.below(1000) as f64 / 1000.0,
+            doors: BTreeMap::new(),
+            deciding: BTreeMap::new(),
+            next_tend: Moment::default(),
+            leaving: None,
+            departures: Departures::default(),
+        });
+        self.members.len() - 1
+    }
+
+    /// Tells every member that is up where all machines are.
+    pub fn refresh_contacts(&mut self) {
+        let contacts: Vec<SocketAddr> = (0..self.members.len()).map(address).collect();
+        for replica in self.members.iter().filter_map(|member| member.replica.as_ref()) {
+            replica.zab().borrow_mut().set_contacts(contacts.clone());
+        }
+    }
+
+    /// A member's own clock.
+    pub fn clock(&self, host: Host) -> Moment {
+        self.members[host].clock(self.now)
+    }
+
+    /// Counts the starts and ends of a member's process.
+    pub fn life(&self, host: Host) -> u32 {
+        self.members[host].life
+    }
+
+    /// What a member's disk holds.
+    pub fn image(&self, host: Host) -> &Image {
+        &self.members[host].image
+    }
+
+    pub fn set_image(&mut self, host: Host, image: Image) {
+        self.members[host].image = image;
+    }
+
+    /// The state machine of a member that is up.
+    pub fn replica(&self, host: Host) -> &Replica {
+        self.members[host].replica.as_ref().expect("the member is up")
+    }
+
+    pub fn host_at(&self, at: SocketAddr) -> Option<Host> {
+        (0..self.members.len()).find(|host| address(*host) == at)
+    }
+
+    pub fn next_tend(&mut self, host: Host) -> &mut Moment {
+        &mut self.members[host].next_tend
+    }
+
+    pub fn leaving(&mut self, host: Host) -> &mut Option<Leaving> {
+        &mut self.members[host].leaving
+    }
+
+    pub fn departures(&mut self, host: Host) -> &mut Departures {
+        &mut self.members[host].departures
+    }
+
     pub fn member_count(&self) -> usize {
         self.members.len()
     }
@@ -223,7 +302,7 @@
 
     /// The committed state of a member that is up.
     pub fn committed(&self, host: Host) -> Ledger {
-        self.members[host].replica.as_ref().expect("the member is up").committed().borrow().clone()
+        self.replica(host).committed().borrow().clone()
     }
 
     /// Starts a member's process on what its disk holds.
@@ -255,6 +334,8 @@
         member.pending.clear();
         member.doors.clear();
         member.deciding.clear();
+        member.leaving = None;
+        member.departures = Departures::default();
         member.replica = None;
         member.life += 1;
     }
@@ -288,6 +369,16 @@
         }
     }
 
+    /// Cuts the members of one side off from all others.
+    pub fn cut_apart(&mut self, side: &[Host]) {
+        for other in (0..self.members.len()).filter(|other| !side.contains(other)) {
+            for host in side {
+                self.cut_one_way(*host, other);
+                self.cut_one_way(other, *host);
+            }
+        }
+    }
+
     pub fn heal(&mut self) {
         self.cuts.clear();
     }
@@ -351,13 +442,13 @@
         Duration::from_micros(SHORTEST_DELAY_MICROS + self.random.below(DELAY_SPREAD_MICROS))
     }
 
-    fn schedule(&mut self, after: Duration, event: Event) {
+    pub fn schedule(&mut self, after: Duration, event: Event) {
         let place = self.next_place();
         self.events.push(Timed(self.now + after, place, None, event));
     }
 
     /// Sends over the network between members. False when it is known at once not to arrive.
-    fn send(&mut self, from: Host, to: Host, event: Event) -> bool {
+    pub fn send(&mut self, from: Host, to: Host, event: Event) -> bool {
         if self.cuts.contains(&(from, to)) || self.random.chance(self.loss) {
             return false;
         }
@@ -372,7 +463,7 @@
     }
 
     /// Gives one input to a member's state machine, and carries out what comes of it.
-    fn advance(&mut self, host: Host, input: impl FnOnce(&mut Replica, Moment) -> Vec<Effect>) {
+    pub fn advance(&mut self, host: Host, input: impl FnOnce(&mut Replica, Moment) -> Vec<Effect>) {
         let member = &mut self.members[host];
         let now = member.clock(self.now);
         let Some(replica) = member.replica.as_mut() else { return };
@@ -389,6 +480,7 @@
             Event::Tick { host, life } if self.is_alive(host, life) => {
                 self.schedule(TICK, Event::Tick { host, life });
                 self.advance(host, Replica::tick);
+                self.tend_voters(host);
                 self.compact(host);
             }
             Event::Request { host, client, attempt, call } if self.is_up(host) => {
@@ -412,6 +504,17 @@
             Event::PassLimit { host, life, door, asked } if self.is_alive(host, life) => {
                 self.passed_back(host, door, asked, ForwardReply::NoReply);
             }
+            Event::HandOverStep { host, life } if self.is_alive(host, life) => self.step_hand_over(host),
+            Event::ReleaseAsked { host, leaver, limit } if self.is_up(host) => {
+                self.begin_departure(host, leaver, limit);
+            }
+            Event::ReleaseAnswered { leaver, is_released } if self.is_alive(leaver.host, leaver.life) => {
+                self.release_answered(leaver, is_released);
+            }
+            Event::DepartureStep { host, life, number } if self.is_alive(host, life) => {
+                self.step_departure(host, number);
+            }
+            Event::ProcessEnds { host, life } if self.is_alive(host, life) => self.lose_power(host),
             Event::Answer { client, attempt, answer } => self.client_answered(client, attempt, answer),
             Event::ClientWakes { client } => self.client_wakes(client),
             Event::ClientLimit { client, attempt } => self.client_waited_enough(client, attempt),
@@ -464,7 +567,7 @@
         let at = self.members[host].doors.get_mut(&door).expect("it is at the door");
         at.asked += 1;
         let (asked, call) = (at.asked, at.call.clone());
-        let Some(to) = (0..self.members.len()).find(|other| address(*other) == primary.address) else { return };
+        let Some(to) = self.host_at(primary.address) else { return };
         self.send(host, to, Event::Passed { host: to, from: host, from_life: life, door, asked, call });
         self.schedule(limit, Event::PassLimit { host, life, door, asked });
     }
@@ -520,7 +623,7 @@
     }
 
     fn send_message(&mut self, host: Host, to: SocketAddr, envelope: Envelope) {
-        let Some(target) = (0..self.members.len()).find(|other| address(*other) == to) else { return };
+        let Some(target) = self.host_at(to) else { return };
         let life = self.members[target].life;
         if self.random.chance(REPEATED_MESSAGES) {
             self.send(host, target, Event::Message { host: target, life, envelope: envelope.clone() });
