A member that leaves while the fleet elects waits for the primary

Cause: found by the simulation: a voter told to leave while it knew no primary ended at once, without a hand-over. Where it alone held what the lost primary had acknowledged, that was gone with its disk. Change: it waits for a primary within its 0.9 s, as for everything else. Two tests: the fault, and the rule broken.

--- a/crates/signalbox/src/node/members.rs
+++ b/crates/signalbox/src/node/members.rs
@@ -45,6 +45,7 @@
         let is_released = match hand_over.next(primary, is_voter, clock::now()) {
             HandOverStep::ReleaseHere { limit } => release(node, member, limit).await,
             HandOverStep::AskPrimary { primary, limit } => ask_for_release(node, member, &primary, limit).await,
+            HandOverStep::Wait => false,
             HandOverStep::NotNeeded => return,
             HandOverStep::GiveUp => break,
         };
--- a/crates/signalbox/src/replica/membership/hand_over.rs
+++ b/crates/signalbox/src/replica/membership/hand_over.rs
@@ -17,7 +17,9 @@
     ReleaseHere { limit: Duration },
     /// The primary is to see to it within the limit.
     AskPrimary { primary: Voter, limit: Duration },
-    /// There is nothing to hand over, or nobody to hand it to.
+    /// No primary is known just now: to be looked at again after a pause.
+    Wait,
+    /// It has no vote, so nothing rests on it.
     NotNeeded,
     /// The time is up, and the others are not known to have everything.
     GiveUp,
@@ -39,9 +41,12 @@
         if now >= self.end {
             return HandOverStep::GiveUp;
         }
+        if !is_voter {
+            return HandOverStep::NotNeeded;
+        }
         let limit = now.until(self.end);
-        match primary.filter(|_| is_voter) {
-            None => HandOverStep::NotNeeded,
+        match primary {
+            None => HandOverStep::Wait,
             Some(primary) if primary.id == self.member => HandOverStep::ReleaseHere { limit },
             Some(primary) => HandOverStep::AskPrimary { primary, limit },
         }
--- a/crates/signalbox/src/replica/membership/tests.rs
+++ b/crates/signalbox/src/replica/membership/tests.rs
@@ -129,5 +129,8 @@
     assert_eq!(hand_over.next(Some(primary.clone()), true, start()), HandOverStep::AskPrimary { primary, limit });
     assert_eq!(hand_over.next(Some(leaver.clone()), true, start()), HandOverStep::ReleaseHere { limit });
     assert_eq!(hand_over.next(Some(leaver.clone()), false, start()), HandOverStep::NotNeeded);
+    // An election may end in time, and what was acknowledged may rest on this member's disk.
+    assert_eq!(hand_over.next(None, true, start()), HandOverStep::Wait);
+    assert_eq!(hand_over.next(None, false, start()), HandOverStep::NotNeeded);
     assert_eq!(hand_over.next(Some(leaver), true, start() + HAND_OVER_LIMIT), HandOverStep::GiveUp);
 }
--- a/crates/signalbox/tests/simulation/random_runs.rs
+++ b/crates/signalbox/tests/simulation/random_runs.rs
@@ -16,18 +16,18 @@
 const LEAST_CLEAR_ANSWERS: usize = 100;
 
 /// Says how a failed run is repeated.
-struct SeedReport(u64);
+pub struct SeedReport(pub u64);
 
 impl Drop for SeedReport {
     fn drop(&mut self) {
         if std::thread::panicking() {
             let seed = self.0;
-            eprintln!("repeat it: {SEED_VARIABLE}={seed} cargo test -p signalbox --test simulation random_runs");
+            eprintln!("repeat it: {SEED_VARIABLE}={seed} cargo test -p signalbox --test simulation random_");
         }
     }
 }
 
-fn seeds() -> Vec<u64> {
+pub fn seeds() -> Vec<u64> {
     match std::env::var(SEED_VARIABLE) {
         Ok(seed) => vec![seed.parse().expect("FERRYHINGE_SEED is a number")],
         Err(_) => SEEDS.collect(),
--- a/crates/signalbox/tests/simulation/voter_scenarios.rs
+++ b/crates/signalbox/tests/simulation/voter_scenarios.rs
@@ -11,17 +11,17 @@
 const SETTLING: Duration = Duration::from_secs(3);
 const STEP: Duration = Duration::from_millis(10);
 /// Between the loss of a machine and the start of the one that replaces it.
-const REPLACEMENT_AFTER: Duration = Duration::from_millis(1600);
+pub const REPLACEMENT_AFTER: Duration = Duration::from_millis(1600);
 /// Within this time after the last fault a quorum acknowledges a change.
 const QUORUM_WITHIN: Duration = Duration::from_secs(3);
 /// How long the voters may take to be the wanted ones.
-const VOTERS_WITHIN: Duration = Duration::from_secs(10);
+pub const VOTERS_WITHIN: Duration = Duration::from_secs(10);
 /// Within this time after a primary left in order the next one acknowledges a change.
 const FOLLOWED_WITHIN: Duration = Duration::from_millis(400);
 const LONG_CUT: Duration = Duration::from_secs(20);
 
 /// A fleet that tends its voters, with clients at work.
-fn tended_world(seed: u64, members: usize, voter_rule: VoterRule, leave_rule: LeaveRule) -> World {
+pub fn tended_world(seed: u64, members: usize, voter_rule: VoterRule, leave_rule: LeaveRule) -> World {
     let mut world = World::new(seed, members);
     world.voter_rule = voter_rule;
     world.leave_rule = leave_rule;
@@ -42,12 +42,12 @@
     (0..count).map(|_| left.remove(world.random.below(left.len() as u64) as usize)).collect()
 }
 
-fn without(hosts: &[Host], gone: &[Host]) -> Vec<Host> {
+pub fn without(hosts: &[Host], gone: &[Host]) -> Vec<Host> {
     hosts.iter().copied().filter(|host| !gone.contains(host)).collect()
 }
 
 /// Lets time pass until something holds; false when it does not in time.
-fn run_until(world: &mut World, limit: Duration, holds: impl Fn(&World) -> bool) -> bool {
+pub fn run_until(world: &mut World, limit: Duration, holds: impl Fn(&World) -> bool) -> bool {
     let end = world.now + limit;
     while world.now < end && !holds(world) {
         world.run(STEP);
@@ -77,7 +77,7 @@
 }
 
 /// The clients are served again, and no history breaks a rule.
-fn finish_served(world: &mut World) {
+pub fn finish_served(world: &mut World) {
     let before = world.histories.clear_answers();
     world.run(SETTLING);
     assert!(world.histories.clear_answers() > before + 10, "a quorum is there, and the clients are not served");
@@ -348,3 +348,44 @@
     let violation = check(&world.histories).expect_err("what was acknowledged is forgotten, and nobody noticed");
     println!("found: {violation:?}");
 }
+
+/// The primary is lost while another member, alone with it, holds what was acknowledged; that one is told to leave
+/// before there is a new primary. Gives how its hand-over ended, and whether all of it is kept.
+fn leaver_during_an_election(seed: u64, members: usize, rule: LeaveRule) -> (HandOverEnd, bool) {
+    let mut world = tended_world(seed, members, VoterRule::AsDecided, rule);
+    let primary = primary_of(&mut world);
+    let others = without(&(0..members).collect::<Vec<_>>(), &[primary]);
+    let losses = losses_borne(&world);
+    let apart = draw(&mut world, &others, losses);
+    let holders = without(&others, &apart);
+    world.cut_apart(&apart);
+    world.run(Duration::from_secs(2));
+    let last = acknowledged(&mut world);
+    world.heal();
+    world.lose_for_good(primary);
+    let moment = Duration::from_millis(world.random.below(900));
+    world.run(moment);
+    world.leave(holders[0]);
+    run_until(&mut world, VOTERS_WITHIN, |world| !world.is_up(holders[0]));
+    holders.iter().for_each(|host| world.lose_for_good(*host));
+    let is_kept = apart.iter().any(|host| world.last_durable(*host) >= last);
+    (world.hand_over_ends[&holders[0]], is_kept)
+}
+
+#[test]
+fn a_member_that_leaves_during_an_election_takes_nothing_with_it() {
+    for seed in SEEDS {
+        for members in [3, 5] {
+            let (end, is_kept) = leaver_during_an_election(seed, members, LeaveRule::HandOver);
+            assert!(is_kept, "seed {seed}, {members} members: nobody holds what was acknowledged; {end:?}");
+        }
+    }
+}
+
+#[test]
+fn a_member_that_does_not_wait_for_an_election_is_caught() {
+    for members in [3, 5] {
+        let is_lost = |seed| !leaver_during_an_election(seed, members, LeaveRule::AtOnce).1;
+        assert!(SEEDS.into_iter().any(is_lost), "{members} members: the rule was broken, and nothing was lost");
+    }
+}
--- a/crates/signalbox/tests/simulation/voters.rs
+++ b/crates/signalbox/tests/simulation/voters.rs
@@ -42,7 +42,7 @@
 pub enum HandOverEnd {
     /// The primary released it.
     Released,
-    /// It had no vote, or knew no primary.
+    /// It had no vote, or ended without a hand-over.
     NotNeeded,
     GaveUp,
 }
@@ -182,6 +182,7 @@
         match leaving.hand_over.next(primary, is_voter, now) {
             HandOverStep::ReleaseHere { limit } => self.begin_departure(host, leaver, limit),
             HandOverStep::AskPrimary { primary, limit } => self.ask_for_release(leaver, &primary, limit),
+            HandOverStep::Wait => self.schedule(HAND_OVER_PAUSE, Event::HandOverStep { host, life }),
             HandOverStep::NotNeeded => self.retire(host, HandOverEnd::NotNeeded),
             HandOverStep::GiveUp => self.retire(host, HandOverEnd::GaveUp),
         }
