A lost voter that is one too many goes once it is silent

Cause: found by the simulation: a replacement that joins within 0.4 s of a loss, before anybody is silent long enough to be in doubt, becomes a fourth voter beside the lost one. Nothing took the lost one off for two hours, and the next loss left two of four: no quorum. Change: of an even number of voters, more than needed, one that is silent for 1.5 s goes. A majority of the even number always holds one of the odd number left, so that no cut makes this worse.

--- a/crates/signalbox/src/replica/membership/voters.rs
+++ b/crates/signalbox/src/replica/membership/voters.rs
@@ -4,10 +4,15 @@
 //! proposed only when the last one is committed. So no two sets in force, or on the way, can
 //! decide apart.
 //!
-//! A voter is not let go because it is silent: after a cut that shrank the set, the next cut could leave most of the
-//! machines on the side without a quorum. It goes when a newcomer stands in its place, when it leaves in order and
-//! more voters are there than the losses allowed for ask, or after so long a silence that nobody mends it any more.
+//! A set as large as needed, or of an odd number, loses no voter because it is silent: after a cut that shrank the set,
+//! the next cut could leave most of the machines on the side without a quorum. A voter goes when a newcomer stands in
+//! its place, when it leaves in order and more voters are there than the losses allowed for ask, or after so long a
+//! silence that nobody mends it any more.
+//!
+//! One silent voter of an even number goes where more are there than needed, as after a loss that was noticed only when
+//! its replacement already voted: each majority of the even number is one of the odd number left, too.
 
+use super::hand_over::is_dispensable;
 use interlocking::zab::{Voter, Zab};
 use std::time::Duration;
 
@@ -15,7 +20,7 @@
 pub const TEND_EVERY: Duration = Duration::from_millis(200);
 /// A voter silent for longer may be one that a newcomer is to replace: nobody is brought in until that is known.
 const IN_DOUBT_AFTER: Duration = Duration::from_millis(400);
-/// Silence after which a newcomer takes a voter's place.
+/// Silence after which a newcomer takes a voter's place, or a voter that is dispensable goes.
 const REPLACED_AFTER: Duration = Duration::from_millis(1500);
 /// Silence after which a voter beyond the number needed is let go without anybody in its place: longer than any cut
 /// or repair that is waited for.
@@ -66,5 +71,8 @@
             None => Some(voters.iter().cloned().chain(std::iter::once(learner.clone())).collect()),
         };
     }
+    if let Some(gone) = membership.silent.first().filter(|_| is_dispensable(voters.len(), membership.needed)) {
+        return Some(without(gone));
+    }
     membership.abandoned.first().filter(|_| voters.len() > membership.needed.max(3)).map(without)
 }
--- a/crates/signalbox/tests/simulation/voters.rs
+++ b/crates/signalbox/tests/simulation/voters.rs
@@ -107,6 +107,14 @@
         }
     }
 
+    /// Whether the committed voters at the primary are the members on these machines and nobody else.
+    pub fn voters_are(&self, hosts: &[Host]) -> bool {
+        let Some(primary) = self.primary() else { return false };
+        let zab = self.replica(primary).zab().borrow();
+        let are_voters = hosts.iter().all(|host| self.is_voter_in(*host, zab.voters()));
+        !zab.voters_change_pending() && zab.voters().len() == hosts.len() && are_voters
+    }
+
     /// The last transaction that a member's disk holds.
     pub fn last_durable(&self, host: Host) -> Zxid {
         let image = self.image(host);
