A member that was let go gets no vote again before it ends

Cause: found by the simulation: a member taken off the voters so that it may end is in step like a newcomer for a moment. With little traffic the primary brought it in again, and the next loss found one voter too many that was gone.

--- a/crates/signalbox/src/node/members.rs
+++ b/crates/signalbox/src/node/members.rs
@@ -1,9 +1,7 @@
 //! Carries out what `replica::membership` decides about the voters: at the primary, and at a member that leaves.
 
 use super::{Signalbox, turn};
-use crate::replica::membership::{
-    Departure, DepartureStep, HAND_OVER_PAUSE, HandOver, HandOverStep, TEND_EVERY, next_voters,
-};
+use crate::replica::membership::{DepartureStep, HAND_OVER_PAUSE, HandOver, HandOverStep, TEND_EVERY};
 use interlocking::zab::Voter;
 use lineside::call::{Ask, Reply};
 use std::time::Duration;
@@ -20,7 +18,7 @@
         return;
     }
     node.next_members.set(now + TEND_EVERY);
-    let wanted = next_voters(&node.zab.borrow(), needed(node));
+    let wanted = node.replica.borrow().next_voters(needed(node), now);
     if let Some(wanted) = wanted {
         change_voters(node, wanted, now);
     }
@@ -72,7 +70,7 @@
 
 /// Waits until a majority holds all without the member, and takes it off the voters where it is dispensable.
 async fn release(node: &Signalbox, member: MemberId, limit: Duration) -> bool {
-    let departure = Departure::begin(&node.zab.borrow(), member, limit, clock::now());
+    let departure = node.replica.borrow_mut().begin_departure(member, limit, clock::now());
     loop {
         let now = clock::now();
         let step = departure.next(&node.zab.borrow(), needed(node), now);
--- a/crates/signalbox/src/replica/membership/tests.rs
+++ b/crates/signalbox/src/replica/membership/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use interlocking::zab::{Image, Timing, Voter, Zab};
+use std::time::Duration;
 use trackbed::clock::Moment;
 use trackbed::ids::MemberId;
 
@@ -170,3 +171,13 @@
     assert_eq!(hand_over.next(None, false, start()), HandOverStep::NotNeeded);
     assert_eq!(hand_over.next(Some(leaver), true, start() + HAND_OVER_LIMIT), HandOverStep::GiveUp);
 }
+
+#[test]
+fn a_member_that_asked_to_be_released_counts_as_leaving_until_it_is_gone() {
+    let leaver = voter(2, 2);
+    let mut departing = Departing::default();
+    departing.note(leaver.id, start());
+    assert!(departing.includes(&leaver, start() + HAND_OVER_LIMIT + Duration::from_secs(1)));
+    assert!(!departing.includes(&voter(3, 3), start()));
+    assert!(!departing.includes(&leaver, start() + HAND_OVER_LIMIT + Duration::from_secs(2)), "it may have begun anew");
+}
--- a/crates/signalbox/src/replica/membership/voters.rs
+++ b/crates/signalbox/src/replica/membership/voters.rs
@@ -12,9 +12,11 @@
 //! One silent voter of an even number goes where more are there than needed, as after a loss that was noticed only when
 //! its replacement already voted: each majority of the even number is one of the odd number left, too.
 
+use super::departing::Departing;
 use super::hand_over::is_dispensable;
 use interlocking::zab::{Voter, Zab};
 use std::time::Duration;
+use trackbed::clock::Moment;
 
 /// How often the primary looks whether the voters are right.
 pub const TEND_EVERY: Duration = Duration::from_millis(200);
@@ -29,7 +31,7 @@
 /// What the primary knows of its voters and of those who would be.
 pub struct Membership<'a> {
     pub voters: &'a [Voter],
-    /// In step, and no voters yet.
+    /// In step, no voters yet, and not about to end.
     pub learners: &'a [Voter],
     pub in_doubt: &'a [Voter],
     pub silent: &'a [Voter],
@@ -40,13 +42,15 @@
 
 /// The set of voters that a primary is to propose next; `None` at any other member, while the last change is not yet
 /// committed, and where the present set is right.
-pub fn next_voters(zab: &Zab, needed: usize) -> Option<Vec<Voter>> {
+pub fn next_voters(zab: &Zab, departing: &Departing, needed: usize, now: Moment) -> Option<Vec<Voter>> {
     if !zab.is_primary() || zab.voters_change_pending() {
         return None;
     }
+    let mut learners = zab.caught_up_learners();
+    learners.retain(|learner| !departing.includes(learner, now));
     wanted_voters(&Membership {
         voters: zab.voters(),
-        learners: &zab.caught_up_learners(),
+        learners: &learners,
         in_doubt: &zab.silent_voters(IN_DOUBT_AFTER),
         silent: &zab.silent_voters(REPLACED_AFTER),
         abandoned: &zab.silent_voters(ABANDONED_AFTER),
--- a/crates/signalbox/src/replica/state.rs
+++ b/crates/signalbox/src/replica/state.rs
@@ -1,9 +1,10 @@
 //! The state machine itself.
 
 use super::effect::{CallId, Effect, Outcome, Route};
+use super::membership::{Departing, Departure, next_voters};
 use crate::ledger::{Change, Ledger, group_of};
 use crate::resources::{self, Context, Decision};
-use interlocking::zab::{Action, Envelope, Ticket, Zab};
+use interlocking::zab::{Action, Envelope, Ticket, Voter, Zab};
 use lineside::call::{ControlCall, ControlReturn};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -12,7 +13,7 @@
 use timetable::fleet::{FleetChange, FleetState};
 use timetable::packed::Packed;
 use trackbed::clock::Moment;
-use trackbed::ids::{RegionName, Zxid};
+use trackbed::ids::{MemberId, RegionName, Zxid};
 
 const MAYBE_DEPOSED: &str = "this node may no longer be the primary: ask again";
 const PRIMARY_CHANGED: &str = "the primary has changed: ask again";
@@ -43,6 +44,8 @@
     holds: BTreeMap<String, Moment>,
     waiting: BTreeMap<Zxid, Vec<WaitingCall>>,
     watches: BTreeMap<String, Vec<WaitingWatch>>,
+    /// Members that asked this one to be released.
+    departing: Departing,
     /// How long events of keys are promised to be kept.
     history: Duration,
 }
@@ -57,6 +60,7 @@
             holds: BTreeMap::new(),
             waiting: BTreeMap::new(),
             watches: BTreeMap::new(),
+            departing: Departing::default(),
             history,
         }
     }
@@ -96,6 +100,17 @@
         }
     }
 
+    /// The set of voters to be proposed next, where this is the primary and the present one is not right.
+    pub fn next_voters(&self, needed: usize, now: Moment) -> Option<Vec<Voter>> {
+        next_voters(&self.zab.borrow(), &self.departing, needed, now)
+    }
+
+    /// A member is about to end, and asks to be released within the limit.
+    pub fn begin_departure(&mut self, member: MemberId, limit: Duration, now: Moment) -> Departure {
+        self.departing.note(member, now);
+        Departure::begin(&self.zab.borrow(), member, limit, now)
+    }
+
     /// A message of another member.
     pub fn handle(&mut self, envelope: Envelope, now: Moment) -> Vec<Effect> {
         let actions = self.zab.borrow_mut().handle(envelope, now);
--- a/crates/signalbox/tests/simulation/voter_scenarios.rs
+++ b/crates/signalbox/tests/simulation/voter_scenarios.rs
@@ -32,12 +32,12 @@
 }
 
 /// As many members as may be lost at once.
-fn losses_borne(world: &World) -> usize {
+pub fn losses_borne(world: &World) -> usize {
     world.needed_voters / 2
 }
 
 /// Several different ones of some hosts.
-fn draw(world: &mut World, hosts: &[Host], count: usize) -> Vec<Host> {
+pub fn draw(world: &mut World, hosts: &[Host], count: usize) -> Vec<Host> {
     let mut left = hosts.to_vec();
     (0..count).map(|_| left.remove(world.random.below(left.len() as u64) as usize)).collect()
 }
@@ -427,3 +427,46 @@
         assert!(SEEDS.into_iter().any(is_lost), "{members} members: the rule was broken, and nothing was lost");
     }
 }
+
+/// Nobody asks for anything while a newcomer joins and an old member leaves. Gives whether the voters are those in use
+/// from then on.
+fn planned_replacement_without_traffic(seed: u64, members: usize, rule: VoterRule) -> bool {
+    let mut world = World::new(seed, members);
+    world.voter_rule = rule;
+    world.run(SETTLING);
+    let newcomer = world.add_machine();
+    let votes = run_until(&mut world, VOTERS_WITHIN, |world| world.voting_hosts().contains(&newcomer));
+    assert!(votes, "seed {seed}, {members} members: the newcomer gets no vote");
+    let leaver = draw(&mut world, &(0..members).collect::<Vec<_>>(), 1)[0];
+    world.leave(leaver);
+    run_until(&mut world, VOTERS_WITHIN, |world| !world.is_up(leaver));
+    world.lose_for_good(leaver);
+    let in_use = without(&(0..world.member_count()).collect::<Vec<_>>(), &[leaver]);
+    run_until(&mut world, SETTLING, |world| world.primary().is_some());
+    let end = world.now + Duration::from_secs(1);
+    while world.now < end {
+        world.run(STEP);
+        if world.primary().is_some() && !world.voters_are(&in_use) {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn a_member_that_was_let_go_gets_no_vote_again_before_it_ends() {
+    for seed in SEEDS {
+        for members in [3, 5] {
+            let is_right = planned_replacement_without_traffic(seed, members, VoterRule::AsDecided);
+            assert!(is_right, "seed {seed}, {members} members: a member that left votes again");
+        }
+    }
+}
+
+#[test]
+fn a_primary_that_forgets_who_leaves_is_caught() {
+    for members in [3, 5] {
+        let fails = |seed| !planned_replacement_without_traffic(seed, members, VoterRule::ForgetLeavers);
+        assert!(SEEDS.into_iter().any(fails), "{members} members: the rule was broken, and nothing came of it");
+    }
+}
--- a/crates/signalbox/tests/simulation/voters.rs
+++ b/crates/signalbox/tests/simulation/voters.rs
@@ -3,7 +3,7 @@
 use crate::world::{Event, Host, World};
 use interlocking::zab::{Image, Timing, Voter};
 use signalbox::replica::membership::{
-    Departure, DepartureStep, HAND_OVER_PAUSE, HandOver, HandOverStep, TEND_EVERY, next_voters,
+    Departing, Departure, DepartureStep, HAND_OVER_PAUSE, HandOver, HandOverStep, TEND_EVERY, next_voters,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,6 +26,8 @@
     DropSilent,
     /// Broken: newcomers join, and no silent voter is let go for them.
     KeepLost,
+    /// Broken: a member that was let go is a newcomer again until its process ends.
+    ForgetLeavers,
 }
 
 /// How a member leaves.
@@ -150,6 +152,7 @@
     }
 
     fn wanted_voters(&self, host: Host) -> Option<Vec<Voter>> {
+        let now = self.clock(host);
         let zab = self.replica(host).zab().borrow();
         if !zab.is_primary() || zab.voters_change_pending() {
             return None;
@@ -159,13 +162,14 @@
         match self.voter_rule {
             VoterRule::DropSilent if voters.len() > 3 => {
                 let dropped = zab.silent_voters(DROPPED_AFTER).first().map(without);
-                dropped.or_else(|| next_voters(&zab, self.needed_voters))
+                dropped.or_else(|| self.replica(host).next_voters(self.needed_voters, now))
             }
             VoterRule::KeepLost => {
                 let newcomer = zab.caught_up_learners().into_iter().next()?;
                 Some(voters.iter().cloned().chain([newcomer]).collect())
             }
-            _ => next_voters(&zab, self.needed_voters),
+            VoterRule::ForgetLeavers => next_voters(&zab, &Departing::default(), self.needed_voters, now),
+            _ => self.replica(host).next_voters(self.needed_voters, now),
         }
     }
 
@@ -206,7 +210,7 @@
     /// At the primary: begins to see to a member's departure.
     pub fn begin_departure(&mut self, host: Host, leaver: Leaver, limit: Duration) {
         let now = self.clock(host);
-        let departure = Departure::begin(&self.replica(host).zab().borrow(), leaver.member, limit, now);
+        let departure = self.replica_mut(host).begin_departure(leaver.member, limit, now);
         let number = self.next_place();
         self.departures(host).under_way.insert(number, (departure, leaver));
         self.step_departure(host, number);
--- a/crates/signalbox/tests/simulation/world.rs
+++ b/crates/signalbox/tests/simulation/world.rs
@@ -268,6 +268,10 @@
         self.members[host].replica.as_ref().expect("the member is up")
     }
 
+    pub fn replica_mut(&mut self, host: Host) -> &mut Replica {
+        self.members[host].replica.as_mut().expect("the member is up")
+    }
+
     pub fn host_at(&self, at: SocketAddr) -> Option<Host> {
         (0..self.members.len()).find(|host| address(*host) == at)
     }
