--- a/crates/signalbox/tests/simulation/main.rs
+++ b/crates/signalbox/tests/simulation/main.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod histories;
 mod random_runs;
+mod random_voters;
 mod scenarios;
 mod voter_scenarios;
 mod voters;
