--- a/crates/interlocking/src/storage/slot.rs
+++ b/crates/interlocking/src/storage/slot.rs
@@ -1,7 +1,7 @@
 //! A slot: one whole image, with a mark, its length and a checksum before it.
 
 use super::error::StorageError;
-use crate::zab::{Entry, Frame, Image};
+use crate::zab::{Entry, Image, Snapshot};
 use borsh::{BorshDeserialize, BorshSerialize};
 use trackbed::ids::{MemberId, ZabEpoch};
 
@@ -20,7 +20,7 @@
     promised: ZabEpoch,
     promised_to: MemberId,
     current: ZabEpoch,
-    frame: Frame,
+    snapshot: Snapshot,
     entries: Vec<Entry>,
 }
 
@@ -32,7 +32,7 @@
             promised: image.promised,
             promised_to: image.promised_to,
             current: image.current,
-            frame: image.frame.clone(),
+            snapshot: image.snapshot.clone(),
             entries: image.entries.clone(),
         }
     }
@@ -43,7 +43,7 @@
             promised: self.promised,
             promised_to: self.promised_to,
             current: self.current,
-            frame: self.frame,
+            snapshot: self.snapshot,
             entries: self.entries,
         }
     }
--- a/crates/interlocking/src/storage/tests.rs
+++ b/crates/interlocking/src/storage/tests.rs
@@ -1,7 +1,7 @@
 use super::records::push_record;
 use super::test_disk::MemoryDisk;
 use super::*;
-use crate::zab::{Entry, Frame, Image, Payload, Record};
+use crate::zab::{Entry, Image, Payload, Record, Snapshot};
 use assert_matches::assert_matches;
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 use trackbed::random::Random;
@@ -46,7 +46,7 @@
             0 => {
                 self.counter += 1;
                 let zxid = Zxid::new(1, self.counter);
-                batch.push(Record::Restart(Frame { zxid, voters: Vec::new(), state: vec![9; 70] }));
+                batch.push(Record::Restart(Snapshot { zxid, voters: Vec::new(), state: vec![9; 70] }));
             }
             1 => batch.push(Record::Truncate(Zxid::new(1, self.counter.saturating_sub(2)))),
             _ => {}
@@ -127,7 +127,7 @@
 
 #[test]
 fn a_torn_batch_counts_as_none_of_it() {
-    let restart = Record::Restart(Frame { zxid: Zxid::new(1, 3), voters: Vec::new(), state: vec![1; 30] });
+    let restart = Record::Restart(Snapshot { zxid: Zxid::new(1, 3), voters: Vec::new(), state: vec![1; 30] });
     let batch = encoded_all(&[restart, entry(4), entry(5), Record::Current(ZabEpoch(6))]);
     let mut storage = begun();
     storage.append(&encoded_all(&[entry(1), entry(2), entry(3), entry(4), entry(5)])).unwrap();
@@ -181,7 +181,7 @@
         let mut storage = begun();
         storage.append(&[encoded(&entry(1))]).unwrap();
         let Recovered::Whole(mut image) = Storage::recover(storage.disk_copy()).unwrap().1 else { panic!("whole") };
-        image.frame.state = vec![3; 400];
+        image.snapshot.state = vec![3; 400];
         storage.disk_mut().steps_left = steps;
         let is_written = storage.write_image(&image).is_ok();
         storage.disk_mut().steps_left = u64::MAX;
@@ -199,14 +199,14 @@
     let mut storage = begun();
     storage.append(&[encoded(&entry(1))]).unwrap();
     let Recovered::Whole(mut image) = Storage::recover(storage.disk_copy()).unwrap().1 else { panic!("whole") };
-    image.frame.state = vec![3; 4000];
+    image.snapshot.state = vec![3; 4000];
     storage.disk_mut().capacity = 2000;
     assert_matches!(storage.write_image(&image), Err(StorageError::Io(_)));
     storage.append(&[encoded(&entry(2))]).unwrap();
     storage.disk_mut().capacity = usize::MAX;
     storage.write_image(&image).unwrap();
     let (_, found) = Storage::recover(storage.into_disk()).unwrap();
-    assert_matches!(found, Recovered::Whole(image) if image.frame.state.len() == 4000);
+    assert_matches!(found, Recovered::Whole(image) if image.snapshot.state.len() == 4000);
 }
 
 #[test]
--- a/crates/interlocking/src/zab/actions.rs
+++ b/crates/interlocking/src/zab/actions.rs
@@ -1,6 +1,6 @@
 //! What the state machine wants done.
 
-use super::history::{Entry, Frame, Voter};
+use super::history::{Entry, Snapshot, Voter};
 use super::messages::Message;
 use borsh::{BorshDeserialize, BorshSerialize};
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
@@ -20,8 +20,8 @@
     Append(Entry),
     /// The history ends at this zxid.
     Truncate(Zxid),
-    /// The history begins anew with this frame.
-    Restart(Frame),
+    /// The history begins anew with this snapshot.
+    Restart(Snapshot),
 }
 
 /// What the caller of the state machine is to do, in order.
@@ -48,8 +48,8 @@
         /// The change, as it was proposed.
         payload: Vec<u8>,
     },
-    /// The state at a frame replaces what was delivered.
-    DeliverFrame {
+    /// The state at a snapshot replaces what was delivered.
+    DeliverSnapshot {
         /// The last transaction that the state holds.
         zxid: Zxid,
         /// The application's state.
--- a/crates/interlocking/src/zab/following.rs
+++ b/crates/interlocking/src/zab/following.rs
@@ -181,20 +181,20 @@
     }
 
     fn adopt(&mut self, from: Voter, attempt: Attempt, epoch: ZabEpoch, missed: Missed) {
-        let Missed { frame, previous, entries } = missed;
-        let frame = frame.filter(|frame| frame.zxid > self.delivered);
-        if frame.is_none() && !self.history.contains(previous) {
+        let Missed { snapshot, previous, entries } = missed;
+        let snapshot = snapshot.filter(|snapshot| snapshot.zxid > self.delivered);
+        if snapshot.is_none() && !self.history.contains(previous) {
             let last = self.history.place_not_after(previous).unwrap_or(Zxid::ZERO);
             self.send(from, Message::Behind { attempt, epoch, previous, last });
             return;
         }
         let mut records = Vec::new();
-        if let Some(frame) = frame {
-            records.push(Record::Restart(frame.clone()));
-            self.delivered = frame.zxid;
-            self.committed = frame.zxid;
-            self.actions.push(Action::DeliverFrame { zxid: frame.zxid, state: frame.state.clone() });
-            self.history = History::new(frame);
+        if let Some(snapshot) = snapshot {
+            records.push(Record::Restart(snapshot.clone()));
+            self.delivered = snapshot.zxid;
+            self.committed = snapshot.zxid;
+            self.actions.push(Action::DeliverSnapshot { zxid: snapshot.zxid, state: snapshot.state.clone() });
+            self.history = History::new(snapshot);
         }
         self.take_history(previous, entries, &mut records);
         self.current = epoch;
--- a/crates/interlocking/src/zab/history.rs
+++ b/crates/interlocking/src/zab/history.rs
@@ -1,4 +1,4 @@
-//! A member's history: a frame, and the transactions after it.
+//! A member's history: a snapshot, and the transactions after it.
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::VecDeque;
@@ -43,7 +43,7 @@
 
 /// A snapshot of the state, which stands for all transactions up to a place.
 #[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
-pub struct Frame {
+pub struct Snapshot {
     /// The last transaction that the snapshot holds.
     pub zxid: Zxid,
     /// The voters in force at that place.
@@ -54,12 +54,12 @@
 
 /// The transactions that a member holds: a snapshot, and the entries after it.
 ///
-/// Invariants: entries rise by zxid; the first comes right after `base`; `base` ≤ the frame's zxid;
-/// everything up to the frame is committed.
+/// Invariants: entries rise by zxid; the first comes right after `base`; `base` ≤ the snapshot's zxid;
+/// everything up to the snapshot is committed.
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct History {
     /// The newest snapshot.
-    pub frame: Frame,
+    pub snapshot: Snapshot,
     base: Zxid,
     entries: VecDeque<Entry>,
     weight: usize,
@@ -69,9 +69,9 @@
 
 impl History {
     /// A history of a snapshot and no transactions after it.
-    pub fn new(frame: Frame) -> Self {
-        let voters = frame.voters.clone();
-        Self { base: frame.zxid, frame, entries: VecDeque::new(), weight: 0, voters }
+    pub fn new(snapshot: Snapshot) -> Self {
+        let voters = snapshot.voters.clone();
+        Self { base: snapshot.zxid, snapshot, entries: VecDeque::new(), weight: 0, voters }
     }
 
     /// The last transaction, or the place where the history begins.
@@ -107,7 +107,7 @@
         index > 0 && self.entries[index - 1].zxid == zxid
     }
 
-    /// The latest place not after `zxid` from which entries can be given; `None` when only the frame helps.
+    /// The latest place not after `zxid` from which entries can be given; `None` when only the snapshot helps.
     pub fn place_not_after(&self, zxid: Zxid) -> Option<Zxid> {
         if zxid < self.base {
             return None;
@@ -137,7 +137,7 @@
 
     /// Drops what comes after `zxid`.
     pub fn truncate(&mut self, zxid: Zxid) {
-        assert!(zxid >= self.frame.zxid, "what a frame holds is committed and never dropped");
+        assert!(zxid >= self.snapshot.zxid, "what a snapshot holds is committed and never dropped");
         while self.entries.back().is_some_and(|entry| entry.zxid > zxid) {
             let entry = self.entries.pop_back().expect("looked at just now");
             self.weight -= entry.payload.weight() + 32;
@@ -155,19 +155,19 @@
         self.entries
             .iter()
             .rev()
-            .filter(|entry| entry.zxid <= zxid && entry.zxid > self.frame.zxid)
+            .filter(|entry| entry.zxid <= zxid && entry.zxid > self.snapshot.zxid)
             .find_map(|entry| match &entry.payload {
                 Payload::Voters(voters) => Some(voters),
                 Payload::Change(_) => None,
             })
-            .unwrap_or(&self.frame.voters)
+            .unwrap_or(&self.snapshot.voters)
     }
 
-    /// Takes a new frame, and keeps a short tail before it for those a little behind.
+    /// Takes a new snapshot, and keeps a short tail before it for those a little behind.
     pub fn compact(&mut self, zxid: Zxid, state: Vec<u8>, keep: usize) {
-        assert!(zxid >= self.frame.zxid, "frames only move on");
+        assert!(zxid >= self.snapshot.zxid, "snapshots only move on");
         let voters = self.voters_at(zxid).clone();
-        self.frame = Frame { zxid, voters, state };
+        self.snapshot = Snapshot { zxid, voters, state };
         let mut spare = self.index_after(zxid).saturating_sub(keep);
         while spare > 0 {
             let entry = self.entries.pop_front().expect("counted just now");
--- a/crates/interlocking/src/zab/leading/synchronisation.rs
+++ b/crates/interlocking/src/zab/leading/synchronisation.rs
@@ -88,20 +88,20 @@
 
     /// What a follower lacks whose history ends at `last`. Followers that lack the same share one transfer.
     fn outgoing(&mut self, last: Zxid) -> Outgoing {
-        let (previous, frame) = match self.history.place_not_after(last) {
+        let (previous, snapshot) = match self.history.place_not_after(last) {
             Some(previous) => (previous, None),
-            None => (self.history.frame.zxid, Some(self.history.frame.clone())),
+            None => (self.history.snapshot.zxid, Some(self.history.snapshot.clone())),
         };
         let end = self.history.last();
         if let Role::Leading(leading) = &self.role {
             let mut others = leading.followers.values().filter_map(|follower| follower.transfer.as_ref());
-            let wanted = (previous, end, frame.is_some());
-            if let Some(same) = others.find(|other| (other.previous, other.last, other.has_frame) == wanted) {
+            let wanted = (previous, end, snapshot.is_some());
+            if let Some(same) = others.find(|other| (other.previous, other.last, other.has_snapshot) == wanted) {
                 return same.clone();
             }
         }
         let entries: Vec<Entry> = self.history.after(previous).cloned().collect();
-        Outgoing::new(&Missed { frame, previous, entries })
+        Outgoing::new(&Missed { snapshot, previous, entries })
     }
 
     /// Sends a follower the part of its transfer at `offset` (bytes), which it asks for.
--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -2,7 +2,7 @@
 
 use super::actions::{Action, Record, Ticket};
 use super::following::Following;
-use super::history::{Entry, Frame, History, Payload, Voter};
+use super::history::{Entry, History, Payload, Snapshot, Voter};
 use super::leading::Leading;
 use super::messages::{Attempt, Envelope, Message, PollState};
 use super::transfer::Incoming;
@@ -44,7 +44,7 @@
     /// The epoch whose history it last adopted.
     pub current: ZabEpoch,
     /// The snapshot that the history begins with.
-    pub frame: Frame,
+    pub snapshot: Snapshot,
     /// The entries after the snapshot.
     pub entries: Vec<Entry>,
 }
@@ -52,13 +52,13 @@
 impl Image {
     /// The image of a member that has neither promised nor stored anything.
     pub fn empty(member: MemberId, voters: Vec<Voter>) -> Self {
-        let frame = Frame { zxid: Zxid::ZERO, voters, state: Vec::new() };
+        let snapshot = Snapshot { zxid: Zxid::ZERO, voters, state: Vec::new() };
         Self {
             member,
             promised: ZabEpoch(0),
             promised_to: MemberId(0),
             current: ZabEpoch(0),
-            frame,
+            snapshot,
             entries: Vec::new(),
         }
     }
@@ -73,8 +73,8 @@
             Record::Current(epoch) => self.current = epoch,
             Record::Append(entry) => self.entries.push(entry),
             Record::Truncate(zxid) => self.entries.retain(|entry| entry.zxid <= zxid),
-            Record::Restart(frame) => {
-                self.frame = frame;
+            Record::Restart(snapshot) => {
+                self.snapshot = snapshot;
                 self.entries.clear();
             }
         }
@@ -161,11 +161,11 @@
     /// `life` is drawn at random at each start of the process.
     pub fn start(image: Image, me: Voter, timing: Timing, life: u64, now: Moment) -> Self {
         let fresh = image.promised == ZabEpoch(0) && image.entries.is_empty();
-        let mut history = History::new(image.frame);
+        let mut history = History::new(image.snapshot);
         for entry in image.entries {
             history.append(entry);
         }
-        let delivered = history.frame.zxid;
+        let delivered = history.snapshot.zxid;
         let held_until = if fresh { now } else { now + timing.lease };
         Self {
             me,
@@ -233,12 +233,12 @@
             promised: self.promised,
             promised_to: self.promised_to,
             current: self.current,
-            frame: self.history.frame.clone(),
-            entries: self.history.after(self.history.frame.zxid).cloned().collect(),
+            snapshot: self.history.snapshot.clone(),
+            entries: self.history.after(self.history.snapshot.zxid).cloned().collect(),
         }
     }
 
-    /// The state delivered so far becomes the frame.
+    /// The state delivered so far becomes the snapshot.
     pub fn compact(&mut self, state: Vec<u8>, keep: usize) {
         self.history.compact(self.delivered, state, keep);
     }
--- a/crates/interlocking/src/zab/tests/sessions.rs
+++ b/crates/interlocking/src/zab/tests/sessions.rs
@@ -74,7 +74,7 @@
 }
 
 fn empty_history(attempt: Attempt) -> Message {
-    let missed = Missed { frame: None, previous: Zxid::ZERO, entries: Vec::new() };
+    let missed = Missed { snapshot: None, previous: Zxid::ZERO, entries: Vec::new() };
     let part = Outgoing::new(&missed).part(0).expect("a first part");
     Message::NewLeader { attempt, epoch: EPOCH, part }
 }
--- a/crates/interlocking/src/zab/tests/transfers.rs
+++ b/crates/interlocking/src/zab/tests/transfers.rs
@@ -10,7 +10,7 @@
     let payload = Payload::Change(vec![7; 100]);
     let entries =
         (1..=bytes as u64 / 100).map(|counter| Entry { zxid: Zxid::new(1, counter), payload: payload.clone() });
-    Missed { frame: None, previous: Zxid::ZERO, entries: entries.collect() }
+    Missed { snapshot: None, previous: Zxid::ZERO, entries: entries.collect() }
 }
 
 #[test]
--- a/crates/interlocking/src/zab/tests/world.rs
+++ b/crates/interlocking/src/zab/tests/world.rs
@@ -147,7 +147,7 @@
             return;
         }
         member.life += 1;
-        member.state = decode(&member.image.frame.state);
+        member.state = decode(&member.image.snapshot.state);
         let me = Voter { id: member.image.member, address: address(host) };
         let life = ((host as u64) << 32) | member.life as u64;
         let mut zab = Zab::start(member.image.clone(), me, Timing::default(), life, now);
@@ -189,9 +189,9 @@
                     self.at(Duration::from_micros(span), Event::Written { host, life });
                 }
                 Action::Deliver { payload, .. } => self.delivered(host, decode(&payload)[0]),
-                Action::DeliverFrame { state, .. } => {
+                Action::DeliverSnapshot { state, .. } => {
                     let state = decode(&state);
-                    // Agreement: a frame is a part of the one order.
+                    // Agreement: a snapshot is a part of the one order.
                     assert!(state.len() <= self.order.len() && state[..] == self.order[..state.len()]);
                     self.members[host as usize].state = state;
                 }
@@ -320,7 +320,7 @@
             for (id, acked) in leading.acknowledged() {
                 let Some(member) = self.members.iter().find(|member| member.image.member == id) else { continue };
                 let later = member.image.promised > leading.epoch();
-                let last = member.image.entries.last().map(|entry| entry.zxid).unwrap_or(member.image.frame.zxid);
+                let last = member.image.entries.last().map(|entry| entry.zxid).unwrap_or(member.image.snapshot.zxid);
                 assert!(later || last >= acked, "{id} acknowledged {acked} in {} and ends at {last}", leading.epoch());
             }
         }
--- a/crates/interlocking/src/zab/transfer.rs
+++ b/crates/interlocking/src/zab/transfer.rs
@@ -1,6 +1,6 @@
 //! A history on its way to a follower: parts that go on after a break, so that heartbeats are never held up.
 
-use super::history::{Entry, Frame};
+use super::history::{Entry, Snapshot};
 use borsh::{BorshDeserialize, BorshSerialize};
 use derive_more::{Display, Error};
 use std::sync::Arc;
@@ -15,7 +15,7 @@
 /// longer has the entries that lead there.
 #[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Missed {
-    pub frame: Option<Frame>,
+    pub snapshot: Option<Snapshot>,
     pub previous: Zxid,
     pub entries: Vec<Entry>,
 }
@@ -57,7 +57,7 @@
 pub struct Outgoing {
     pub previous: Zxid,
     pub last: Zxid,
-    pub has_frame: bool,
+    pub has_snapshot: bool,
     bytes: Arc<Vec<u8>>,
     checksum: u32,
 }
@@ -66,8 +66,8 @@
     pub fn new(missed: &Missed) -> Self {
         let bytes = borsh::to_vec(missed).expect("writing to memory can't fail");
         let last = missed.entries.last().map(|entry| entry.zxid).unwrap_or(missed.previous);
-        let (previous, has_frame) = (missed.previous, missed.frame.is_some());
-        Self { previous, last, has_frame, checksum: crc32fast::hash(&bytes), bytes: Arc::new(bytes) }
+        let (previous, has_snapshot) = (missed.previous, missed.snapshot.is_some());
+        Self { previous, last, has_snapshot, checksum: crc32fast::hash(&bytes), bytes: Arc::new(bytes) }
     }
 
     /// Where to go on: after what the follower holds, if that is how this transfer begins.
--- a/crates/interlocking/tests/model/cluster.rs
+++ b/crates/interlocking/tests/model/cluster.rs
@@ -232,8 +232,8 @@
                     member.delivered.extend(payload);
                     Arc::make_mut(&mut self.observer).on_deliver(host, zxid, member);
                 }
-                Action::DeliverFrame { state, .. } => {
-                    Arc::make_mut(&mut self.observer).on_deliver_frame(&state);
+                Action::DeliverSnapshot { state, .. } => {
+                    Arc::make_mut(&mut self.observer).on_deliver_snapshot(&state);
                     member.delivered = state;
                 }
                 Action::Ready { epoch } => Arc::make_mut(&mut self.observer).on_ready(host, epoch, member),
--- a/crates/interlocking/tests/model/member.rs
+++ b/crates/interlocking/tests/model/member.rs
@@ -58,7 +58,7 @@
         let me = Voter { id: image.member, address: address(setup.host) };
         let mut zab = Zab::start(image.clone(), me, setup.timing, life, now);
         zab.set_contacts((0..setup.hosts).map(address).collect());
-        let delivered = image.frame.state.clone();
+        let delivered = image.snapshot.state.clone();
         let mut member = Self { zab, image, pending: VecDeque::new(), delivered, life, fingerprint: 0 };
         member.refresh_fingerprint();
         member
@@ -160,7 +160,7 @@
 
     /// True when the transaction outlives a crash of the process.
     pub fn holds_durably(&self, zxid: Zxid) -> bool {
-        zxid <= self.image.frame.zxid || self.image.entries.iter().any(|entry| entry.zxid == zxid)
+        zxid <= self.image.snapshot.zxid || self.image.entries.iter().any(|entry| entry.zxid == zxid)
     }
 
     pub fn refresh_fingerprint(&mut self) {
--- a/crates/interlocking/tests/model/observer.rs
+++ b/crates/interlocking/tests/model/observer.rs
@@ -107,7 +107,7 @@
         self.order.push(change);
     }
 
-    pub fn on_deliver_frame(&mut self, state: &[Change]) {
+    pub fn on_deliver_snapshot(&mut self, state: &[Change]) {
         if !self.order.starts_with(state) {
             self.fail(format!("agreement: the state {state:?} is no prefix of {:?}", self.order));
         }
--- a/crates/signalbox/src/ledger/snapshot.rs
+++ b/crates/signalbox/src/ledger/snapshot.rs
@@ -30,7 +30,7 @@
     /// What a snapshot of the state delivered so far would fold. Entries after it are not counted: a snapshot
     /// leaves them in the log, and must not be written over and over while they wait for a quorum.
     pub fn of(history: &History, delivered: Zxid) -> Self {
-        let entries = history.after(history.frame.zxid).take_while(|entry| entry.zxid <= delivered);
+        let entries = history.after(history.snapshot.zxid).take_while(|entry| entry.zxid <= delivered);
         entries.fold(Self::default(), |growth, entry| growth.with(payload_bytes(&entry.payload)))
     }
 
--- a/crates/signalbox/src/ledger/state.rs
+++ b/crates/signalbox/src/ledger/state.rs
@@ -6,7 +6,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::rc::Rc;
 use std::time::Duration;
-use timetable::fleet::{FleetFrame, FleetFrameBefore, FleetState};
+use timetable::fleet::{FleetSnapshot, FleetSnapshotBefore, FleetState};
 use timetable::packed::Packed;
 use timetable::shared::SharedMap;
 use trackbed::clock::Moment;
@@ -21,7 +21,7 @@
 }
 
 #[derive(BorshSerialize, BorshDeserialize)]
-struct LedgerFrame<F> {
+struct LedgerSnapshot<F> {
     fleet: F,
     locks: SharedMap<String, LockRecord>,
     last_fence: u64,
@@ -40,16 +40,16 @@
 const MOST_PLANS: usize = 2;
 
 /// Reads a ledger as it is now, or as it stood on disks before there was a forecast, or councils.
-fn read(mut state: &[u8]) -> borsh::io::Result<(LedgerFrame<FleetFrame>, Option<Foresight>)> {
+fn read(mut state: &[u8]) -> borsh::io::Result<(LedgerSnapshot<FleetSnapshot>, Option<Foresight>)> {
     let whole = state;
-    let now = LedgerFrame::<FleetFrame>::deserialize(&mut state).and_then(|frame| match state.is_empty() {
-        true => Ok((frame, None)),
-        false => Ok((frame, Some(Foresight::try_from_slice(state)?))),
+    let now = LedgerSnapshot::<FleetSnapshot>::deserialize(&mut state).and_then(|snapshot| match state.is_empty() {
+        true => Ok((snapshot, None)),
+        false => Ok((snapshot, Some(Foresight::try_from_slice(state)?))),
     });
     now.or_else(|error| {
-        let before = LedgerFrame::<FleetFrameBefore>::try_from_slice(whole).map_err(|_| error)?;
-        let LedgerFrame { fleet, locks, last_fence, numbers, groups } = before;
-        Ok((LedgerFrame { fleet: fleet.into(), locks, last_fence, numbers, groups }, None))
+        let before = LedgerSnapshot::<FleetSnapshotBefore>::try_from_slice(whole).map_err(|_| error)?;
+        let LedgerSnapshot { fleet, locks, last_fence, numbers, groups } = before;
+        Ok((LedgerSnapshot { fleet: fleet.into(), locks, last_fence, numbers, groups }, None))
     })
 }
 
@@ -77,14 +77,14 @@
     }
 
     pub fn encode(&self) -> Vec<u8> {
-        let frame = LedgerFrame {
-            fleet: self.fleet.frame().clone(),
+        let snapshot = LedgerSnapshot {
+            fleet: self.fleet.snapshot().clone(),
             locks: self.locks.clone(),
             last_fence: self.last_fence,
             numbers: self.numbers.clone(),
             groups: self.groups.clone(),
         };
-        let mut bytes = borsh::to_vec(&frame).expect("writing to memory can't fail");
+        let mut bytes = borsh::to_vec(&snapshot).expect("writing to memory can't fail");
         let foresight = Foresight { history: self.history.clone(), plans: self.plans.clone() };
         foresight.serialize(&mut bytes).expect("writing to memory can't fail");
         bytes
@@ -95,20 +95,20 @@
         if state.is_empty() {
             return Ok(ledger);
         }
-        let (frame, foresight) = read(state)?;
+        let (snapshot, foresight) = read(state)?;
         if let Some(Foresight { history, plans }) = foresight {
             (ledger.history, ledger.plans) = (history, plans);
         }
-        ledger.fleet = FleetState::from_frame(frame.fleet);
-        ledger.locks = frame.locks;
-        ledger.last_fence = frame.last_fence;
-        ledger.numbers = frame.numbers;
+        ledger.fleet = FleetState::from_snapshot(snapshot.fleet);
+        ledger.locks = snapshot.locks;
+        ledger.last_fence = snapshot.last_fence;
+        ledger.numbers = snapshot.numbers;
         let anew = |(name, group): (&String, &CellGroup)| {
             let mut group = group.clone();
             group.restart_history(now);
             (name.clone(), group)
         };
-        ledger.groups = frame.groups.iter().map(anew).collect();
+        ledger.groups = snapshot.groups.iter().map(anew).collect();
         Ok(ledger)
     }
 
--- a/crates/signalbox/src/ledger/tests.rs
+++ b/crates/signalbox/src/ledger/tests.rs
@@ -3,12 +3,12 @@
 use super::state::LockRecord;
 use super::{Change, History, Ledger, LogGrowth, Plan};
 use borsh::{BorshDeserialize, BorshSerialize};
-use interlocking::zab::{Entry, Frame, History as Log, Payload};
+use interlocking::zab::{Entry, History as Log, Payload, Snapshot};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 use std::time::Duration;
 use timetable::configuration::{Configuration, Patch};
-use timetable::fleet::{ConfigChange, FleetChange, FleetFrame, FleetNews, FleetState};
+use timetable::fleet::{ConfigChange, FleetChange, FleetNews, FleetSnapshot, FleetState};
 use timetable::packed::Packed;
 use timetable::work::Work;
 use trackbed::clock::Moment;
@@ -185,7 +185,7 @@
 #[test]
 fn what_waits_for_a_quorum_asks_for_no_snapshot() {
     let entry = |counter| Entry { zxid: Zxid::new(1, counter), payload: Payload::Change(vec![0; 10_000]) };
-    let mut log = Log::new(Frame { zxid: Zxid::ZERO, voters: Vec::new(), state: Vec::new() });
+    let mut log = Log::new(Snapshot { zxid: Zxid::ZERO, voters: Vec::new(), state: Vec::new() });
     (1..=100).for_each(|counter| log.append(entry(counter)));
     assert!(!LogGrowth::of(&log, Zxid::ZERO).wants_snapshot(0));
     assert_eq!(LogGrowth::of(&log, Zxid::new(1, 30)), LogGrowth { bytes: 300_000, entries: 30 });
@@ -208,7 +208,7 @@
 /// A ledger as its fields were derived before.
 #[derive(BorshSerialize, BorshDeserialize)]
 struct PlainLedger {
-    fleet: FleetFrame,
+    fleet: FleetSnapshot,
     locks: BTreeMap<String, LockRecord>,
     last_fence: u64,
     numbers: BTreeMap<String, u64>,
--- a/crates/signalbox/src/node/disk_tests.rs
+++ b/crates/signalbox/src/node/disk_tests.rs
@@ -55,7 +55,7 @@
     storage.write_image(&image).unwrap();
     let (done, mut tickets) = futures_channel::mpsc::unbounded();
     let writes = start(storage, done).unwrap();
-    image.frame.state = vec![0; LONGEST_WRITE * 2];
+    image.snapshot.state = vec![0; LONGEST_WRITE * 2];
     for counter in 1..=3 {
         writes.send(Write::Image { encoded: Storage::<NarrowDisk>::encode_image(&image) }).unwrap();
         writes.send(Write::Append { ticket: Ticket(counter), records: vec![record(counter)] }).unwrap();
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -73,7 +73,7 @@
     log::info!("member {} starts at epoch {}, {} records", image.member, image.current, image.entries.len());
     let now = clock::now();
     let address = SocketAddr::new(config.ip_address, config.core_port());
-    let committed = Ledger::decode(&image.frame.state, config.bounds.history(), now)?;
+    let committed = Ledger::decode(&image.snapshot.state, config.bounds.history(), now)?;
     let me = Voter { id: image.member, address };
     let zab = Zab::start(image, me, Timing::default(), random.draw(), now);
     let replica = Replica::new(zab, committed, config.bounds.history());
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -135,7 +135,7 @@
 fn fold(node: &Signalbox) {
     let mut zab = node.zab.borrow_mut();
     let growth = LogGrowth::of(zab.history(), zab.delivered());
-    if !growth.wants_snapshot(zab.history().frame.state.len()) {
+    if !growth.wants_snapshot(zab.history().snapshot.state.len()) {
         return;
     }
     let state = node.committed.borrow().encode();
--- a/crates/signalbox/src/replica/state.rs
+++ b/crates/signalbox/src/replica/state.rs
@@ -51,7 +51,7 @@
 }
 
 impl Replica {
-    /// A member whose committed state is that of the frame Zab starts from.
+    /// A member whose committed state is that of the snapshot Zab starts from.
     pub fn new(zab: Zab, committed: Ledger, history: Duration) -> Self {
         Self {
             zab: Rc::new(RefCell::new(zab)),
@@ -80,7 +80,7 @@
         &self.proposed
     }
 
-    /// How long events of keys are kept from the next frame on.
+    /// How long events of keys are kept from the next snapshot on.
     pub fn set_history(&mut self, history: Duration) {
         self.history = history;
     }
@@ -210,7 +210,7 @@
                     Ok(change) => self.deliver(zxid, change, Packed::from_bytes(payload), now, &mut effects),
                     Err(error) => log::error!("a transaction can't be read ({error}): upgrade this node"),
                 },
-                Action::DeliverFrame { zxid, state } => self.adopt_frame(zxid, &state, now, &mut effects),
+                Action::DeliverSnapshot { zxid, state } => self.adopt_snapshot(zxid, &state, now, &mut effects),
                 Action::Ready { epoch } => {
                     self.take_over(now);
                     effects.push(Effect::BecamePrimary { epoch });
@@ -304,10 +304,10 @@
         }
     }
 
-    fn adopt_frame(&mut self, zxid: Zxid, state: &[u8], now: Moment, effects: &mut Vec<Effect>) {
+    fn adopt_snapshot(&mut self, zxid: Zxid, state: &[u8], now: Moment, effects: &mut Vec<Effect>) {
         match Ledger::decode(state, self.history, now) {
             Ok(ledger) => *self.committed.borrow_mut() = ledger,
-            Err(error) => log::error!("the frame at {zxid} can't be read ({error}): upgrade this node"),
+            Err(error) => log::error!("the snapshot at {zxid} can't be read ({error}): upgrade this node"),
         }
         self.tell_configuration(effects);
         effects.push(Effect::FleetMoved);
--- a/crates/signalbox/tests/simulation/scenarios.rs
+++ b/crates/signalbox/tests/simulation/scenarios.rs
@@ -319,7 +319,7 @@
     let primary = primary_of(&mut world);
     let (own, others) = (world.committed(behind), world.committed(primary));
     assert_eq!(own.fleet.epoch().0, CHANGES + 1);
-    assert!(own.fleet.frame() == others.fleet.frame(), "another state than the primary's");
+    assert!(own.fleet.snapshot() == others.fleet.snapshot(), "another state than the primary's");
     assert_eq!(read_back(&mut world, &[behind]).0, CHANGES + 1);
 }
 
--- a/crates/signalbox/tests/simulation/voters.rs
+++ b/crates/signalbox/tests/simulation/voters.rs
@@ -94,7 +94,7 @@
 
     /// Broken: power and disk are lost, and whoever starts here next has the id and the vote of before.
     pub fn forget(&mut self, host: Host) {
-        let (member, voters) = (self.image(host).member, self.image(host).frame.voters.clone());
+        let (member, voters) = (self.image(host).member, self.image(host).snapshot.voters.clone());
         self.wipe(host);
         self.set_image(host, Image::empty(member, voters));
     }
@@ -120,7 +120,7 @@
     /// The last transaction that a member's disk holds.
     pub fn last_durable(&self, host: Host) -> Zxid {
         let image = self.image(host);
-        image.entries.last().map_or(image.frame.zxid, |entry| entry.zxid)
+        image.entries.last().map_or(image.snapshot.zxid, |entry| entry.zxid)
     }
 
     /// The last transaction committed at a member that is up.
--- a/crates/signalbox/tests/simulation/world.rs
+++ b/crates/signalbox/tests/simulation/world.rs
@@ -318,7 +318,8 @@
             return;
         }
         member.life += 1;
-        let committed = Ledger::decode(&member.image.frame.state, HISTORY, now).expect("the frame was written here");
+        let committed =
+            Ledger::decode(&member.image.snapshot.state, HISTORY, now).expect("the snapshot was written here");
         let me = Voter { id: member.image.member, address: address(host) };
         let mut zab = Zab::start(member.image.clone(), me, member.timing, member.life as u64, now);
         zab.set_contacts(contacts);
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -15,7 +15,7 @@
 const REMEMBERED: usize = 1024;
 
 #[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
-pub struct FleetFrame {
+pub struct FleetSnapshot {
     pub zxid: Zxid,
     configuration: Option<Configuration>,
     instances: SharedMap<InstanceId, Rc<Instance>>,
@@ -26,7 +26,7 @@
 
 /// As it stood on disks before there were councils.
 #[derive(BorshDeserialize)]
-pub struct FleetFrameBefore {
+pub struct FleetSnapshotBefore {
     zxid: Zxid,
     configuration: Option<Configuration>,
     instances: SharedMap<InstanceId, Rc<Instance>>,
@@ -34,9 +34,9 @@
     taken: RecentKeys<u128, ConfigEpoch>,
 }
 
-impl From<FleetFrameBefore> for FleetFrame {
-    fn from(before: FleetFrameBefore) -> Self {
-        let FleetFrameBefore { zxid, configuration, instances, ended, taken } = before;
+impl From<FleetSnapshotBefore> for FleetSnapshot {
+    fn from(before: FleetSnapshotBefore) -> Self {
+        let FleetSnapshotBefore { zxid, configuration, instances, ended, taken } = before;
         Self { zxid, configuration, instances, ended, taken, charters: SharedMap::new() }
     }
 }
@@ -48,14 +48,14 @@
     Changes(Vec<(Zxid, Packed)>),
     Whole {
         zxid: Zxid,
-        frame: Packed,
+        snapshot: Packed,
     },
 }
 
-/// Copies share their structure. Invariants: `frame.zxid` only rises; `routes` is what `frame.configuration` says.
+/// Copies share their structure. Invariants: `snapshot.zxid` only rises; `routes` is what `snapshot.configuration` says.
 #[derive(Clone, Default)]
 pub struct FleetState {
-    frame: FleetFrame,
+    snapshot: FleetSnapshot,
     routes: Option<Rc<Routes>>,
     by_service: SharedMap<ServiceName, Rc<Vec<Rc<Instance>>>>,
     by_address: SharedMap<SocketAddr, InstanceId>,
@@ -65,61 +65,61 @@
 }
 
 impl FleetState {
-    pub fn from_frame(mut frame: FleetFrame) -> Self {
-        let tail = NewsTail::starting_at(frame.zxid);
+    pub fn from_snapshot(mut snapshot: FleetSnapshot) -> Self {
+        let tail = NewsTail::starting_at(snapshot.zxid);
         // One that fails the checks of this version is kept all the same, and no request is sent by it.
-        let _ = frame.configuration.as_mut().map(Configuration::check);
-        let routes = frame.configuration.as_ref().and_then(Configuration::table).cloned();
-        let mut state = Self { frame, routes, tail, ..Self::default() };
-        let instances: Vec<Rc<Instance>> = state.frame.instances.values().cloned().collect();
+        let _ = snapshot.configuration.as_mut().map(Configuration::check);
+        let routes = snapshot.configuration.as_ref().and_then(Configuration::table).cloned();
+        let mut state = Self { snapshot, routes, tail, ..Self::default() };
+        let instances: Vec<Rc<Instance>> = state.snapshot.instances.values().cloned().collect();
         instances.iter().for_each(|instance| state.index(instance));
         state
     }
 
     /// A copy that changes are made on, and that nobody asks for news: it keeps none.
     pub fn without_news(&self) -> Self {
-        Self { tail: NewsTail::keeping_none(self.frame.zxid), told_whole: RefCell::default(), ..self.clone() }
+        Self { tail: NewsTail::keeping_none(self.snapshot.zxid), told_whole: RefCell::default(), ..self.clone() }
     }
 
-    pub fn frame(&self) -> &FleetFrame {
-        &self.frame
+    pub fn snapshot(&self) -> &FleetSnapshot {
+        &self.snapshot
     }
     pub fn zxid(&self) -> Zxid {
-        self.frame.zxid
+        self.snapshot.zxid
     }
     pub fn routes(&self) -> Option<&Rc<Routes>> {
         self.routes.as_ref()
     }
     pub fn configuration(&self) -> Option<&Configuration> {
-        self.frame.configuration.as_ref()
+        self.snapshot.configuration.as_ref()
     }
     pub fn epoch(&self) -> ConfigEpoch {
-        self.frame.configuration.as_ref().map(|configuration| configuration.epoch).unwrap_or_default()
+        self.snapshot.configuration.as_ref().map(|configuration| configuration.epoch).unwrap_or_default()
     }
     pub fn instance(&self, id: &InstanceId) -> Option<&Instance> {
-        self.frame.instances.get(id).map(Rc::as_ref)
+        self.snapshot.instances.get(id).map(Rc::as_ref)
     }
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
-        self.frame.instances.values().map(Rc::as_ref)
+        self.snapshot.instances.values().map(Rc::as_ref)
     }
     pub fn has_ended(&self, id: &InstanceId) -> bool {
-        self.frame.ended.contains(id)
+        self.snapshot.ended.contains(id)
     }
     /// True when this very call has been taken, whatever came after.
     pub fn has_taken(&self, digest: u128) -> bool {
-        self.frame.taken.contains(&digest)
+        self.snapshot.taken.contains(&digest)
     }
     /// The version that the oldest remembered call made, once calls before it may be forgotten. Of a
     /// call that builds on an older version it can't be told any more whether it was taken.
     pub fn oldest_remembered_order(&self) -> Option<ConfigEpoch> {
-        let oldest = self.frame.taken.oldest_mark()?;
-        (self.frame.taken.len() >= REMEMBERED).then_some(*oldest)
+        let oldest = self.snapshot.taken.oldest_mark()?;
+        (self.snapshot.taken.len() >= REMEMBERED).then_some(*oldest)
     }
     pub fn charter(&self, region: &RegionName) -> Option<&Charter> {
-        self.frame.charters.get(region)
+        self.snapshot.charters.get(region)
     }
     pub fn charters(&self) -> impl Iterator<Item = &Charter> {
-        self.frame.charters.values()
+        self.snapshot.charters.values()
     }
     /// Every service that has endpoints, with them.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Rc<Instance>])> {
@@ -140,7 +140,7 @@
     }
 
     fn remove(&mut self, id: &InstanceId) {
-        let Some(gone) = self.frame.instances.remove(id) else { return };
+        let Some(gone) = self.snapshot.instances.remove(id) else { return };
         if self.by_address.get(&gone.address) == Some(id) {
             self.by_address.remove(&gone.address);
         }
@@ -164,17 +164,17 @@
     }
 
     fn apply_with_news(&mut self, zxid: Zxid, change: FleetChange, news: Option<TailEntry>) {
-        assert!(zxid > self.frame.zxid, "the fleet's state only moves on");
-        self.frame.zxid = zxid;
+        assert!(zxid > self.snapshot.zxid, "the fleet's state only moves on");
+        self.snapshot.zxid = zxid;
         match change {
             FleetChange::Configure { change, digest } => self.configure(&change, digest),
             FleetChange::Register(instance) => self.register(instance),
             FleetChange::End(id) => self.end(&id),
             FleetChange::Lost(id) => self.remove(&id),
             FleetChange::Council { region, members } => {
-                let before = self.frame.charters.remove(&region).map(|charter| charter.members).unwrap_or_default();
+                let before = self.snapshot.charters.remove(&region).map(|charter| charter.members).unwrap_or_default();
                 let charter = Charter { region: region.clone(), zxid, members, before };
-                self.frame.charters.insert(region, charter);
+                self.snapshot.charters.insert(region, charter);
             }
         }
         self.tail.push(zxid, news);
@@ -186,17 +186,17 @@
             self.end(&other);
         }
         // What was ordered of leaving holds for the rest of a life, whatever a late word says.
-        instance.draining |= self.frame.instances.get(&instance.id).is_some_and(|known| known.draining);
+        instance.draining |= self.snapshot.instances.get(&instance.id).is_some_and(|known| known.draining);
         self.remove(&instance.id);
         let instance = Rc::new(instance);
         self.index(&instance);
-        self.frame.instances.insert(instance.id.clone(), instance);
+        self.snapshot.instances.insert(instance.id.clone(), instance);
     }
 
     /// Reads and checks a whole configuration that is to follow the present one. Items that are as they were
     /// are not parsed again, and a change made of it is not checked anew when it is applied.
     pub fn parse_next(&self, body: &[u8]) -> Result<Configuration, Fault> {
-        match &self.frame.configuration {
+        match &self.snapshot.configuration {
             Some(present) => Configuration::parse_after(body, present),
             None => Configuration::parse(body),
         }
@@ -205,7 +205,7 @@
     /// The configuration that a change would make of the present one, checked. Costs O(items changed · log n),
     /// and for a whole configuration that was not checked yet a comparison of the texts.
     pub fn next_configuration(&self, change: &ConfigChange) -> Result<Configuration, Fault> {
-        let present = self.frame.configuration.as_ref();
+        let present = self.snapshot.configuration.as_ref();
         match (change, present) {
             (ConfigChange::Whole(whole), Some(present)) => whole.after(present),
             (ConfigChange::Whole(whole), None) => whole.clone().checked(),
@@ -220,54 +220,54 @@
             log_fault(digest);
             return;
         };
-        self.frame.taken.push(next.epoch, digest, REMEMBERED);
+        self.snapshot.taken.push(next.epoch, digest, REMEMBERED);
         self.routes = next.table().cloned();
-        self.frame.configuration = Some(next);
+        self.snapshot.configuration = Some(next);
     }
 
     fn end(&mut self, id: &InstanceId) {
         self.remove(id);
-        if !self.frame.ended.contains(id) {
-            self.frame.ended.push((), id.clone(), REMEMBERED);
+        if !self.snapshot.ended.contains(id) {
+            self.snapshot.ended.push((), id.clone(), REMEMBERED);
         }
     }
 
     /// What brings a node at `zxid` to this state; `None` when it is there already.
     pub fn news_since(&self, zxid: Zxid) -> Option<FleetNews> {
-        if zxid >= self.frame.zxid {
+        if zxid >= self.snapshot.zxid {
             return None;
         }
         let Some(changes) = self.tail.after(zxid) else {
             let mut told = self.told_whole.borrow_mut();
-            let zxid = self.frame.zxid;
+            let zxid = self.snapshot.zxid;
             if told.as_ref().is_none_or(|(at, _)| *at != zxid) {
-                *told = Some((zxid, Packed::pack(&self.frame)));
+                *told = Some((zxid, Packed::pack(&self.snapshot)));
             }
-            return told.clone().map(|(zxid, frame)| FleetNews::Whole { zxid, frame });
+            return told.clone().map(|(zxid, snapshot)| FleetNews::Whole { zxid, snapshot });
         };
         Some(FleetNews::Changes(changes))
     }
 
     /// The whole state, for a node whose own is in doubt.
     pub fn whole(&self) -> FleetNews {
-        FleetNews::Whole { zxid: self.frame.zxid, frame: Packed::pack(&self.frame) }
+        FleetNews::Whole { zxid: self.snapshot.zxid, snapshot: Packed::pack(&self.snapshot) }
     }
 
     /// Takes the whole state in place of its own, though it may be no newer; true when it did.
     pub fn replace(&mut self, news: FleetNews) -> bool {
-        let FleetNews::Whole { zxid, frame } = news else { return false };
-        let whole = frame.unpack::<FleetFrame>().ok().filter(|_| zxid >= self.frame.zxid);
-        whole.map(|whole| *self = Self::from_frame(whole)).is_some()
+        let FleetNews::Whole { zxid, snapshot } = news else { return false };
+        let whole = snapshot.unpack::<FleetSnapshot>().ok().filter(|_| zxid >= self.snapshot.zxid);
+        whole.map(|whole| *self = Self::from_snapshot(whole)).is_some()
     }
 
     /// Takes news asked for at `since`; true when this state moved on.
     pub fn take(&mut self, since: Zxid, news: FleetNews) -> bool {
-        let before = self.frame.zxid;
+        let before = self.snapshot.zxid;
         match news {
-            FleetNews::Whole { zxid, frame } if zxid > before => {
-                let Ok(whole) = frame.unpack::<FleetFrame>() else { return false };
-                *self = Self::from_frame(whole);
-                *self.told_whole.borrow_mut() = Some((zxid, frame));
+            FleetNews::Whole { zxid, snapshot } if zxid > before => {
+                let Ok(whole) = snapshot.unpack::<FleetSnapshot>() else { return false };
+                *self = Self::from_snapshot(whole);
+                *self.told_whole.borrow_mut() = Some((zxid, snapshot));
             }
             FleetNews::Changes(changes) if since == before => {
                 for (zxid, packed) in changes.into_iter().filter(|(zxid, _)| *zxid > before) {
@@ -277,7 +277,7 @@
             }
             _ => {}
         }
-        self.frame.zxid > before
+        self.snapshot.zxid > before
     }
 }
 
--- a/crates/timetable/src/fleet/state/tests.rs
+++ b/crates/timetable/src/fleet/state/tests.rs
@@ -55,6 +55,6 @@
         if let Some(news) = ahead.news_since(since) {
             assert!(state.take(since, news));
         }
-        assert_eq!(state.frame(), ahead.frame());
+        assert_eq!(state.snapshot(), ahead.snapshot());
     }
 }
--- a/crates/timetable/tests/cost_of_changes.rs
+++ b/crates/timetable/tests/cost_of_changes.rs
@@ -180,6 +180,6 @@
         ahead.apply(Zxid::new(1, 2), configure(change.clone(), 2));
         assert_eq!(Work::since(before), Work::default(), "{routes} routes: it was checked when it was read");
         state.apply(Zxid::new(1, 2), over_the_wire(configure(change, 2)));
-        assert_eq!(state.frame(), ahead.frame());
+        assert_eq!(state.snapshot(), ahead.snapshot());
     }
 }
--- a/crates/timetable/tests/encoding.rs
+++ b/crates/timetable/tests/encoding.rs
@@ -3,7 +3,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::{BTreeMap, VecDeque};
 use timetable::configuration::Configuration;
-use timetable::fleet::{Charter, ConfigChange, FleetChange, FleetFrame, FleetState, Instance, Member};
+use timetable::fleet::{Charter, ConfigChange, FleetChange, FleetSnapshot, FleetState, Instance, Member};
 use trackbed::ids::{ConfigEpoch, InstanceId, NodeName, RegionName, ServiceName, ZoneName, Zxid};
 
 type Texts = BTreeMap<String, String>;
@@ -18,9 +18,9 @@
     others: Texts,
 }
 
-/// The fleet's frame as its fields were derived before.
+/// The fleet's snapshot as its fields were derived before.
 #[derive(Debug, PartialEq, BorshSerialize, BorshDeserialize)]
-struct PlainFrame {
+struct PlainSnapshot {
     zxid: Zxid,
     configuration: Option<PlainConfiguration>,
     instances: BTreeMap<InstanceId, Instance>,
@@ -83,9 +83,9 @@
 }
 
 #[test]
-fn frames_are_encoded_as_maps_and_queues() {
+fn snapshots_are_encoded_as_maps_and_queues() {
     let mut state = FleetState::default();
-    let mut plain = PlainFrame {
+    let mut plain = PlainSnapshot {
         zxid: Zxid::new(1, 1200),
         configuration: Some(plain_configuration()),
         instances: BTreeMap::from([(InstanceId::new("i9"), instance("i9", 9))]),
@@ -107,12 +107,12 @@
     let charter =
         Charter { region: region.clone(), zxid: Zxid::new(1, 1200), members: vec![member()], before: Vec::new() };
     plain.charters.insert(region, charter);
-    let bytes = borsh::to_vec(state.frame()).unwrap();
-    assert_eq!(borsh::from_slice::<PlainFrame>(&bytes).unwrap(), plain);
+    let bytes = borsh::to_vec(state.snapshot()).unwrap();
+    assert_eq!(borsh::from_slice::<PlainSnapshot>(&bytes).unwrap(), plain);
     assert_eq!(borsh::to_vec(&plain).unwrap(), bytes);
-    let frame: FleetFrame = borsh::from_slice(&bytes).unwrap();
-    let again = FleetState::from_frame(frame);
-    assert_eq!(again.frame(), state.frame());
+    let snapshot: FleetSnapshot = borsh::from_slice(&bytes).unwrap();
+    let again = FleetState::from_snapshot(snapshot);
+    assert_eq!(again.snapshot(), state.snapshot());
     assert!(again.has_taken(2) && again.has_ended(&InstanceId::new("e175")));
     assert!(!again.has_taken(3) && !again.has_ended(&InstanceId::new("e174")));
     assert_eq!(again.routes().unwrap().digest(), state.routes().unwrap().digest());
