A hand-over beside slow disks is simulated

Change: all but a bare majority write slowly while one of that majority, or the primary, leaves: it is released only once a slow disk holds what was acknowledged. With the rule broken, the check fails.

--- a/crates/signalbox/tests/simulation/voter_scenarios.rs
+++ b/crates/signalbox/tests/simulation/voter_scenarios.rs
@@ -262,6 +262,44 @@
     }
 }
 
+/// All but a bare majority write slowly while one of that majority leaves. What is kept is
+/// what the slow disks hold once that one is gone.
+fn leaver_beside_slow_disks(seed: u64, members: usize, rule: LeaveRule) -> LoneHolders {
+    let mut world = tended_world(seed, members, VoterRule::AsDecided, rule);
+    let primary = primary_of(&mut world);
+    let others = without(&(0..members).collect::<Vec<_>>(), &[primary]);
+    let losses = losses_borne(&world);
+    let slow = draw(&mut world, &others, losses);
+    let holders = without(&others, &slow);
+    slow.iter().for_each(|host| world.set_slow_disk(*host, true));
+    world.run(Duration::from_secs(2));
+    let leaver = if seed.is_multiple_of(2) { primary } else { holders[0] };
+    let last = acknowledged(&mut world);
+    world.leave(leaver);
+    run_until(&mut world, VOTERS_WITHIN, |world| !world.is_up(leaver));
+    let is_kept = slow.iter().any(|host| world.last_durable(*host) >= last);
+    LoneHolders { hand_over: world.hand_over_ends[&leaver], is_kept }
+}
+
+#[test]
+fn a_member_released_beside_slow_disks_takes_nothing_with_it() {
+    for seed in SEEDS {
+        for members in [3, 5] {
+            let held = leaver_beside_slow_disks(seed, members, LeaveRule::HandOver);
+            assert_eq!(held.hand_over, HandOverEnd::Released, "seed {seed}, {members} members");
+            assert!(held.is_kept, "seed {seed}, {members} members: released too early");
+        }
+    }
+}
+
+#[test]
+fn a_member_that_leaves_at_once_beside_slow_disks_is_caught() {
+    for members in [3, 5] {
+        let is_lost = |seed| !leaver_beside_slow_disks(seed, members, LeaveRule::AtOnce).is_kept;
+        assert!(SEEDS.into_iter().any(is_lost), "{members} members: the rule was broken, and nothing was lost");
+    }
+}
+
 /// Beyond what is borne: the others stay away longer than a member that leaves may wait. It says so.
 #[test]
 fn a_leaving_member_whose_heirs_stay_away_says_that_it_gave_up() {
