--- a/crates/signalbox/src/replica/membership/hand_over.rs
+++ b/crates/signalbox/src/replica/membership/hand_over.rs
@@ -6,7 +6,9 @@
 use trackbed::ids::{MemberId, Zxid};
 
 /// How long a member that leaves waits until the others have all that it has.
-pub const HAND_OVER_LIMIT: Duration = Duration::from_millis(900);
+pub const HAND_OVER_LIMIT: Duration = Duration::from_millis(1500);
+/// How long one ask to the primary may take: it may be the one that was lost, and another may lead by then.
+const ASK_LIMIT: Duration = Duration::from_millis(300);
 /// Between two looks at whether they have.
 pub const HAND_OVER_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,7 +50,7 @@
         match primary {
             None => HandOverStep::Wait,
             Some(primary) if primary.id == self.member => HandOverStep::ReleaseHere { limit },
-            Some(primary) => HandOverStep::AskPrimary { primary, limit },
+            Some(primary) => HandOverStep::AskPrimary { primary, limit: limit.min(ASK_LIMIT) },
         }
     }
 }
