--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -164,7 +164,11 @@
         monoio::time::sleep(Duration::from_millis(50)).await;
         let now = clock::now();
         let busy = doors.outbound.under_way.get() + doors.inbound.under_way.get();
-        if now >= longest || (now >= shortest && busy == 0 && doors.outbound.open.get() == 0) {
+        if now >= longest {
+            answer_what_is_left(doors).await;
+            return;
+        }
+        if now >= shortest && busy == 0 && doors.outbound.open.get() == 0 {
             return;
         }
         if now >= shortest + Duration::from_millis(600) && busy == 0 {
@@ -172,3 +176,17 @@
         }
     }
 }
+
+/// Time for final answers to leave this machine before the process does.
+const LAST_ANSWERS: Duration = Duration::from_millis(60);
+
+/// The time to end has come with requests under way: none of them ends without an answer.
+async fn answer_what_is_left(doors: &Doors) {
+    log::warn!(
+        "{} requests are under way at the end: their outcome is told as not known",
+        doors.outbound.under_way.get()
+    );
+    doors.inbound.end();
+    doors.outbound.end();
+    monoio::time::sleep(LAST_ANSWERS).await;
+}
--- a/crates/signalbox/src/replica/membership/hand_over.rs
+++ b/crates/signalbox/src/replica/membership/hand_over.rs
@@ -8,7 +8,7 @@
 /// How long a member that leaves waits until the others have all that it has.
 pub const HAND_OVER_LIMIT: Duration = Duration::from_millis(1500);
 /// How long one ask to the primary may take: it may be the one that was lost, and another may lead by then.
-const ASK_LIMIT: Duration = Duration::from_millis(300);
+pub(super) const ASK_LIMIT: Duration = Duration::from_millis(300);
 /// Between two looks at whether they have.
 pub const HAND_OVER_PAUSE: Duration = Duration::from_millis(20);
 
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -9,9 +9,13 @@
 use crate::net::SocketExt;
 use http::Method;
 use monoio::net::{TcpListener, TcpStream};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::poll_fn;
 use std::net::IpAddr;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 use std::time::Duration;
 
 /// What stands behind a door.
@@ -23,6 +27,10 @@
     fn pacer(&self) -> Option<&Pacer> {
         None
     }
+    /// What to say of a request that is under way when the process ends. Whether it ran is not known.
+    fn cut_short(&self) -> Return {
+        Return::text(504, "this process ends before the request did: whether it ran is not known here")
+    }
     /// What to say of a request that could not be read.
     fn turned_away(&self, status: u16, reason: &'static str) -> Return {
         Return::text(status, reason)
@@ -42,6 +50,39 @@
     pub most_open: Cell<usize>,
     /// Every answer from now on ends its connection.
     pub leaving: Cell<bool>,
+    /// Whatever is under way gets its final answer now.
+    ending: Cell<bool>,
+    /// Who is to be woken for it, by the number of the connection. Invariant: only requests under way.
+    waiting_for_end: RefCell<HashMap<u64, Waker>>,
+    next_connection: Cell<u64>,
+}
+
+impl Serving {
+    /// Has every request under way answered at once.
+    pub fn end(&self) {
+        self.leaving.set(true);
+        self.ending.set(true);
+        self.waiting_for_end.take().into_values().for_each(Waker::wake);
+    }
+
+    /// What comes of a connection's piece of work; `None` when the end comes first.
+    async fn until_end<T>(&self, connection: u64, work: impl Future<Output = T>) -> Option<T> {
+        let mut work = pin!(work);
+        let outcome = poll_fn(|context| {
+            if let Poll::Ready(outcome) = work.as_mut().poll(context) {
+                return Poll::Ready(Some(outcome));
+            }
+            if self.ending.get() {
+                return Poll::Ready(None);
+            }
+            let mut waiting = self.waiting_for_end.borrow_mut();
+            waiting.entry(connection).or_insert_with(|| context.waker().clone()).clone_from(context.waker());
+            Poll::Pending
+        })
+        .await;
+        self.waiting_for_end.borrow_mut().remove(&connection);
+        outcome
+    }
 }
 
 struct Count<'a>(&'a Cell<usize>, usize);
@@ -100,6 +141,8 @@
 
 async fn serve_line<H: Handler>(stream: TcpStream, from: IpAddr, serving: &Serving, handler: Rc<H>) {
     let _open = Count::up(&serving.open, 1);
+    let connection = serving.next_connection.get();
+    serving.next_connection.set(connection + 1);
     let mut line = Line::new(stream);
     loop {
         let mut limits = handler.limits();
@@ -127,9 +170,13 @@
         let _under_way = Count::up(&serving.under_way, 1);
         let _held = Count::up(&serving.held_bytes, request.body.len());
         let (keeps, bodyless) = (request.keeps, request.method == Method::HEAD);
-        let Some(mut answer) = handler.clone().handle(request).await else {
-            line.break_off();
-            return;
+        let mut answer = match serving.until_end(connection, handler.clone().handle(request)).await {
+            Some(Some(answer)) => answer,
+            Some(None) => {
+                line.break_off();
+                return;
+            }
+            None => handler.cut_short(),
         };
         answer.closes |= !keeps || serving.leaving.get();
         let closes = answer.closes;
@@ -148,3 +195,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "serve_tests.rs"]
+mod tests;
