--- a/crates/interlocking/src/zab/leading/synchronisation.rs
+++ b/crates/interlocking/src/zab/leading/synchronisation.rs
@@ -88,18 +88,17 @@
 
     /// What a follower lacks whose history ends at `last`. Followers that lack the same share one transfer.
     fn outgoing(&mut self, last: Zxid) -> Outgoing {
-        let (previous, snapshot) = match self.history.place_not_after(last) {
-            Some(previous) => (previous, None),
-            None => (self.history.snapshot.zxid, Some(self.history.snapshot.clone())),
-        };
+        let shared = self.history.place_not_after(last);
+        let previous = shared.unwrap_or(self.history.snapshot.zxid);
         let end = self.history.last();
         if let Role::Leading(leading) = &self.role {
             let mut others = leading.followers.values().filter_map(|follower| follower.transfer.as_ref());
-            let wanted = (previous, end, snapshot.is_some());
+            let wanted = (previous, end, shared.is_none());
             if let Some(same) = others.find(|other| (other.previous, other.last, other.has_snapshot) == wanted) {
                 return same.clone();
             }
         }
+        let snapshot = shared.is_none().then(|| self.history.snapshot.clone());
         let entries: Vec<Entry> = self.history.after(previous).cloned().collect();
         Outgoing::new(&Missed { snapshot, previous, entries })
     }
