--- a/crates/gauge/src/ask.rs
+++ b/crates/gauge/src/ask.rs
@@ -80,6 +80,7 @@
         body: Default::default(),
         keeps: false,
         from: None,
+        presence: Default::default(),
     };
     let host = address.to_string();
     line.write(write_request(&request, &[("Host", &host), ("Connection", "close")], &[]))
--- a/crates/pointsman/src/dispatch/balance.rs
+++ b/crates/pointsman/src/dispatch/balance.rs
@@ -203,7 +203,7 @@
             let Some(expected) = self.expected(candidate, now) else {
                 continue;
             };
-            let mut cost = expected * (1.0 + random.below(100) as f64 / 1000.0);
+            let mut cost = expected * (0.8 + random.below(1000) as f64 / 1500.0);
             if !candidate.is_local {
                 cost += way_cost;
             }
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -62,9 +62,33 @@
     !matches!(outcome, Outcome::Answered(answer) if answer.flow.is_some() || answer.body.len() > SHORT_ANSWER)
 }
 
+/// One request on its way to an endpoint, counted there until dropped.
+struct UnderWay<'a> {
+    node: &'a Pointsman,
+    instance: &'a InstanceId,
+}
+
+impl<'a> UnderWay<'a> {
+    fn begin(node: &'a Pointsman, instance: &'a InstanceId) -> Self {
+        node.balance.borrow_mut().begin(instance);
+        Self { node, instance }
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.node.balance.borrow_mut().end(self.instance);
+    }
+}
+
+/// The client has left: nobody reads this answer.
+fn client_left() -> Return {
+    Return::text(503, "the client has left").closing()
+}
+
 async fn go(node: &Rc<Pointsman>, candidate: &Candidate, route: &Route, errand: &Errand) -> GoResult {
     let begun = clock::now();
-    node.balance.borrow_mut().begin(&candidate.instance);
+    let under_way = UnderWay::begin(node, &candidate.instance);
     let result = if candidate.is_local {
         match node.platform_of(&candidate.instance) {
             Some(platform) => platform.run(errand).await,
@@ -88,8 +112,8 @@
     if !candidate.is_local && result.occupancy.is_some() {
         node.roster.borrow_mut().vouch(&candidate.node, now);
     }
+    drop(under_way);
     let mut balance = node.balance.borrow_mut();
-    balance.end(&candidate.instance);
     if let Some(occupancy) = &result.occupancy {
         balance.told(occupancy, now);
     }
@@ -106,7 +130,9 @@
         Outcome::NotTaken { why: Passed::Gone | Passed::Outside, .. } => {
             balance.shun(&candidate.instance, now, SHUN_GONE)
         }
-        Outcome::Failed(_) | Outcome::NotExecuted => balance.shun(&candidate.instance, now, SHUN_FAILING),
+        Outcome::Failed(_) | Outcome::NotExecuted | Outcome::Misdirected => {
+            balance.shun(&candidate.instance, now, SHUN_FAILING)
+        }
         Outcome::NotTaken { .. } => {}
     }
     result
@@ -173,6 +199,9 @@
         if errand.left(now).is_zero() {
             break;
         }
+        if errand.request.presence.has_left() {
+            return client_left();
+        }
         // Whoever is free is looked for first; only then is anybody's queue stood in.
         let looks_for_free = asked_in_vain < looks && !left.is_empty();
         if !looks_for_free {
@@ -190,7 +219,14 @@
         }
         errand.instance = candidate.instance.clone();
         left.retain(|other| other.instance != candidate.instance);
-        let outcome = go(node, &candidate, &plan.route, &errand).await.outcome;
+        let presence = errand.request.presence.clone();
+        let going = go(node, &candidate, &plan.route, &errand);
+        // What may not run twice is seen through once it is on its way: it may be at work.
+        let result = match repeats {
+            true => presence.unless_left(going).await,
+            false => Some(going.await),
+        };
+        let Some(GoResult { outcome, .. }) = result else { return client_left() };
         if looks_for_free && !candidate.is_local {
             let free = !matches!(outcome, Outcome::NotTaken { why: Passed::Busy, .. });
             node.balance.borrow_mut().looked(&plan.service, free);
@@ -248,7 +284,7 @@
                     break;
                 }
             }
-            Outcome::NotExecuted => {
+            Outcome::NotExecuted | Outcome::Misdirected => {
                 offered += 1;
                 if offered >= plan.goes {
                     break;
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -79,6 +79,8 @@
     NotTaken { why: Passed, free_in: Duration },
     /// The endpoint says that it did not run it.
     NotExecuted,
+    /// Another endpoint has the address, or it doesn't hold the request's key: it has not run.
+    Misdirected,
     /// The way to the node or endpoint could not be opened: it has not run.
     NotSent,
     /// It may have run.
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -70,7 +70,7 @@
         Outcome::NotTaken { why: Passed::Late, .. } => "late",
         Outcome::NotTaken { why: Passed::Outside, .. } => "outside",
         Outcome::NotTaken { why: Passed::Stale, .. } => "stale",
-        Outcome::NotExecuted => "not-executed",
+        Outcome::NotExecuted | Outcome::Misdirected => "not-executed",
         Outcome::NotSent => "not-sent",
         Outcome::Failed(_) => "failed",
         Outcome::OverHorizon => "over-horizon",
--- a/crates/pointsman/src/dispatch/long_tests.rs
+++ b/crates/pointsman/src/dispatch/long_tests.rs
@@ -76,6 +76,7 @@
         body: vec![7u8; BODY].into(),
         keeps: true,
         from: None,
+        presence: Default::default(),
     };
     Errand {
         request,
--- a/crates/pointsman/src/dispatch/remote_tests.rs
+++ b/crates/pointsman/src/dispatch/remote_tests.rs
@@ -28,6 +28,7 @@
         body: Default::default(),
         keeps: true,
         from: None,
+        presence: Default::default(),
     };
     Errand {
         request,
--- a/crates/pointsman/src/dispatch/tests.rs
+++ b/crates/pointsman/src/dispatch/tests.rs
@@ -31,7 +31,15 @@
         headers.insert("ferryhinge-tenant", HeaderValue::from_static("press"));
     }
     let target = if kind == 0 { "/school/x" } else { "/other/x" };
-    Request { method: Method::GET, target: target.into(), headers, body: Bytes::new(), keeps: true, from: None }
+    Request {
+        method: Method::GET,
+        target: target.into(),
+        headers,
+        body: Bytes::new(),
+        keeps: true,
+        from: None,
+        presence: Default::default(),
+    }
 }
 
 fn region(node: usize) -> RegionName {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -119,7 +119,13 @@
         let mut result = match self.0.platform_of(&errand.instance) {
             Some(platform) => {
                 let given = errand.permit.and_then(|number| self.0.permits.redeem(number, &platform));
-                platform.run_in(&errand, given).await
+                let presence = errand.request.presence.clone();
+                let running = platform.run_in(&errand, given);
+                let result = match errand.repeats {
+                    true => presence.unless_left(running).await,
+                    false => Some(running.await),
+                };
+                result.unwrap_or_else(gone)
             }
             None => gone(),
         };
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -172,7 +172,7 @@
 fn judge(answer: Return) -> Outcome {
     let not_run = answer.headers.contains_key(NOT_EXECUTED);
     match answer.status {
-        421 => Outcome::NotTaken { why: crate::dispatch::Passed::Gone, free_in: Duration::from_millis(50) },
+        421 => Outcome::Misdirected,
         429 | 503 | 408 | 400 if not_run => Outcome::NotExecuted,
         // These promise that it has not run, and the endpoint does not say so.
         429 | 503 | 408 => Outcome::Failed("the endpoint turned the request away without saying that it has not run"),
--- a/crates/pointsman/src/platform/exchange_tests.rs
+++ b/crates/pointsman/src/platform/exchange_tests.rs
@@ -215,7 +215,7 @@
         let mut new = Side::accept(&listener).await;
         assert_eq!(new.next_attempt().await.as_deref(), Some("a2"), "over a connection of its own");
         new.send("HTTP/1.1 421 No\r\nFerryhinge-Attempt-Id: a2\r\nContent-Length: 0\r\n\r\n").await;
-        assert_matches!(next.await, Outcome::NotTaken { why: Passed::Gone, .. });
+        assert_matches!(next.await, Outcome::Misdirected);
     });
     ended.unwrap();
 }
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -45,7 +45,7 @@
         Outcome::Failed(_) => Some(Sign::Broken),
         Outcome::OverHorizon => (span > usual * 3).then_some(Sign::Broken),
         Outcome::NotSent => Some(Sign::Unreachable),
-        Outcome::NotTaken { .. } => None,
+        Outcome::NotTaken { .. } | Outcome::Misdirected => None,
     }
 }
 
@@ -206,6 +206,9 @@
         if !self.takes_on(&errand.instance, now) {
             return self.passed(Passed::Gone, Duration::from_millis(20));
         }
+        if errand.request.presence.has_left() {
+            return self.passed(Passed::Late, Duration::from_millis(50));
+        }
         if errand.left(now) < Duration::from_millis(2) {
             return self.passed(Passed::Late, Duration::from_millis(50));
         }
@@ -219,7 +222,9 @@
         let usual = self.admission.usual(errand.sort);
         self.learn(errand.sort, sign_of(&outcome, span, usual), span, ended);
         // After any other outcome the endpoint may go on until the horizon, and make its calls.
-        if let (Some(bound), Outcome::Answered(_) | Outcome::NotExecuted | Outcome::NotSent) = (bound, &outcome) {
+        if let (Some(bound), Outcome::Answered(_) | Outcome::NotExecuted | Outcome::Misdirected | Outcome::NotSent) =
+            (bound, &outcome)
+        {
             self.bindings.borrow_mut().retain(|(number, _, _)| *number != bound);
         }
         if let Outcome::Answered(answer) = &mut outcome {
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -116,6 +116,7 @@
             body: Default::default(),
             keeps: true,
             from: None,
+            presence: Default::default(),
         },
         attempt,
         instance: InstanceId::new("i-1"),
@@ -159,7 +160,7 @@
                     assert!(ran);
                     answered += 1;
                 }
-                Outcome::NotExecuted | Outcome::NotTaken { .. } | Outcome::NotSent => {
+                Outcome::NotExecuted | Outcome::Misdirected | Outcome::NotTaken { .. } | Outcome::NotSent => {
                     assert!(!ran, "told as not run, and it ran");
                     not_run += 1;
                 }
--- a/crates/testtrack/src/hollow.rs
+++ b/crates/testtrack/src/hollow.rs
@@ -34,6 +34,7 @@
         body: body.into(),
         keeps: true,
         from: None,
+        presence: Default::default(),
     }
 }
 
--- a/crates/trackbed/src/http/head.rs
+++ b/crates/trackbed/src/http/head.rs
@@ -1,6 +1,7 @@
 //! Heads, typed at the door.
 
 use super::body::Framing;
+use super::presence::Presence;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Method, header};
 use monoio_codec::{Decoded, Decoder};
@@ -20,6 +21,8 @@
     pub keeps: bool,
     /// Who sent it, where it came in at a door.
     pub from: Option<IpAddr>,
+    /// Whether its client is still there.
+    pub presence: Presence,
 }
 
 impl Request {
@@ -143,7 +146,15 @@
         .and_then(|value| value.to_str().ok())
         .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
     strip_hop_headers(&mut headers);
-    let request = Request { method: parts.method, target, headers, body: Bytes::new(), keeps, from: None };
+    let request = Request {
+        method: parts.method,
+        target,
+        headers,
+        body: Bytes::new(),
+        keeps,
+        from: None,
+        presence: Presence::default(),
+    };
     Ok(RequestHead { request, framing, expects_continue })
 }
 
--- a/crates/trackbed/src/http/line.rs
+++ b/crates/trackbed/src/http/line.rs
@@ -36,6 +36,14 @@
         !self.held.is_empty()
     }
 
+    /// Waits until the other side has closed the connection or broken it off. Bytes that arrive meanwhile stay where
+    /// they are, and end the watch: the other side is there.
+    pub(super) async fn closed(&self) {
+        if self.stream.readable(false).await.is_ok() && !self.stream.is_closed() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Has the close break the connection off, so that nothing looks complete that isn't.
     pub fn break_off(self) {
         self.stream.reset_on_close();
--- a/crates/trackbed/src/http/mod.rs
+++ b/crates/trackbed/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod json;
 mod line;
 mod pace;
+mod presence;
 mod returns;
 mod serve;
 #[cfg(test)]
@@ -20,5 +21,6 @@
 pub use json::JsonReturn;
 pub use line::Line;
 pub use pace::Pacer;
+pub use presence::Presence;
 pub use returns::{Guard, Return, ReturnError, write_request};
 pub use serve::{Handler, Serving, serve_listener};
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -201,12 +201,10 @@
                 }
                 continue;
             }
-            if head.framing == Framing::UntilClose {
-                return Err(ReturnError::Malformed("the answer's end can't be told from a break"));
-            }
             let answer = Return {
                 headers: head.headers,
-                closes: head.closes,
+                // A body without a length ends with its connection; one that is reset on the way is cut off.
+                closes: head.closes || head.framing == Framing::UntilClose,
                 keep_alive: head.keep_alive,
                 ..Return::new(head.status)
             };
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -170,7 +170,9 @@
         let _under_way = Count::up(&serving.under_way, 1);
         let _held = Count::up(&serving.held_bytes, request.body.len());
         let (keeps, bodyless) = (request.keeps, request.method == Method::HEAD);
-        let mut answer = match serving.until_end(connection, handler.clone().handle(request)).await {
+        let presence = request.presence.clone();
+        let work = presence.watch_while(line.closed(), handler.clone().handle(request));
+        let mut answer = match serving.until_end(connection, work).await {
             Some(Some(answer)) => answer,
             Some(None) => {
                 line.break_off();
--- a/crates/trackbed/src/net/sockets.rs
+++ b/crates/trackbed/src/net/sockets.rs
@@ -17,6 +17,8 @@
     fn give_up_after(&self, span: Duration);
     /// True while nothing waits to be read and the other side has not closed: fit to be used again.
     fn is_quiet(&self) -> bool;
+    /// True when the other side has closed or broken off the connection, and all that it sent was read.
+    fn is_closed(&self) -> bool;
     /// Has the next close break off the connection at once, dropping what was not sent.
     fn reset_on_close(&self);
 }
@@ -44,6 +46,16 @@
         })
     }
 
+    fn is_closed(&self) -> bool {
+        with_socket(self, |socket| {
+            let mut space = [std::mem::MaybeUninit::uninit(); 1];
+            match socket.peek(&mut space) {
+                Ok(count) => count == 0,
+                Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            }
+        })
+    }
+
     fn reset_on_close(&self) {
         with_socket(self, |socket| {
             if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
