--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 use timetable::configuration::{Entry, PlannedBy};
 use timetable::fleet::{FleetNews, Instance};
-use trackbed::ids::{InstanceId, MemberId, NodeName, Zxid};
+use timetable::shards::KeyRange;
+use trackbed::ids::{InstanceId, MemberId, NodeName, ServiceName, Zxid};
 
 /// A call of the operator or an application, as one node passes it to another.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -64,6 +65,34 @@
     pub regions: Option<String>,
 }
 
+/// Keys whose load is told together.
+pub const KEYS_IN_BUCKET: u16 = 64;
+
+/// What the node beside an endpoint of a sharded service measured.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct ShardLoad {
+    pub service: ServiceName,
+    pub instance: InstanceId,
+    pub window_millis: u32,
+    /// Mean time of one request at the endpoint; zero where none was measured.
+    pub service_micros: u32,
+    /// The keys that the endpoint held in the whole window: only of these is all known that was asked.
+    pub covered: Vec<KeyRange>,
+    /// Requests asked for in the window, by bucket of keys; none for covered buckets that are not named.
+    pub requests: Vec<(u16, u32)>,
+}
+
+/// An endpoint has let go of keys that it was to let go.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct ShardRelease {
+    pub service: ServiceName,
+    pub owner: InstanceId,
+    /// Each with what the endpoint hands over.
+    pub ranges: Vec<(KeyRange, String)>,
+    /// How far the ordered state was known when the endpoint was told to let go.
+    pub seen: Zxid,
+}
+
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Ask {
     /// What came after `since`; `assured` wants all that was acknowledged before the call.
@@ -129,6 +158,12 @@
         /// How long the asker waits, in milliseconds.
         limit: u32,
     },
+    /// What came after `since`, and how old the primary's word is that this is all.
+    FreshNews {
+        since: Zxid,
+    },
+    ShardLoad(ShardLoad),
+    ShardRelease(ShardRelease),
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -168,6 +203,13 @@
     Counted(CountedTaken),
     Parts(PartsTaken),
     Report(Option<ReportTold>),
+    /// All that a primary had committed when it was asked, under its lease, so many milliseconds before this reply.
+    FreshNews {
+        news: Option<FleetNews>,
+        /// How far that brings the asker.
+        zxid: Zxid,
+        age_millis: u32,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/lineside/src/call/mod.rs
+++ b/crates/lineside/src/call/mod.rs
@@ -10,4 +10,6 @@
 pub use answering::{Answering, serve_peers};
 pub use caller::{CallError, Caller};
 pub use complaints::Complaints;
-pub use messages::{Ask, ControlCall, ControlReturn, PeerMessage, Permit, Reply};
+pub use messages::{
+    Ask, ControlCall, ControlReturn, KEYS_IN_BUCKET, PeerMessage, Permit, Reply, ShardLoad, ShardRelease,
+};
--- a/crates/pointsman/src/dispatch/candidates.rs
+++ b/crates/pointsman/src/dispatch/candidates.rs
@@ -53,6 +53,11 @@
             && (instance.node == config.node_name
                 || roster.standing(&instance.node).is_none_or(|is| is <= Standing::Suspect))
     };
+    if let Some(key) = plan.key {
+        let owner = fleet.shards(&plan.service).and_then(|shards| shards.owner_of(key));
+        let owner = owner.and_then(|owner| fleet.instance(owner)).filter(|instance| fit(instance));
+        return owner.map(|instance| candidate(&config, instance)).into_iter().collect();
+    }
     let mut found = match serving.len() <= LOOKED_AT {
         true => serving.iter().filter(|instance| fit(instance)).map(|instance| candidate(&config, instance)).collect(),
         false => drawn(node, &config, serving, fit),
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -162,6 +162,7 @@
         binding,
         target: plan.target,
         patience: Duration::ZERO,
+        key: plan.key,
         permit: None,
     };
     errand.request.headers.remove(CALLER);
@@ -186,6 +187,10 @@
     if looks == 0 && node.random.borrow_mut().chance(0.1) {
         looks = 1;
     }
+    if left.len() == 1 {
+        // There is no other to look at.
+        looks = 0;
+    }
     let far_cost = FAR_COST + FAR_COST_OF_A_BYTE * bytes;
     // What another machine's and this one's link take for it, where they are narrow.
     let link = node.live.get().limits.link_bytes;
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -36,6 +36,8 @@
     pub target: Moment,
     /// How long it may stand in a queue, as far as that can be told beforehand.
     pub patience: Duration,
+    /// The key by which its service is divided, where it is.
+    pub key: Option<u16>,
     /// The slot that the node beside the endpoint has given for it.
     pub permit: Option<u64>,
 }
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -14,6 +14,8 @@
 pub const EXPECTED: &str = "ferryhinge-expected-instance";
 pub const STAMP: &str = "ferryhinge-server-stamp";
 pub const NOT_EXECUTED: &str = "ferryhinge-not-executed";
+/// The key of a request to a service that is divided by key.
+pub const SHARD_KEY: &str = "ferryhinge-shard-key";
 pub const CALLER: &str = "ferryhinge-caller-service";
 /// Between own nodes only.
 pub const PRIORITY: &str = "ferryhinge-line-priority";
@@ -45,7 +47,9 @@
     let patience = millis(PATIENCE).unwrap_or(target.since(now));
     let binding = request.header(REGIONS).map(Binding::read).unwrap_or_default();
     let permit = request.header(PERMIT).and_then(|text| text.parse().ok());
+    let key = request.header(SHARD_KEY).and_then(|text| text.trim().parse().ok());
     Some(Errand {
+        key,
         permit,
         request,
         attempt,
--- a/crates/pointsman/src/dispatch/long_tests.rs
+++ b/crates/pointsman/src/dispatch/long_tests.rs
@@ -92,6 +92,7 @@
         target: now + Duration::from_secs(20),
         patience: Duration::from_millis(5),
         permit: None,
+        key: None,
     }
 }
 
--- a/crates/pointsman/src/dispatch/plan.rs
+++ b/crates/pointsman/src/dispatch/plan.rs
@@ -1,6 +1,6 @@
 //! What is to be done with a request, as data.
 
-use super::headers::{ATTEMPT, DEADLINE};
+use super::headers::{ATTEMPT, DEADLINE, SHARD_KEY};
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::configuration::{PlannedBy, Route, Routes};
@@ -17,6 +17,8 @@
     pub service: ServiceName,
     pub horizon: Moment,
     pub target: Moment,
+    /// The key by which its service is divided; nothing where it is not.
+    pub key: Option<u16>,
     /// Endpoints it may be offered to at most.
     pub goes: u32,
 }
@@ -46,9 +48,11 @@
         let routes = routes.ok_or(Unplanned::NothingKnown)?;
         let route = routes.find(host, request.path()).ok_or(Unplanned::NoRoute)?;
         let span = deadline.map(|deadline| deadline.min(route.timeout)).unwrap_or(route.timeout);
+        let service = route.service_for(stable_hash(attempt)).clone();
         Ok(Self {
             attempt: attempt.to_owned(),
-            service: route.service_for(stable_hash(attempt)).clone(),
+            key: key_of(request, routes, &service)?,
+            service,
             horizon: now + span,
             target: now + route.target.min(span),
             goes: route.max_goes,
@@ -57,3 +61,13 @@
         })
     }
 }
+
+/// The key of a request to a sharded service.
+fn key_of(request: &Request, routes: &Routes, service: &ServiceName) -> Result<Option<u16>, Unplanned> {
+    if !routes.service(service).is_some_and(|service| service.sharded) {
+        return Ok(None);
+    }
+    let key = request.header(SHARD_KEY).and_then(|text| text.trim().parse().ok());
+    let wanted = "Ferryhinge-Shard-Key is missing or not a number from 0 to 65535: this service is divided by key";
+    key.map(Some).ok_or(Unplanned::Malformed(wanted))
+}
--- a/crates/pointsman/src/dispatch/remote_tests.rs
+++ b/crates/pointsman/src/dispatch/remote_tests.rs
@@ -44,6 +44,7 @@
         target: horizon,
         patience: span,
         permit: None,
+        key: None,
     }
 }
 
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -85,7 +85,8 @@
     }
 }
 
-fn take(node: &Rc<Pointsman>, since: Zxid, news: Option<FleetNews>) {
+/// Takes news asked for at `since`.
+pub fn take(node: &Rc<Pointsman>, since: Zxid, news: Option<FleetNews>) {
     let Some(news) = news else { return };
     if node.fleet.borrow_mut().take(since, news) {
         moved_on(node);
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -5,7 +5,7 @@
 use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
 use super::{Mode, NodeError, Pointsman, RoutesCheck, learn, routes_check};
 use crate::dispatch::{Balance, Budgets, Pool};
-use crate::platform::{BeatsDoor, Homes, Lines, Permits, Platform};
+use crate::platform::{BeatsDoor, Homes, Lines, Permits, Platform, ownership};
 use lineside::call::{Caller, serve_peers};
 use lineside::council::{Council, CouncilTiming};
 use lineside::gossip::{Peer, Roster, RosterTiming};
@@ -94,6 +94,9 @@
     monoio::spawn(learn::pull(node.clone()));
     monoio::spawn(routes_check::keep(node.clone()));
     monoio::spawn(coordination::keep(node.clone()));
+    if node.mode == Mode::Beside {
+        monoio::spawn(ownership::keep(node.clone()));
+    }
     Ok(Launched { node, doors })
 }
 
--- a/crates/pointsman/src/platform/admission/mod.rs
+++ b/crates/pointsman/src/platform/admission/mod.rs
@@ -57,6 +57,11 @@
         queue.work().recent_micros().max(longest).min(u32::MAX as f64) as u32
     }
 
+    /// Mean time of a request here, over all routes.
+    pub fn mean_micros(&self) -> u32 {
+        self.queue.borrow().work().mean().as_micros().min(u32::MAX as u128) as u32
+    }
+
     /// What a request of a route usually takes here.
     pub fn usual(&self, sort: u64) -> Duration {
         self.queue.borrow().work().usual(sort)
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -1,6 +1,6 @@
 //! The endpoint's beats and its sign-off, on its own machine.
 
-use super::Life;
+use super::{Life, ownership};
 use crate::node::{Pointsman, coordination, core_calls};
 use lineside::call::{Ask, Reply};
 use lineside::council::Fact;
@@ -39,8 +39,8 @@
     }
 }
 
-fn acknowledged() -> Return {
-    Return::json(200, "{}".into())
+fn acknowledged(body: String) -> Return {
+    Return::json(200, body)
 }
 
 fn not_now() -> Return {
@@ -60,19 +60,21 @@
             Ok(beat) => beat,
             Err(reason) => return Return::fault(400, reason),
         };
+        let arrived = clock::now();
         if !self.take_in(&mut beat) {
-            return acknowledged();
+            return acknowledged("{}".into());
         }
         let ordered = self.0.fleet.borrow().instance(&beat.instance.id) == Some(&beat.instance);
         if ordered {
-            return acknowledged();
+            return acknowledged(ownership::answer_to(&self.0, &beat, arrived));
         }
+        let heard = beat.clone();
         let fact = match beat.instance.draining {
             true => Fact::Leaving(beat.instance.id.clone()),
             false => Fact::Seen(beat.instance.clone()),
         };
         match core_calls::ask_core(&self.0, Ask::Register(beat.instance), ACKNOWLEDGE_LIMIT).await {
-            Some(Reply::Done) => acknowledged(),
+            Some(Reply::Done) => acknowledged(ownership::answer_to(&self.0, &heard, arrived)),
             _ => {
                 coordination::tell_fact(&self.0, fact);
                 not_now()
@@ -103,6 +105,9 @@
             }
             _ => {
                 platform.health.start_anew();
+                if life.is_some() {
+                    platform.ownership.start_anew();
+                }
                 let ordered = self.0.fleet.borrow().instance(&beat.instance.id).is_some_and(|known| known.draining);
                 beat.instance.draining |= ordered;
                 if let Some(last) = life.as_ref() {
@@ -140,7 +145,7 @@
         }
         let fact = Fact::Leaving(id.clone());
         match core_calls::ask_core(&self.0, Ask::SignOff(id), ACKNOWLEDGE_LIMIT).await {
-            Some(Reply::Done) => acknowledged(),
+            Some(Reply::Done) => acknowledged("{}".into()),
             _ => {
                 coordination::tell_fact(&self.0, fact);
                 not_now()
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod exchange_tests;
 mod health;
 mod homes;
+pub mod ownership;
 mod permits;
 #[cfg(test)]
 mod tests;
@@ -18,6 +19,7 @@
 pub use exchange::{Lines, at_endpoint};
 pub use health::{Health, Sign};
 pub use homes::{Gate, Homes, Seat};
+pub use ownership::Ownership;
 pub use permits::{Permits, sign_of_word, word_of_sign};
 pub use way_out::WayOut;
 
@@ -37,6 +39,9 @@
 /// For how long a failed call excuses the endpoint's own failures.
 const EXCUSED: Duration = Duration::from_millis(700);
 
+/// When a request for a key that the endpoint doesn't hold may be tried again.
+const KEY_ELSEWHERE: Duration = Duration::from_millis(350);
+
 /// What an outcome tells of the endpoint's health; nothing where it may be the request's own fault.
 pub fn sign_of(outcome: &Outcome, span: Duration, usual: Duration) -> Option<Sign> {
     match outcome {
@@ -70,6 +75,8 @@
     pub lines: Rc<Lines>,
     pub health: Health,
     pub way_out: WayOut,
+    /// The keys that the endpoint holds, where its service is divided by key.
+    pub ownership: Ownership,
     /// When a request that began at this node last failed. What the endpoint calls while it runs a request
     /// begins here too: its own failure may be another's then.
     pub begun_failed: Cell<Moment>,
@@ -98,6 +105,7 @@
             lines,
             health: Health::default(),
             way_out: WayOut::default(),
+            ownership: Ownership::default(),
             begun_failed: Cell::default(),
             link: Cell::new(None),
             bindings: RefCell::default(),
@@ -187,6 +195,12 @@
         if !takes {
             return self.passed(Passed::Gone, Duration::from_millis(50));
         }
+        if let Some(key) = errand.key.filter(|_| given.is_none()) {
+            self.ownership.asked_for(key);
+        }
+        if errand.key.is_some_and(|key| !self.ownership.may_hold(key, now)) {
+            return self.passed(Passed::Gone, KEY_ELSEWHERE);
+        }
         let promised = match self.way_out.promise(errand.sort, self.link.get(), now.until(errand.target)) {
             Ok(promised) => promised,
             Err(free_in) => return self.passed(Passed::Busy, free_in),
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -130,6 +130,7 @@
         target: now + Duration::from_secs(20),
         patience: Duration::from_secs(20),
         permit: None,
+        key: None,
     }
 }
 
--- a/crates/signalbox/src/ledger/state.rs
+++ b/crates/signalbox/src/ledger/state.rs
@@ -6,7 +6,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::rc::Rc;
 use std::time::Duration;
-use timetable::fleet::{FleetSnapshot, FleetSnapshotBefore, FleetState};
+use timetable::fleet::{FleetSnapshot, FleetSnapshotBefore, FleetSnapshotBeforeShards, FleetState};
 use timetable::packed::Packed;
 use timetable::shared::SharedMap;
 use trackbed::clock::Moment;
@@ -39,18 +39,35 @@
 /// Plans kept: of the hour, and of the next.
 const MOST_PLANS: usize = 2;
 
-/// Reads a ledger as it is now, or as it stood on disks before there was a forecast, or councils.
-fn read(mut state: &[u8]) -> borsh::io::Result<(LedgerSnapshot<FleetSnapshot>, Option<Foresight>)> {
-    let whole = state;
-    let now = LedgerSnapshot::<FleetSnapshot>::deserialize(&mut state).and_then(|snapshot| match state.is_empty() {
-        true => Ok((snapshot, None)),
-        false => Ok((snapshot, Some(Foresight::try_from_slice(state)?))),
-    });
-    now.or_else(|error| {
-        let before = LedgerSnapshot::<FleetSnapshotBefore>::try_from_slice(whole).map_err(|_| error)?;
-        let LedgerSnapshot { fleet, locks, last_fence, numbers, groups } = before;
-        Ok((LedgerSnapshot { fleet: fleet.into(), locks, last_fence, numbers, groups }, None))
-    })
+impl<F: BorshDeserialize> LedgerSnapshot<F> {
+    /// Reads a ledger whose fleet is encoded as `F`, with what stands behind it.
+    fn read(mut state: &[u8]) -> borsh::io::Result<(Self, Option<Foresight>)> {
+        let snapshot = Self::deserialize(&mut state)?;
+        match state.is_empty() {
+            true => Ok((snapshot, None)),
+            false => Ok((snapshot, Some(Foresight::try_from_slice(state)?))),
+        }
+    }
+
+    fn with_fleet_of_now(self) -> LedgerSnapshot<FleetSnapshot>
+    where
+        F: Into<FleetSnapshot>,
+    {
+        let Self { fleet, locks, last_fence, numbers, groups } = self;
+        LedgerSnapshot { fleet: fleet.into(), locks, last_fence, numbers, groups }
+    }
+}
+
+/// Reads a ledger as it is now, or as it stood on disks before keys had holders, or there was a forecast, or councils.
+fn read(state: &[u8]) -> borsh::io::Result<(LedgerSnapshot<FleetSnapshot>, Option<Foresight>)> {
+    if let Ok(now) = LedgerSnapshot::read(state) {
+        return Ok(now);
+    }
+    if let Ok((before, foresight)) = LedgerSnapshot::<FleetSnapshotBeforeShards>::read(state) {
+        return Ok((before.with_fleet_of_now(), foresight));
+    }
+    let before = LedgerSnapshot::<FleetSnapshotBefore>::try_from_slice(state)?;
+    Ok((before.with_fleet_of_now(), None))
 }
 
 /// Copies share their structure. Invariant: the same changes in the same order make the same ledger on every node.
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod node;
 pub mod replica;
 pub mod resources;
+pub mod shards;
 
 use trackbed::config::{Command, ConfigError, LocalConfig};
 
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod members;
 mod peers;
 mod primary;
+mod shards;
 mod start;
 mod turn;
 
@@ -36,6 +37,7 @@
 use std::sync::mpsc;
 use timetable::configuration::TableDigest;
 use trackbed::clock::Moment;
+use trackbed::ids::Zxid;
 use trackbed::kernel::LiveConfig;
 use trackbed::net::Datagrams;
 
@@ -79,4 +81,8 @@
     pub majority: RefCell<Majority>,
     /// Messages of members that can't be read.
     pub complaints: Complaints,
+    /// What the primary knows of services divided by key, beyond the log.
+    pub sharding: shards::Sharding,
+    /// When a primary was last asked how far its committed state goes, and what it said.
+    pub assurance: Cell<Option<(Moment, Zxid)>>,
 }
--- a/crates/signalbox/src/node/peers.rs
+++ b/crates/signalbox/src/node/peers.rs
@@ -1,6 +1,6 @@
 //! What other nodes send: Zab's messages, calls, and gossip.
 
-use super::{Signalbox, aggregation, forecast, inspection, members, primary, turn};
+use super::{Signalbox, aggregation, forecast, inspection, members, primary, shards, turn};
 use borsh::BorshDeserialize;
 use interlocking::zab::Envelope;
 use lineside::call::{Answering, Ask, Reply};
@@ -57,6 +57,9 @@
             Ask::HandOver { member, limit } => {
                 members::answer_hand_over(&self, member, Duration::from_millis(limit as u64)).await
             }
+            Ask::FreshNews { since } => primary::fresh_news(&self, since).await,
+            Ask::ShardLoad(load) => shards::report(&self, load).await,
+            Ask::ShardRelease(release) => shards::release(&self, release).await,
             Ask::Heard { from, heard } => {
                 self.heartbeats.borrow_mut().reported(from, heard, clock::now());
                 Reply::Done
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -81,29 +81,71 @@
     news_when_assured(node, |fleet| Some(fleet.whole())).await
 }
 
-async fn news_when_assured(node: &Signalbox, news: impl Fn(&FleetState) -> Option<FleetNews>) -> Reply {
+/// A primary's word of how far its committed state goes is used for others that ask within this time.
+const WORD_SHARED_FOR: Duration = Duration::from_millis(400);
+
+/// What came after `since`, with how long ago a primary said under its lease that this is all.
+pub async fn fresh_news(node: &Signalbox, since: Zxid) -> Reply {
+    let recent = node.assurance.get().filter(|(at, _)| clock::now().since(*at) < WORD_SHARED_FOR);
+    let (at, upto) = match recent {
+        Some(word) => word,
+        None => {
+            let at = clock::now();
+            match ask_how_far(node).await {
+                Ok(upto) => {
+                    node.assurance.set(Some((at, upto)));
+                    (at, upto)
+                }
+                Err(reply) => return reply,
+            }
+        }
+    };
+    if !wait_until_known(node, upto).await {
+        return Reply::NotNow("this node is behind: ask another".into());
+    }
+    let committed = node.committed.borrow();
+    let (news, zxid) = (committed.fleet.news_since(since), committed.fleet.zxid());
+    Reply::FreshNews { news, zxid, age_millis: clock::now().since(at).as_millis() as u32 + 1 }
+}
+
+/// How far the primary's committed state goes, by its own word under its lease.
+async fn ask_how_far(node: &Signalbox) -> Result<Zxid, Reply> {
     let Some(primary) = node.zab.borrow().primary() else {
-        return Reply::NotNow("no primary just now".into());
+        return Err(Reply::NotNow("no primary just now".into()));
     };
     let own = primary.id == node.zab.borrow().me().id;
     let word = match own {
         true => Ok(assure(node)),
         false => node.caller.call(primary.address, Ask::Assure, CALL_LIMIT / 3).await,
     };
-    let upto = match word {
-        Ok(Reply::Upto(upto)) => upto,
-        Ok(reply) => return reply,
-        Err(error) => return Reply::NotNow(error.to_string()),
-    };
+    match word {
+        Ok(Reply::Upto(upto)) => Ok(upto),
+        Ok(reply) => Err(reply),
+        Err(error) => Err(Reply::NotNow(error.to_string())),
+    }
+}
+
+/// Waits a moment until this node's committed state goes so far.
+async fn wait_until_known(node: &Signalbox, upto: Zxid) -> bool {
     for _ in 0..10 {
-        let behind = node.committed.borrow().fleet.zxid() < upto;
-        if !behind {
-            let committed = node.committed.borrow();
-            return Reply::News { news: news(&committed.fleet), zxid: committed.fleet.zxid() };
+        if node.committed.borrow().fleet.zxid() >= upto {
+            return true;
         }
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
-    Reply::NotNow("this node is behind: ask another".into())
+    false
+}
+
+async fn news_when_assured(node: &Signalbox, news: impl Fn(&FleetState) -> Option<FleetNews>) -> Reply {
+    let upto = match ask_how_far(node).await {
+        Ok(upto) => upto,
+        Err(reply) => return reply,
+    };
+    if !wait_until_known(node, upto).await {
+        return Reply::NotNow("this node is behind: ask another".into());
+    }
+    let committed = node.committed.borrow();
+    Reply::News { news: news(&committed.fleet), zxid: committed.fleet.zxid() }
 }
 
 pub async fn register(node: &Signalbox, instance: Instance) -> Reply {
@@ -134,7 +176,7 @@
     order_fleet(node, ask, |fleet| (!fleet.has_ended(&id)).then(|| FleetChange::End(id.clone()))).await
 }
 
-async fn order_fleet(node: &Signalbox, ask: Ask, change: impl FnOnce(&FleetState) -> Option<FleetChange>) -> Reply {
+pub async fn order_fleet(node: &Signalbox, ask: Ask, change: impl FnOnce(&FleetState) -> Option<FleetChange>) -> Reply {
     let Some(primary) = node.zab.borrow().primary() else {
         return Reply::NotNow("no primary just now".into());
     };
--- /dev/null
+++ b/crates/signalbox/src/node/shards.rs
@@ -0,0 +1,203 @@
+//! The primary's duty for services that are divided by key: it gives out what nobody holds, and moves what is too
+//! much for its holder. Only under its lease, and only by changes in the log.
+//!
+//! A hold that was revoked without a word of its end is over once the longest hold has passed since this primary
+//! saw the revocation committed. Nodes renew holds only by a state that a primary vouched for under its lease, from the
+//! moment they asked; so whatever was renewed after the revocation rests on a state before it, and ends in that time.
+
+use super::{Signalbox, primary};
+use crate::ledger::Change;
+use crate::shards::{Endpoint, ServiceLoad, plan};
+use lineside::call::{Ask, CallError, Reply, ShardLoad, ShardRelease};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use timetable::fleet::{FleetChange, FleetState};
+use timetable::shards::{Holding, KeyRange, ShardChange, ShardMap};
+use trackbed::clock::{self, Moment};
+use trackbed::ids::{InstanceId, ServiceName, Zxid};
+
+const EVERY: Duration = Duration::from_millis(150);
+/// Moves by load are looked for this often.
+const MOVES_EVERY: Duration = Duration::from_millis(1500);
+/// The first grant waits until no further endpoint has come for so long.
+const QUIET_BEFORE_FIRST: Duration = Duration::from_millis(1200);
+/// Clocks of endpoints may run this much slower than this one.
+const CLOCK_ALLOWANCE: f64 = 0.03;
+/// For what lies between a node's clock reading and the arrival of its answer.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(700);
+const FORWARD_LIMIT: Duration = Duration::from_millis(400);
+
+/// What this node knows of sharded services beyond the log. Only at the primary does it hold anything.
+#[derive(Default)]
+pub struct Sharding {
+    loads: RefCell<BTreeMap<ServiceName, ServiceLoad>>,
+    /// When each revocation was first seen committed here.
+    revoked: RefCell<BTreeMap<(InstanceId, Zxid), Moment>>,
+    /// The endpoints of each service without any grant, and since when they are the same.
+    first: RefCell<BTreeMap<ServiceName, (BTreeSet<InstanceId>, Moment)>>,
+    moved: RefCell<BTreeMap<ServiceName, Moment>>,
+}
+
+impl Sharding {
+    fn start_anew(&self) {
+        self.loads.borrow_mut().clear();
+        self.revoked.borrow_mut().clear();
+        self.first.borrow_mut().clear();
+        self.moved.borrow_mut().clear();
+    }
+}
+
+pub async fn keep(node: Rc<Signalbox>) {
+    loop {
+        monoio::time::sleep(EVERY).await;
+        let now = clock::now();
+        if !node.zab.borrow().is_primary() || !primary::lease_holds(&node) {
+            node.sharding.start_anew();
+            continue;
+        }
+        expire(&node, now);
+        for service in sharded_services(&node) {
+            step(&node, &service, now);
+        }
+    }
+}
+
+fn sharded_services(node: &Signalbox) -> Vec<ServiceName> {
+    let committed = node.committed.borrow();
+    let routes = committed.fleet.routes();
+    let services = routes.iter().flat_map(|routes| routes.services());
+    services.filter(|(_, service)| service.sharded).map(|(name, _)| ServiceName::new(name)).collect()
+}
+
+fn order(node: &Signalbox, service: &ServiceName, change: ShardChange) {
+    primary::order_change(node, Change::Fleet(FleetChange::Shards { service: service.clone(), change }));
+}
+
+/// Frees what was revoked for longer than any hold can last.
+fn expire(node: &Signalbox, now: Moment) {
+    let longest = node.live.get().bounds.hold_max().mul_f64(1.0 + CLOCK_ALLOWANCE) + EXPIRY_MARGIN;
+    let mut due: Vec<(ServiceName, InstanceId, Zxid)> = Vec::new();
+    {
+        let committed = node.committed.borrow();
+        let mut seen = node.sharding.revoked.borrow_mut();
+        let mut there = BTreeSet::new();
+        for (service, map) in committed.fleet.sharded() {
+            for (owner, revoked) in revocations(map) {
+                let key = (owner.clone(), revoked);
+                let since = *seen.entry(key.clone()).or_insert(now);
+                if there.insert(key) && now.since(since) > longest {
+                    due.push((service.clone(), owner.clone(), revoked));
+                }
+            }
+        }
+        seen.retain(|key, _| there.contains(key));
+    }
+    for (service, owner, revoked) in due {
+        log::warn!("keys of {service} that {owner} was to let go are free: its hold has run out");
+        order(node, &service, ShardChange::Expired { owner, revoked });
+    }
+}
+
+fn revocations(map: &ShardMap) -> impl Iterator<Item = (&InstanceId, Zxid)> {
+    map.shards().iter().filter_map(|shard| match &shard.holding {
+        Holding::Releasing { owner, revoked } => Some((owner, *revoked)),
+        _ => None,
+    })
+}
+
+/// Orders the next step of a service's assignment, if one is due.
+fn step(node: &Signalbox, service: &ServiceName, now: Moment) {
+    let changes = {
+        let proposed = node.proposed.borrow();
+        let Some(fleet) = proposed.as_ref().map(|proposed| &proposed.fleet) else { return };
+        let endpoints = endpoints(fleet, service);
+        let first = ShardMap::default();
+        let map = fleet.shards(service).map(Rc::as_ref);
+        if map.is_none() && !is_quiet(node, service, &endpoints, now) {
+            return;
+        }
+        let mut loads = node.sharding.loads.borrow_mut();
+        let load = loads.entry(service.clone()).or_default();
+        load.retain(|instance| endpoints.iter().any(|endpoint| endpoint.id == *instance));
+        plan(map.unwrap_or(&first), load, &endpoints, now)
+    };
+    for change in changes {
+        if matches!(change, ShardChange::Revoke(_)) && !may_move(node, service, now) {
+            continue;
+        }
+        log::info!("keys of {service}: {}", described(&change));
+        order(node, service, change);
+    }
+}
+
+fn endpoints(fleet: &FleetState, service: &ServiceName) -> Vec<Endpoint> {
+    let serving = fleet.serving(service).iter().filter(|instance| !instance.draining && instance.has_node_beside());
+    serving.map(|instance| Endpoint { id: instance.id.clone(), slots: instance.slots }).collect()
+}
+
+/// Whether the endpoints of a service that starts from nothing have been the same for a while.
+fn is_quiet(node: &Signalbox, service: &ServiceName, endpoints: &[Endpoint], now: Moment) -> bool {
+    let ids: BTreeSet<InstanceId> = endpoints.iter().map(|endpoint| endpoint.id.clone()).collect();
+    let mut first = node.sharding.first.borrow_mut();
+    let known = first.entry(service.clone()).or_insert((BTreeSet::new(), now));
+    if known.0 != ids {
+        *known = (ids, now);
+    }
+    !endpoints.is_empty() && now.since(known.1) >= QUIET_BEFORE_FIRST
+}
+
+fn may_move(node: &Signalbox, service: &ServiceName, now: Moment) -> bool {
+    let mut moved = node.sharding.moved.borrow_mut();
+    let last = moved.entry(service.clone()).or_insert(now);
+    if now.since(*last) < MOVES_EVERY {
+        return false;
+    }
+    *last = now;
+    true
+}
+
+fn described(change: &ShardChange) -> String {
+    let list = |ranges: &[(KeyRange, InstanceId)]| {
+        let shown: Vec<String> = ranges.iter().take(4).map(|(range, owner)| format!("{range} {owner}")).collect();
+        let more = ranges.len().saturating_sub(shown.len());
+        format!("{}{}", shown.join(", "), if more > 0 { format!(" and {more} more") } else { String::new() })
+    };
+    match change {
+        ShardChange::Grant(ranges) => format!("granted {}", list(ranges)),
+        ShardChange::Revoke(ranges) => format!("to be let go {}", list(ranges)),
+        ShardChange::Released { owner, ranges, .. } => format!("{owner} let go of {} ranges", ranges.len()),
+        ShardChange::Expired { owner, .. } => format!("the hold of {owner} has run out"),
+    }
+}
+
+/// An endpoint has let go of keys, as the node beside it says.
+pub async fn release(node: &Signalbox, release: ShardRelease) -> Reply {
+    let ask = Ask::ShardRelease(release.clone());
+    primary::order_fleet(node, ask, |fleet| {
+        let ShardRelease { service, owner, ranges, seen } = release;
+        let change = ShardChange::Released { owner, ranges, seen };
+        let mut after = ShardMap::clone(fleet.shards(&service)?);
+        after.apply(fleet.zxid(), &change);
+        // What was told before changes nothing.
+        (fleet.shards(&service).map(Rc::as_ref) != Some(&after)).then_some(FleetChange::Shards { service, change })
+    })
+    .await
+}
+
+/// What an endpoint's node measured: for the primary.
+pub async fn report(node: &Signalbox, report: ShardLoad) -> Reply {
+    let Some(primary) = node.zab.borrow().primary() else {
+        return Reply::NotNow("no primary just now".into());
+    };
+    if primary.id != node.zab.borrow().me().id {
+        return match node.caller.call(primary.address, Ask::ShardLoad(report), FORWARD_LIMIT).await {
+            Ok(reply) => reply,
+            Err(CallError::NotSent | CallError::NoReply) => Reply::NotNow("the primary can't be reached".into()),
+        };
+    }
+    let mut loads = node.sharding.loads.borrow_mut();
+    loads.entry(report.service.clone()).or_default().reported(&report, clock::now());
+    Reply::Done
+}
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -3,7 +3,7 @@
 use super::aggregation::{self, Aggregation};
 use super::calls::OpenCalls;
 use super::majority::Majority;
-use super::{NodeError, Signalbox, beats, councils, disk, forecast, inspection, listeners, peers, turn};
+use super::{NodeError, Signalbox, beats, councils, disk, forecast, inspection, listeners, peers, shards, turn};
 use crate::ledger::Ledger;
 use crate::replica::Replica;
 use futures_channel::mpsc::unbounded;
@@ -122,6 +122,8 @@
                 leaving: Cell::new(false),
                 majority: RefCell::new(Majority::new(now)),
                 complaints: Complaints::default(),
+                sharding: shards::Sharding::default(),
+                assurance: Cell::new(None),
             });
             monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
             let serving = listeners::open(control_plane, &node)?;
@@ -134,6 +136,7 @@
             monoio::spawn(councils::keep(node.clone()));
             monoio::spawn(aggregation::keep(node.clone()));
             monoio::spawn(forecast::keep(node.clone()));
+            monoio::spawn(shards::keep(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             turn::leave(&node, &serving).await;
             Ok::<(), NodeError>(())
--- /dev/null
+++ b/crates/signalbox/src/shards/load.rs
@@ -0,0 +1,103 @@
+//! What is asked of the keys of one service, and how fast its endpoints are, as reported.
+
+use lineside::call::{KEYS_IN_BUCKET, ShardLoad};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use timetable::shards::{KeyRange, LAST_KEY};
+use trackbed::clock::Moment;
+use trackbed::ids::InstanceId;
+
+const BUCKETS: usize = (LAST_KEY as usize + 1) / KEYS_IN_BUCKET as usize;
+/// Share of a new report in what is known of a bucket or an endpoint.
+const NEWEST: f64 = 0.5;
+/// A report that is older says nothing any more.
+const REPORT_LASTS: Duration = Duration::from_secs(8);
+/// Requests asked of all keys together below which nothing is moved for its load.
+const FEWEST_A_SECOND: f64 = 5.0;
+
+#[derive(Clone, Copy, Debug)]
+struct Speed {
+    seconds: f64,
+    at: Moment,
+}
+
+/// Requests a second by bucket of keys, and seconds of a slot that one takes at each endpoint.
+#[derive(Clone, Debug)]
+pub struct ServiceLoad {
+    rates: Vec<f64>,
+    speeds: BTreeMap<InstanceId, Speed>,
+}
+
+impl Default for ServiceLoad {
+    fn default() -> Self {
+        Self { rates: vec![0.0; BUCKETS], speeds: BTreeMap::new() }
+    }
+}
+
+fn buckets(range: KeyRange) -> std::ops::RangeInclusive<usize> {
+    (range.first() / KEYS_IN_BUCKET) as usize..=(range.last() / KEYS_IN_BUCKET) as usize
+}
+
+impl ServiceLoad {
+    /// Takes in what an endpoint's node measured.
+    pub fn reported(&mut self, report: &ShardLoad, now: Moment) {
+        let seconds = report.window_millis.max(1) as f64 / 1000.0;
+        let counts: BTreeMap<usize, f64> =
+            report.requests.iter().map(|(bucket, count)| (*bucket as usize, *count as f64 / seconds)).collect();
+        for range in &report.covered {
+            for bucket in buckets(*range) {
+                let rate = counts.get(&bucket).copied().unwrap_or(0.0) / share_of_bucket(*range, bucket).max(0.1);
+                self.rates[bucket] += (rate - self.rates[bucket]) * NEWEST;
+            }
+        }
+        if report.service_micros > 0 {
+            let newest = report.service_micros as f64 / 1e6;
+            let known = self.speeds.entry(report.instance.clone()).or_insert(Speed { seconds: newest, at: now });
+            known.seconds += (newest - known.seconds) * NEWEST;
+            known.at = now;
+        }
+    }
+
+    /// Forgets endpoints that are gone.
+    pub fn retain(&mut self, is_there: impl Fn(&InstanceId) -> bool) {
+        self.speeds.retain(|instance, _| is_there(instance));
+    }
+
+    /// Whether enough is measured to move keys by.
+    pub fn is_measured(&self) -> bool {
+        self.total() >= FEWEST_A_SECOND
+    }
+
+    pub fn total(&self) -> f64 {
+        self.rates.iter().sum()
+    }
+
+    /// Requests a second for a range; the same for each key as long as nothing is measured.
+    pub fn rate(&self, range: KeyRange) -> f64 {
+        if !self.is_measured() {
+            return range.length() as f64 / (LAST_KEY as f64 + 1.0);
+        }
+        buckets(range).map(|bucket| self.rates[bucket] * share_of_bucket(range, bucket)).sum()
+    }
+
+    /// Seconds of a slot that one request takes at an endpoint; the mean of all where that is not known.
+    pub fn seconds(&self, instance: &InstanceId, now: Moment) -> f64 {
+        let fresh = |speed: &&Speed| now.since(speed.at) < REPORT_LASTS;
+        if let Some(known) = self.speeds.get(instance).filter(fresh) {
+            return known.seconds;
+        }
+        let known: Vec<f64> = self.speeds.values().filter(fresh).map(|speed| speed.seconds).collect();
+        match known.len() {
+            0 => 1.0,
+            count => known.iter().sum::<f64>() / count as f64,
+        }
+    }
+}
+
+/// The part of a bucket's keys that a range holds.
+fn share_of_bucket(range: KeyRange, bucket: usize) -> f64 {
+    let first = bucket as u16 * KEYS_IN_BUCKET;
+    let whole = KeyRange::new(first, first + (KEYS_IN_BUCKET - 1)).expect("the first key is the lowest");
+    let inside = whole.intersection(range).map_or(0, KeyRange::length);
+    inside as f64 / KEYS_IN_BUCKET as f64
+}
--- a/crates/timetable/src/configuration/mod.rs
+++ b/crates/timetable/src/configuration/mod.rs
@@ -15,6 +15,6 @@
 pub use digest::{DigestPass, Entry, EntryDrift, LEAVES, PlannedBy, TableDigest, entry_drifts};
 pub use document::{Configuration, Patch};
 pub use observation::{OBSERVATION, Observation};
-pub use route::{Limits, Route, RouteKind, Service};
+pub use route::{GrantWay, Limits, Route, RouteKind, Service};
 pub use table::Routes;
 pub use tenant::{TENANT_HEADER, Tenant, TenantDoubt, Tenants};
--- a/crates/timetable/src/configuration/route.rs
+++ b/crates/timetable/src/configuration/route.rs
@@ -146,10 +146,23 @@
     }
 }
 
+/// How endpoints learn which keys they hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantWay {
+    /// In the answers to their heartbeats.
+    Heartbeat,
+    /// By calls to their address.
+    Call,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     pub health_path: Option<String>,
     pub max_connections: u32,
+    /// Each of its keys is held by one endpoint, and requests name their key.
+    pub sharded: bool,
+    /// How endpoints of a sharded service are told what they hold.
+    pub grants: GrantWay,
 }
 
 impl Service {
@@ -163,7 +176,13 @@
             .filter(|path| path.starts_with('/'))
             .map(str::to_owned);
         let max_connections = value.pointer(["max_connections"].iter()).and_then(|count| count.as_u64()).unwrap_or(100);
-        Ok(Self { health_path, max_connections: max_connections.clamp(1, 1_000_000) as u32 })
+        let sharded = value.pointer(["sharded"].iter()).and_then(|sharded| sharded.as_bool()).unwrap_or(false);
+        let grants = match value.pointer(["grants"].iter()).and_then(|way| way.as_str()) {
+            Some("heartbeat") => GrantWay::Heartbeat,
+            _ => GrantWay::Call,
+        };
+        let max_connections = max_connections.clamp(1, 1_000_000) as u32;
+        Ok(Self { health_path, max_connections, sharded, grants })
     }
 }
 
--- a/crates/timetable/src/fleet/beat.rs
+++ b/crates/timetable/src/fleet/beat.rs
@@ -1,7 +1,8 @@
 //! An endpoint's beat, read from its JSON.
 
 use super::Instance;
-use sonic_rs::{JsonValueTrait, Value};
+use crate::shards::KeyRange;
+use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::ids::{InstanceId, NodeName, ServiceName, ZoneName};
@@ -13,6 +14,10 @@
     /// Rises with each call, so that a late one can be known.
     pub sequence: u64,
     pub cold: Duration,
+    /// Keys that it holds, or still works on.
+    pub holds: Vec<(KeyRange, u64)>,
+    /// Keys that it has let go since its last acknowledged beat, each with what it hands over.
+    pub released: Vec<(KeyRange, String)>,
 }
 
 /// The node beside an endpoint and where it takes requests, for those that have one.
@@ -48,6 +53,21 @@
         };
         let cold = number("cold_remaining_s").filter(|cold| (0.0..1e6).contains(cold)).unwrap_or(0.0);
         let sequence = number("sequence").filter(|sequence| *sequence >= 0.0).unwrap_or(0.0) as u64;
-        Ok(Self { instance, sequence, cold: Duration::from_secs_f64(cold) })
+        let holds = rows(&value, "holds", |third| third.as_u64()).ok_or("holds is no list of [from, to, fence]")?;
+        let released = rows(&value, "released", |third| third.as_str().map(str::to_owned))
+            .ok_or("released is no list of [from, to, handover]")?;
+        Ok(Self { instance, sequence, cold: Duration::from_secs_f64(cold), holds, released })
     }
 }
+
+/// Rows of first key, last key and a third value. None where the field is there and can't be read.
+fn rows<T>(value: &Value, field: &str, third: impl Fn(&Value) -> Option<T>) -> Option<Vec<(KeyRange, T)>> {
+    let Some(list) = value.pointer([field].iter()).filter(|list| !list.is_null()) else { return Some(Vec::new()) };
+    let key = |value: &Value| value.as_u64().and_then(|key| u16::try_from(key).ok());
+    let row = |row: &Value| {
+        let row = row.as_array()?;
+        let range = KeyRange::new(key(row.first()?)?, key(row.get(1)?)?)?;
+        Some((range, third(row.get(2)?)?))
+    };
+    list.as_array()?.iter().map(row).collect()
+}
--- a/crates/timetable/src/fleet/changes.rs
+++ b/crates/timetable/src/fleet/changes.rs
@@ -1,6 +1,7 @@
 //! Changes of the fleet's state, as they are ordered.
 
 use crate::configuration::{Configuration, Patch};
+use crate::shards::ShardChange;
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::net::SocketAddr;
 use trackbed::ids::{InstanceId, NodeName, RegionName, ServiceName, ZoneName, Zxid};
@@ -63,6 +64,11 @@
         region: RegionName,
         members: Vec<Member>,
     },
+    /// A step of the assignment of a service's keys.
+    Shards {
+        service: ServiceName,
+        change: ShardChange,
+    },
 }
 
 impl Instance {
--- a/crates/timetable/src/fleet/mod.rs
+++ b/crates/timetable/src/fleet/mod.rs
@@ -7,4 +7,4 @@
 
 pub use beat::{Beat, Post};
 pub use changes::{Charter, ConfigChange, FleetChange, Instance, Member};
-pub use state::{FleetNews, FleetSnapshot, FleetSnapshotBefore, FleetState};
+pub use state::{FleetNews, FleetSnapshot, FleetSnapshotBefore, FleetSnapshotBeforeShards, FleetState};
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -4,6 +4,7 @@
 use super::tail::{NewsTail, TailEntry};
 use crate::configuration::{Configuration, Fault, Routes};
 use crate::packed::Packed;
+use crate::shards::{ShardChange, ShardMap};
 use crate::shared::{RecentKeys, SharedMap};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::cell::RefCell;
@@ -22,6 +23,26 @@
     ended: RecentKeys<InstanceId, ()>,
     taken: RecentKeys<u128, ConfigEpoch>,
     charters: SharedMap<RegionName, Charter>,
+    /// The holders of keys, by service divided by key.
+    shards: SharedMap<ServiceName, Rc<ShardMap>>,
+}
+
+/// As it stood on disks before keys had holders.
+#[derive(BorshDeserialize)]
+pub struct FleetSnapshotBeforeShards {
+    zxid: Zxid,
+    configuration: Option<Configuration>,
+    instances: SharedMap<InstanceId, Rc<Instance>>,
+    ended: RecentKeys<InstanceId, ()>,
+    taken: RecentKeys<u128, ConfigEpoch>,
+    charters: SharedMap<RegionName, Charter>,
+}
+
+impl From<FleetSnapshotBeforeShards> for FleetSnapshot {
+    fn from(before: FleetSnapshotBeforeShards) -> Self {
+        let FleetSnapshotBeforeShards { zxid, configuration, instances, ended, taken, charters } = before;
+        Self { zxid, configuration, instances, ended, taken, charters, shards: SharedMap::new() }
+    }
 }
 
 /// As it stood on disks before there were councils.
@@ -37,7 +58,7 @@
 impl From<FleetSnapshotBefore> for FleetSnapshot {
     fn from(before: FleetSnapshotBefore) -> Self {
         let FleetSnapshotBefore { zxid, configuration, instances, ended, taken } = before;
-        Self { zxid, configuration, instances, ended, taken, charters: SharedMap::new() }
+        Self { zxid, configuration, instances, ended, taken, charters: SharedMap::new(), shards: SharedMap::new() }
     }
 }
 
@@ -121,6 +142,14 @@
     pub fn charters(&self) -> impl Iterator<Item = &Charter> {
         self.snapshot.charters.values()
     }
+    /// The holders of a service's keys; nothing while none was ever granted.
+    pub fn shards(&self, service: &ServiceName) -> Option<&Rc<ShardMap>> {
+        self.snapshot.shards.get(service)
+    }
+    /// Every service whose keys have, or had, holders.
+    pub fn sharded(&self) -> impl Iterator<Item = (&ServiceName, &Rc<ShardMap>)> {
+        self.snapshot.shards.iter()
+    }
     /// Every service that has endpoints, with them.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Rc<Instance>])> {
         self.by_service.iter().map(|(service, instances)| (service, instances.as_slice()))
@@ -169,8 +198,15 @@
         match change {
             FleetChange::Configure { change, digest } => self.configure(&change, digest),
             FleetChange::Register(instance) => self.register(instance),
-            FleetChange::End(id) => self.end(&id),
-            FleetChange::Lost(id) => self.remove(&id),
+            FleetChange::End(id) => {
+                self.revoke_keys(&id);
+                self.end(&id);
+            }
+            FleetChange::Lost(id) => {
+                self.revoke_keys(&id);
+                self.remove(&id);
+            }
+            FleetChange::Shards { service, change } => self.change_shards(service, &change),
             FleetChange::Council { region, members } => {
                 let before = self.snapshot.charters.remove(&region).map(|charter| charter.members).unwrap_or_default();
                 let charter = Charter { region: region.clone(), zxid, members, before };
@@ -183,10 +219,15 @@
     fn register(&mut self, mut instance: Instance) {
         let other = self.by_address.get(&instance.address).filter(|other| **other != instance.id).cloned();
         if let Some(other) = other {
+            // One life at an address at a time: the process that held those keys is over.
+            self.free_keys(&other);
             self.end(&other);
         }
         // What was ordered of leaving holds for the rest of a life, whatever a late word says.
         instance.draining |= self.snapshot.instances.get(&instance.id).is_some_and(|known| known.draining);
+        if instance.draining {
+            self.revoke_keys(&instance.id);
+        }
         self.remove(&instance.id);
         let instance = Rc::new(instance);
         self.index(&instance);
@@ -225,6 +266,35 @@
         self.snapshot.configuration = Some(next);
     }
 
+    fn change_shards(&mut self, service: ServiceName, change: &ShardChange) {
+        let mut shards = self.snapshot.shards.get(&service).cloned().unwrap_or_default();
+        Rc::make_mut(&mut shards).apply(self.snapshot.zxid, change);
+        self.snapshot.shards.insert(service, shards);
+    }
+
+    /// The maps in which an endpoint holds keys. It serves one service in its life.
+    fn shards_held_by(&self, id: &InstanceId) -> Vec<(ServiceName, Rc<ShardMap>)> {
+        let holds = |shards: &Rc<ShardMap>| shards.shards().iter().any(|shard| shard.holding.owner() == Some(id));
+        let maps = self.snapshot.shards.iter().filter(|(_, shards)| holds(shards));
+        maps.map(|(service, shards)| (service.clone(), shards.clone())).collect()
+    }
+
+    /// An endpoint leaves, or is silent: it is to let go of its keys.
+    fn revoke_keys(&mut self, id: &InstanceId) {
+        for (service, mut shards) in self.shards_held_by(id) {
+            Rc::make_mut(&mut shards).revoke_all(id, self.snapshot.zxid);
+            self.snapshot.shards.insert(service, shards);
+        }
+    }
+
+    /// An endpoint's process is certainly over.
+    fn free_keys(&mut self, id: &InstanceId) {
+        for (service, mut shards) in self.shards_held_by(id) {
+            Rc::make_mut(&mut shards).free_all(id);
+            self.snapshot.shards.insert(service, shards);
+        }
+    }
+
     fn end(&mut self, id: &InstanceId) {
         self.remove(id);
         if !self.snapshot.ended.contains(id) {
--- a/crates/timetable/src/lib.rs
+++ b/crates/timetable/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod configuration;
 pub mod fleet;
 pub mod packed;
+pub mod shards;
 pub mod shared;
 pub mod work;
--- /dev/null
+++ b/crates/timetable/src/shards/range.rs
@@ -0,0 +1,49 @@
+//! Ranges of keys.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use derive_more::Display;
+
+/// The highest key. Keys begin at zero.
+pub const LAST_KEY: u16 = u16::MAX;
+
+/// Keys from `first` to `last`, both inside. Invariant: `first` ≤ `last`.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+#[display("{first}-{last}")]
+pub struct KeyRange {
+    first: u16,
+    last: u16,
+}
+
+impl KeyRange {
+    pub const ALL: KeyRange = KeyRange { first: 0, last: LAST_KEY };
+
+    /// `None` where the first key is above the last.
+    pub fn new(first: u16, last: u16) -> Option<Self> {
+        (first <= last).then_some(Self { first, last })
+    }
+
+    pub fn first(self) -> u16 {
+        self.first
+    }
+
+    pub fn last(self) -> u16 {
+        self.last
+    }
+
+    /// How many keys there are in it.
+    pub fn length(self) -> u32 {
+        (self.last - self.first) as u32 + 1
+    }
+
+    pub fn contains(self, key: u16) -> bool {
+        (self.first..=self.last).contains(&key)
+    }
+
+    pub fn covers(self, other: KeyRange) -> bool {
+        self.first <= other.first && other.last <= self.last
+    }
+
+    pub fn intersection(self, other: KeyRange) -> Option<KeyRange> {
+        Self::new(self.first.max(other.first), self.last.min(other.last))
+    }
+}
--- a/crates/timetable/tests/encoding.rs
+++ b/crates/timetable/tests/encoding.rs
@@ -3,7 +3,10 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::{BTreeMap, VecDeque};
 use timetable::configuration::Configuration;
-use timetable::fleet::{Charter, ConfigChange, FleetChange, FleetSnapshot, FleetState, Instance, Member};
+use timetable::fleet::{
+    Charter, ConfigChange, FleetChange, FleetSnapshot, FleetSnapshotBeforeShards, FleetState, Instance, Member,
+};
+use timetable::shards::{KeyRange, ShardChange, ShardMap};
 use trackbed::ids::{ConfigEpoch, InstanceId, NodeName, RegionName, ServiceName, ZoneName, Zxid};
 
 type Texts = BTreeMap<String, String>;
@@ -27,6 +30,7 @@
     ended: VecDeque<InstanceId>,
     taken: VecDeque<(ConfigEpoch, u128)>,
     charters: BTreeMap<RegionName, Charter>,
+    shards: BTreeMap<ServiceName, ShardMap>,
 }
 
 const ROUTE: &str = r#"{"hostname":"h","path_prefix":"/a/","route_type":"upload","timeout_s":1,"service_name":"s"}"#;
@@ -92,6 +96,7 @@
         ended: (175..1199).map(|counter| InstanceId::new(&format!("e{counter}"))).collect(),
         taken: VecDeque::from([(ConfigEpoch(7), 1), (ConfigEpoch(7), 2), (ConfigEpoch(7), 1)]),
         charters: BTreeMap::new(),
+        shards: BTreeMap::new(),
     };
     for (counter, digest) in [(1, 1), (2, 2), (3, 1)] {
         let change = ConfigChange::Whole(configuration());
@@ -107,6 +112,17 @@
     let charter =
         Charter { region: region.clone(), zxid: Zxid::new(1, 1200), members: vec![member()], before: Vec::new() };
     plain.charters.insert(region, charter);
+    // What stood on disks before keys had holders is a snapshot without the last field, and is still read.
+    let mut before = borsh::to_vec(state.snapshot()).unwrap();
+    before.truncate(before.len() - 4);
+    let read: FleetSnapshotBeforeShards = borsh::from_slice(&before).unwrap();
+    assert_eq!(&FleetSnapshot::from(read), state.snapshot());
+    let change = ShardChange::Grant(vec![(KeyRange::ALL, InstanceId::new("i9"))]);
+    let mut map = ShardMap::default();
+    map.apply(Zxid::new(1, 1201), &change);
+    state.apply(Zxid::new(1, 1201), FleetChange::Shards { service: ServiceName::new("s"), change });
+    plain.zxid = Zxid::new(1, 1201);
+    plain.shards.insert(ServiceName::new("s"), map);
     let bytes = borsh::to_vec(state.snapshot()).unwrap();
     assert_eq!(borsh::from_slice::<PlainSnapshot>(&bytes).unwrap(), plain);
     assert_eq!(borsh::to_vec(&plain).unwrap(), bytes);
--- a/crates/trackbed/src/config/bounds.rs
+++ b/crates/trackbed/src/config/bounds.rs
@@ -45,6 +45,10 @@
     pub fn address_reuse(&self) -> Duration {
         self.seconds("address_reuse_s", 2.0)
     }
+    /// The longest time for which keys may be granted at once.
+    pub fn hold_max(&self) -> Duration {
+        self.seconds("hold_max_s", 10.0)
+    }
     pub fn retry_budget_ratio(&self) -> f64 {
         self.number("retry_budget_ratio", 0.2)
     }
