--- a/crates/pointsman/src/dispatch/mod.rs
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -18,7 +18,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use balance::Balance;
+pub use balance::{Balance, Candidate};
 pub use binding::Binding;
 pub use budget::{BudgetBounds, Budgets};
 pub use carry::carry_out;
