Holds of keys: when one may be renewed and when it is certainly over, tested on virtual time

Cause: the two bounds that keep a key from having two holders stood in two programs, without a test of them together. Change: timetable::shards::holds has both, with the argument; tests/shard_holds.rs plays nodes that freeze and are cut off, endpoints whose clocks are 2% slow, late words and changes of primary, and looks at every step for a key held twice.

--- a/crates/pointsman/src/platform/ownership.rs
+++ b/crates/pointsman/src/platform/ownership.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use timetable::configuration::GrantWay;
 use timetable::fleet::{Beat, Instance};
-use timetable::shards::KeyRange;
+use timetable::shards::{KeyRange, renewable_for};
 use trackbed::clock::{self, Moment};
 use trackbed::ids::{ServiceName, Zxid};
 use trackbed::logs::escape;
@@ -22,10 +22,6 @@
 const REPORT_EVERY: Duration = Duration::from_millis(2000);
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 const CALL_LIMIT: Duration = Duration::from_millis(1500);
-/// Kept back of every hold, for what lies between this node's clock reading and the answer on the wire.
-const HOLD_MARGIN: Duration = Duration::from_millis(200);
-/// A hold that would be shorter is not renewed.
-const SHORTEST_HOLD: Duration = Duration::from_millis(300);
 /// Rows in one answer, which holds 4 KiB at most.
 const MOST_ROWS: usize = 48;
 
@@ -91,10 +87,9 @@
     }
     let ownership = &node.platform.ownership;
     note_released(node, beat);
-    let longest = node.live.get().bounds.hold_max().saturating_sub(HOLD_MARGIN);
-    let until = ownership.vouched.get().map(|vouched| vouched + longest);
+    let longest = node.live.get().bounds.hold_max();
     // The endpoint counts from when it sent the beat, which was before it arrived here.
-    let hold = until.map(|until| arrived.until(until)).filter(|hold| *hold >= SHORTEST_HOLD);
+    let hold = ownership.vouched.get().and_then(|vouched| renewable_for(vouched, arrived, longest));
     let Some(hold) = hold else { return "{}".into() };
     let rows = rows_for(node, beat);
     let ranges = rows.iter().map(|row| row.range).collect();
--- a/crates/signalbox/src/node/shards.rs
+++ b/crates/signalbox/src/node/shards.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::{FleetChange, FleetState};
-use timetable::shards::{Holding, KeyRange, ShardChange, ShardMap};
+use timetable::shards::{Holding, KeyRange, ShardChange, ShardMap, certainly_over};
 use trackbed::clock::{self, Moment};
 use trackbed::ids::{InstanceId, ServiceName, Zxid};
 
@@ -23,10 +23,6 @@
 const MOVES_EVERY: Duration = Duration::from_millis(1500);
 /// The first grant waits until no further endpoint has come for so long.
 const QUIET_BEFORE_FIRST: Duration = Duration::from_millis(1200);
-/// Clocks of endpoints may run this much slower than this one.
-const CLOCK_ALLOWANCE: f64 = 0.03;
-/// For what lies between a node's clock reading and the arrival of its answer.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(700);
 const FORWARD_LIMIT: Duration = Duration::from_millis(400);
 
 /// What this node knows of sharded services beyond the log. Only at the primary does it hold anything.
@@ -77,7 +73,7 @@
 
 /// Frees what was revoked for longer than any hold can last.
 fn expire(node: &Signalbox, now: Moment) {
-    let longest = node.live.get().bounds.hold_max().mul_f64(1.0 + CLOCK_ALLOWANCE) + EXPIRY_MARGIN;
+    let longest = certainly_over(node.live.get().bounds.hold_max());
     let mut due: Vec<(ServiceName, InstanceId, Zxid)> = Vec::new();
     {
         let committed = node.committed.borrow();
