--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -144,6 +144,10 @@
     Ok(Doors { inbound, outbound: open(outbound, most / 2, OutboundDoor(node.clone()))? })
 }
 
+/// How long after the word to leave new requests are taken. The platform has had two misses by then; whoever still comes
+/// is turned away while others can serve it, and what was taken has the rest of the grace period to finish.
+const TAKES_NEW_FOR: Duration = Duration::from_millis(2700);
+
 /// Readiness off, serve on, finish, leave.
 async fn leave(node: &Rc<Pointsman>, doors: &Doors) {
     log::info!("leaving");
@@ -163,9 +167,13 @@
     // The platform asks once a second and takes two misses.
     let shortest = begun + Duration::from_millis(2600).min(grace.mul_f64(0.5));
     let longest = begun + grace.mul_f64(0.88);
+    let last_taken = begun + TAKES_NEW_FOR.min(grace.mul_f64(0.45));
     loop {
         monoio::time::sleep(Duration::from_millis(50)).await;
         let now = clock::now();
+        if now >= last_taken {
+            doors.outbound.refuses_new.set(true);
+        }
         let busy = doors.outbound.under_way.get() + doors.inbound.under_way.get();
         if now >= longest {
             answer_what_is_left(doors).await;
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -50,6 +50,8 @@
     pub most_open: Cell<usize>,
     /// Every answer from now on ends its connection.
     pub leaving: Cell<bool>,
+    /// Requests that come from now on are turned away: they could not be finished.
+    pub refuses_new: Cell<bool>,
     /// Whatever is under way gets its final answer now.
     ending: Cell<bool>,
     /// Who is to be woken for it, by the number of the connection. Invariant: only requests under way.
@@ -167,6 +169,11 @@
             }
             Err(DoorError::Ended | DoorError::Broken) => return,
         };
+        if serving.refuses_new.get() {
+            let answer = handler.turned_away(503, "this process is about to end: the request has not run").closing();
+            let _ = write(handler.pacer(), &mut line, answer.encode(request.method == Method::HEAD)).await;
+            return;
+        }
         let _under_way = Count::up(&serving.under_way, 1);
         let _held = Count::up(&serving.held_bytes, request.body.len());
         let (keeps, bodyless) = (request.keeps, request.method == Method::HEAD);
--- a/crates/trackbed/src/http/serve_tests.rs
+++ b/crates/trackbed/src/http/serve_tests.rs
@@ -59,3 +59,36 @@
     })
     .unwrap();
 }
+
+/// Counts the requests that it is given.
+struct Counting(Cell<usize>);
+
+impl Handler for Counting {
+    fn limits(&self) -> DoorLimits {
+        DoorLimits::default()
+    }
+
+    async fn handle(self: Rc<Self>, _: Request) -> Option<Return> {
+        self.0.set(self.0.get() + 1);
+        Some(Return::text(200, "done"))
+    }
+}
+
+#[test]
+fn a_door_about_to_end_turns_new_requests_away_before_they_begin() {
+    let address: SocketAddr = ([127, 0, 0, 1], 18474).into();
+    kernel::run(async {
+        let serving = Rc::new(Serving::default());
+        serving.most_open.set(8);
+        let handler = Rc::new(Counting(Cell::new(0)));
+        monoio::spawn(serve_listener(bind_tcp(address).unwrap(), serving.clone(), handler.clone()));
+        serving.leaving.set(true);
+        assert!(read_all(address).await.starts_with("HTTP/1.1 200 "), "leaving alone turns nobody away");
+        serving.refuses_new.set(true);
+        let text = read_all(address).await;
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text:?}");
+        assert!(text.to_ascii_lowercase().contains("connection: close"), "{text:?}");
+        assert_eq!((handler.0.get(), serving.under_way.get()), (1, 0));
+    })
+    .unwrap();
+}
