--- a/crates/pointsman/src/dispatch/long_tests.rs
+++ b/crates/pointsman/src/dispatch/long_tests.rs
@@ -2,7 +2,7 @@
 
 use super::direct::deliver_long;
 use super::{Errand, Outcome, Passed};
-use crate::node::{Launched, Pointsman, launch};
+use crate::node::test_node::start;
 use crate::platform::{Claim, Life, Permits};
 use assert_matches::assert_matches;
 use lineside::call::{Permit, Reply};
@@ -10,31 +10,16 @@
 use monoio::net::{TcpListener, TcpStream};
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::configuration::{Configuration, Route};
 use timetable::fleet::Instance;
 use trackbed::clock;
-use trackbed::config::LocalConfig;
 use trackbed::http::Request;
 use trackbed::ids::{InstanceId, NodeName, ServiceName, ZoneName};
 
 const BODY: usize = 60 << 10;
 
-fn start(block: u8, host: u8, endpoint: Option<SocketAddr>) -> Rc<Pointsman> {
-    let ip = format!("127.77.{block}.{host}");
-    let endpoint = endpoint.map(|address| format!("\"app_address\":\"{address}\",")).unwrap_or_default();
-    let text = format!(
-        r#"{{{endpoint}"node_name":"n{host}","zone":"z","region":"r","zones":{{"z":"r"}},"ip_address":"{ip}","internal_port_range":[7380,7395],
-        "serves":["sidecar"],"seed_nodes":[],"service_name":"s","listen_addresses":{{"inbound":"{ip}:8146",
-        "outbound":"{ip}:8147","readiness":"{ip}:8141","control_plane":"{ip}:8144"}},
-        "limits":{{"memory_mb":160,"file_descriptors":4096,"link_mbps":5}}}}"#
-    );
-    let Launched { node, .. } = launch(PathBuf::new(), LocalConfig::parse(text.as_bytes(), "text").unwrap()).unwrap();
-    node
-}
-
 /// Answers every request, and counts the bytes of bodies.
 async fn endpoint(mut stream: TcpStream, bytes: Rc<Cell<usize>>) {
     let mut held: Vec<u8> = Vec::new();
--- a/crates/pointsman/src/dispatch/mod.rs
+++ b/crates/pointsman/src/dispatch/mod.rs
@@ -9,6 +9,8 @@
 mod errand;
 mod headers;
 #[cfg(test)]
+mod key_tests;
+#[cfg(test)]
 mod long_tests;
 mod plan;
 mod pool;
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -10,6 +10,8 @@
 mod routes_check;
 mod start;
 pub mod tenancy;
+#[cfg(test)]
+pub mod test_node;
 
 pub use error::NodeError;
 pub use mode::Mode;
--- a/crates/pointsman/src/platform/ownership.rs
+++ b/crates/pointsman/src/platform/ownership.rs
@@ -227,3 +227,7 @@
         core_calls::ask_core(&node, Ask::ShardLoad(load), CALL_LIMIT / 3).await;
     });
 }
+
+#[cfg(test)]
+#[path = "ownership_tests.rs"]
+mod tests;
