--- a/crates/trackbed/src/clock.rs
+++ b/crates/trackbed/src/clock.rs
@@ -11,9 +11,11 @@
 pub struct Moment(pub u64);
 
 impl Moment {
+    /// The point so many microseconds after the clock's origin.
     pub fn from_micros(micros: u64) -> Self {
         Self(micros)
     }
+    /// Microseconds since the clock's origin.
     pub fn micros(self) -> u64 {
         self.0
     }
--- a/crates/trackbed/src/config/bounds.rs
+++ b/crates/trackbed/src/config/bounds.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// The figures by name.
 #[derive(Clone, Debug, Default)]
 pub struct Bounds(BTreeMap<String, String>);
 
@@ -18,6 +19,7 @@
         Self(figures)
     }
 
+    /// A figure by its name; `otherwise` where it is missing, no number or negative.
     pub fn number(&self, name: &str, otherwise: f64) -> f64 {
         self.0
             .get(name)
@@ -30,18 +32,23 @@
         Duration::from_secs_f64(self.number(name, otherwise).min(1e6))
     }
 
+    /// How long an endpoint serves on after it was acknowledged as leaving.
     pub fn drain(&self) -> Duration {
         self.seconds("drain_s", 2.0)
     }
+    /// How long a process may take to end after SIGTERM.
     pub fn grace_period(&self) -> Duration {
         self.seconds("grace_period_s", 6.0)
     }
+    /// For how long a watch may resume from a revision that it was told.
     pub fn history(&self) -> Duration {
         self.seconds("history_s", 20.0)
     }
+    /// How soon after its acknowledgement a configuration is in force everywhere.
     pub fn config_apply(&self) -> Duration {
         self.seconds("config_apply_s", 2.0)
     }
+    /// How soon after an endpoint's end another may get its address.
     pub fn address_reuse(&self) -> Duration {
         self.seconds("address_reuse_s", 2.0)
     }
@@ -49,12 +56,15 @@
     pub fn hold_max(&self) -> Duration {
         self.seconds("hold_max_s", 10.0)
     }
+    /// Further arrivals at a service allowed for each of its requests.
     pub fn retry_budget_ratio(&self) -> f64 {
         self.number("retry_budget_ratio", 0.2)
     }
+    /// Further arrivals at a service allowed beside that, in a window.
     pub fn retry_slack(&self) -> f64 {
         self.number("retry_slack", 0.0)
     }
+    /// The window in which further arrivals are counted.
     pub fn budget_window(&self) -> Duration {
         self.seconds("budget_window_s", 10.0)
     }
--- a/crates/trackbed/src/config/command.rs
+++ b/crates/trackbed/src/config/command.rs
@@ -7,17 +7,25 @@
 
 const DEFAULT_PATH: &str = "/etc/ferryhinge/local.json";
 
+/// How a program was called.
 pub struct Command {
+    /// The settings file.
     pub path: PathBuf,
+    /// The least severe log lines that are written.
     pub level: LevelFilter,
+    /// The settings, checked.
     pub config: LocalConfig,
 }
 
+/// What a command line comes to.
 pub enum CommandOutcome {
+    /// The program is to run.
     Run(Box<Command>),
     /// Nothing to run: the text goes out, and the process ends with the status.
     Done {
+        /// What to print.
         text: String,
+        /// The status to end with.
         status: i32,
     },
 }
@@ -52,6 +60,7 @@
         }
     }
 
+    /// Reads the command line of this process and the settings that it names. `check` says what the program can't do without.
     pub fn read(program: &str, about: &str, check: fn(&LocalConfig) -> Result<(), ConfigError>) -> CommandOutcome {
         let mut options = Options::new();
         options.optflag("h", "help", "print this text");
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -9,57 +9,105 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Why settings can't be used.
 #[derive(Debug, Display, Error)]
 pub enum ConfigError {
+    /// The file can't be read.
     #[display("settings file {path} can't be read ({reason}): give its path as the argument or in FERRYHINGE_CONFIG")]
-    Unreadable { path: String, reason: String },
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system said.
+        reason: String,
+    },
+    /// The file holds no JSON.
     #[display("settings file {path} is not JSON ({reason}): mend the file")]
-    NotJson { path: String, reason: String },
+    NotJson {
+        /// The file.
+        path: String,
+        /// What the parser said.
+        reason: String,
+    },
+    /// A field that the program can't do without is not there.
     #[display("settings field {field} is missing: add it, {wanted}")]
-    Missing { field: String, wanted: &'static str },
+    Missing {
+        /// The field, with dots between its parts.
+        field: String,
+        /// What is to stand there.
+        wanted: &'static str,
+    },
+    /// A field holds something else than it should.
     #[display("settings field {field} is wrong: it must be {wanted}")]
-    Wrong { field: String, wanted: &'static str },
+    Wrong {
+        /// The field, with dots between its parts.
+        field: String,
+        /// What is to stand there.
+        wanted: &'static str,
+    },
 }
 
 /// Invariant: an address is here only for what the machine's role serves.
 #[derive(Clone, Debug, Default)]
 pub struct ListenAddresses {
+    /// Where clients call a gateway.
     pub frontend: Option<SocketAddr>,
+    /// Where peer nodes pass requests on.
     pub inbound: Option<SocketAddr>,
+    /// Where clients and the endpoint on the same machine send requests.
     pub outbound: Option<SocketAddr>,
+    /// Where the platform asks whether this node is ready.
     pub readiness: Option<SocketAddr>,
+    /// Where endpoints and the operator call.
     pub control_plane: Option<SocketAddr>,
 }
 
+/// What the machine lets a process have.
 #[derive(Clone, Debug)]
 pub struct Limits {
+    /// Memory, in megabytes.
     pub memory_mb: u64,
+    /// Open files and sockets, 200 of which are reserved.
     pub file_descriptors: u64,
     /// What the machine's link carries in a second, in bytes, where that is known.
     pub link_bytes: Option<f64>,
 }
 
+/// One machine's settings, typed.
 #[derive(Clone, Debug)]
 pub struct LocalConfig {
+    /// The machine's name.
     pub node_name: NodeName,
+    /// The zone that the machine is in.
     pub zone: ZoneName,
+    /// The region that the zone is in.
     pub region: RegionName,
     /// Every zone known at the start, with its region.
     pub zones: BTreeMap<ZoneName, RegionName>,
+    /// The machine's address.
     pub ip_address: std::net::IpAddr,
     /// What the machine's role serves to those outside the system.
     pub serves: Vec<String>,
+    /// Where to listen for whom.
     pub listen: ListenAddresses,
     /// Invariant: first ≤ last, and two ports at least.
     pub internal_ports: (u16, u16),
+    /// Addresses of core nodes, as the file had them when it was written.
     pub seeds: Vec<SocketAddr>,
+    /// The whole system starts for the first time, with empty disks.
     pub initial_start: bool,
+    /// Where the state is kept, on machines with a disk.
     pub data_directory: Option<PathBuf>,
+    /// How often endpoints send heartbeats.
     pub heartbeat: Duration,
+    /// What the machine lets this process have.
     pub limits: Limits,
+    /// Core machines that may be lost at once with all rules kept.
     pub machine_losses: u64,
+    /// The figures of the rules in force.
     pub bounds: Bounds,
+    /// The endpoint beside this node.
     pub app_address: Option<SocketAddr>,
+    /// The service of the endpoint beside this node.
     pub service_name: Option<ServiceName>,
 }
 
@@ -104,6 +152,7 @@
 }
 
 impl LocalConfig {
+    /// Reads a settings file.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let shown = path.display().to_string();
         let text = std::fs::read(path)
@@ -111,6 +160,7 @@
         Self::parse(&text, &shown)
     }
 
+    /// Reads settings from their text. `shown` names the file in errors.
     pub fn parse(text: &[u8], shown: &str) -> Result<Self, ConfigError> {
         let value: Value = sonic_rs::from_slice(text).map_err(|error| ConfigError::NotJson {
             path: shown.to_owned(),
@@ -215,6 +265,7 @@
         self.internal_ports.0 + 1
     }
 
+    /// Whether the machine's role serves callers of this kind.
     pub fn serves(&self, word: &str) -> bool {
         self.serves.iter().any(|served| served == word)
     }
--- a/crates/trackbed/src/http/body.rs
+++ b/crates/trackbed/src/http/body.rs
@@ -2,10 +2,14 @@
 
 use http::{HeaderMap, header};
 
+/// How the end of a body is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
+    /// There is no body.
     Nothing,
+    /// So many bytes.
     Length(u64),
+    /// Chunks, up to an empty one.
     Chunked,
     /// Only an answer's, and it never counts as whole.
     UntilClose,
--- a/crates/trackbed/src/http/door.rs
+++ b/crates/trackbed/src/http/door.rs
@@ -6,14 +6,20 @@
 use derive_more::Display;
 use std::time::Duration;
 
+/// What a door takes of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct DoorLimits {
+    /// The longest head, in bytes.
     pub header_bytes: usize,
+    /// The longest body, in bytes.
     pub body_bytes: u64,
     /// What bodies may take now: a longer one is turned away for the moment.
     pub room: u64,
+    /// How long a head may take to arrive, from its first byte.
     pub header_time: Duration,
+    /// How long a connection may rest between requests.
     pub idle_time: Duration,
+    /// How long a body may take to arrive.
     pub body_time: Duration,
 }
 
@@ -30,6 +36,7 @@
     }
 }
 
+/// Why no request could be read.
 #[derive(Debug, Display)]
 pub enum DoorError {
     /// Nothing is under way: the connection just ends.
@@ -38,8 +45,14 @@
     /// The requester broke off inside a request.
     #[display("the connection broke off inside a request")]
     Broken,
+    /// The request can't be taken, and this is to be answered.
     #[display("declined with {status}: {reason}")]
-    Declined { status: u16, reason: &'static str },
+    Declined {
+        /// The status to answer with.
+        status: u16,
+        /// What is wrong, for the answer's body.
+        reason: &'static str,
+    },
 }
 
 const fn declined(status: u16, reason: &'static str) -> DoorError {
--- a/crates/trackbed/src/http/flow.rs
+++ b/crates/trackbed/src/http/flow.rs
@@ -33,10 +33,12 @@
         self.left
     }
 
+    /// Sets the time by which the whole body must have come.
     pub fn end_by(&mut self, until: Moment) {
         self.until = until;
     }
 
+    /// Keeps something until the body has gone through or is given up.
     pub fn hold(&mut self, guard: Box<dyn Any>) {
         self.guard = Some(guard);
     }
--- a/crates/trackbed/src/http/head.rs
+++ b/crates/trackbed/src/http/head.rs
@@ -11,11 +11,13 @@
 /// A whole request of a requester.
 #[derive(Clone, Debug)]
 pub struct Request {
+    /// The request's method.
     pub method: Method,
     /// Path and query, byte for byte as sent. Invariant: begins with a slash.
     pub target: String,
     /// Invariant: no header that concerns one connection only, no length.
     pub headers: HeaderMap,
+    /// The whole body.
     pub body: Bytes,
     /// True when the requester keeps the connection for more.
     pub keeps: bool,
@@ -26,12 +28,15 @@
 }
 
 impl Request {
+    /// The target up to its query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or("")
     }
+    /// The target behind the question mark, or nothing.
     pub fn query(&self) -> &str {
         self.target.split_once('?').map(|(_, query)| query).unwrap_or("")
     }
+    /// A header's text where it stands exactly once.
     pub fn header(&self, name: &str) -> Option<&str> {
         single(&self.headers, name)
     }
@@ -81,6 +86,7 @@
     }
 }
 
+/// Whether the headers say that the connection ends after this message.
 pub fn connection_closes(headers: &HeaderMap) -> bool {
     headers
         .get_all(header::CONNECTION)
--- a/crates/trackbed/src/http/json.rs
+++ b/crates/trackbed/src/http/json.rs
@@ -4,7 +4,9 @@
 use bytes::Bytes;
 use http::HeaderValue;
 
+/// Answers with JSON bodies.
 pub trait JsonReturn {
+    /// An answer with a JSON body.
     fn json(status: u16, body: String) -> Return;
     /// An answer that names a fault.
     fn fault(status: u16, message: &str) -> Return;
--- a/crates/trackbed/src/http/line.rs
+++ b/crates/trackbed/src/http/line.rs
@@ -7,6 +7,7 @@
 use monoio::net::TcpStream;
 use std::io;
 
+/// A connection that whole messages are read from and written to.
 pub struct Line {
     stream: TcpStream,
     /// Bytes read and not yet understood. They belong to what comes next on this connection.
@@ -23,6 +24,7 @@
 }
 
 impl Line {
+    /// Takes a connection over, with nothing read from it yet.
     pub fn new(stream: TcpStream) -> Self {
         Self { stream, held: BytesMut::new() }
     }
@@ -32,6 +34,7 @@
         self.held.is_empty() && self.stream.is_quiet()
     }
 
+    /// Whether bytes were read that belong to no message so far.
     pub fn has_surplus(&self) -> bool {
         !self.held.is_empty()
     }
@@ -57,6 +60,7 @@
         Ok(count)
     }
 
+    /// Writes all the bytes.
     pub async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
         self.stream.write_all(bytes).await.0.map(|_| ())
     }
--- a/crates/trackbed/src/http/pace.rs
+++ b/crates/trackbed/src/http/pace.rs
@@ -36,6 +36,7 @@
         turn
     }
 
+    /// Writes all the bytes, long ones piece by piece so that short ones of others come between.
     pub async fn write(&self, line: &mut Line, bytes: Vec<u8>) -> io::Result<()> {
         if bytes.len() <= SHORT || self.rate.get().is_none() {
             return line.write(bytes).await;
--- a/crates/trackbed/src/http/presence.rs
+++ b/crates/trackbed/src/http/presence.rs
@@ -18,6 +18,7 @@
 pub struct Presence(Rc<State>);
 
 impl Presence {
+    /// Whether the client's connection has ended.
     pub fn has_left(&self) -> bool {
         self.0.has_left.get()
     }
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -18,11 +18,14 @@
     }
 }
 
+/// An answer, to be written or as it was read.
 #[derive(Debug)]
 pub struct Return {
+    /// The status code.
     pub status: u16,
     /// Invariant: no header that concerns one connection only, no length.
     pub headers: HeaderMap,
+    /// The body, where it is held whole.
     pub body: Bytes,
     /// The body, where it is too long to be held. Invariant: `body` is empty then.
     pub flow: Option<Box<Flow>>,
@@ -34,20 +37,25 @@
     pub keep_alive: Option<u64>,
 }
 
+/// Why no whole answer could be read.
 #[derive(Debug, Display)]
 pub enum ReturnError {
     /// Not one byte of an answer came.
     #[display("the connection ended without an answer")]
     Silent,
+    /// The connection ended within the answer.
     #[display("the answer broke off")]
     Cut,
+    /// The bytes can't be understood, and why.
     #[display("the bytes are no answer: {_0}")]
     Malformed(&'static str),
+    /// The body is over the reader's limit.
     #[display("the answer is longer than can be held")]
     TooLong,
 }
 
 impl Return {
+    /// An answer without headers and body.
     pub fn new(status: u16) -> Self {
         Self {
             status,
@@ -60,6 +68,7 @@
         }
     }
 
+    /// An answer with a plain text as its body.
     pub fn text(status: u16, text: &str) -> Self {
         let mut answer = Self::new(status);
         answer.headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
@@ -67,6 +76,7 @@
         answer
     }
 
+    /// The same with a header added; one whose value can't be written is left out.
     pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
         if let Ok(value) = HeaderValue::from_str(value) {
             self.headers.insert(HeaderName::from_static(name), value);
@@ -74,11 +84,13 @@
         self
     }
 
+    /// The same, and the connection ends after it.
     pub fn closing(mut self) -> Self {
         self.closes = true;
         self
     }
 
+    /// Whether the status is one of success (2xx).
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
     }
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -20,6 +20,7 @@
 
 /// What stands behind a door.
 pub trait Handler: 'static {
+    /// What the door takes of the next request.
     fn limits(&self) -> DoorLimits;
     /// `None` breaks the connection off: no answer can be given that says what happened.
     fn handle(self: Rc<Self>, request: Request) -> impl Future<Output = Option<Return>>;
--- a/crates/trackbed/src/ids.rs
+++ b/crates/trackbed/src/ids.rs
@@ -11,9 +11,11 @@
         pub struct $name(Rc<str>);
 
         impl $name {
+            /// The name with this text.
             pub fn new(text: &str) -> Self {
                 Self(Rc::from(text))
             }
+            /// The name's text.
             pub fn as_str(&self) -> &str {
                 &self.0
             }
@@ -41,9 +43,18 @@
     /// One life of an endpoint.
     InstanceId
 );
-name_type!(ServiceName);
-name_type!(ZoneName);
-name_type!(RegionName);
+name_type!(
+    /// A service, as the configuration names it.
+    ServiceName
+);
+name_type!(
+    /// A zone, as the settings name it.
+    ZoneName
+);
+name_type!(
+    /// A region, as the settings name it.
+    RegionName
+);
 
 /// A configuration's version: `r12` on the wire, compared by its number.
 #[derive(
@@ -82,13 +93,17 @@
 )]
 #[display("{epoch}.{counter}")]
 pub struct Zxid {
+    /// The epoch of the primary that proposed it.
     pub epoch: ZabEpoch,
+    /// Its place among that primary's transactions.
     pub counter: u64,
 }
 
 impl Zxid {
+    /// Before all transactions.
     pub const ZERO: Zxid = Zxid { epoch: ZabEpoch(0), counter: 0 };
 
+    /// The identifier with this epoch and counter.
     pub fn new(epoch: u64, counter: u64) -> Self {
         Self { epoch: ZabEpoch(epoch), counter }
     }
--- a/crates/trackbed/src/kernel/mod.rs
+++ b/crates/trackbed/src/kernel/mod.rs
@@ -22,6 +22,7 @@
 }
 
 impl Signals {
+    /// Takes the signals over from the system's defaults.
     pub fn register() -> std::io::Result<Self> {
         let signals = Self { terminate: Arc::default(), reload: Arc::default() };
         signal_hook::flag::register(signal_hook::consts::SIGTERM, signals.terminate.clone())?;
@@ -30,6 +31,7 @@
         Ok(signals)
     }
 
+    /// Whether the platform has asked this process to end.
     pub fn terminated(&self) -> bool {
         self.terminate.load(Ordering::Relaxed)
     }
@@ -48,11 +50,13 @@
 }
 
 impl LiveConfig {
+    /// Settings as they were read from a file.
     pub fn new(path: PathBuf, config: LocalConfig) -> Self {
         let seen = RefCell::new(Self::stamp(&path));
         Self { path, current: RefCell::new(Rc::new(config)), seen }
     }
 
+    /// The settings in force.
     pub fn get(&self) -> Rc<LocalConfig> {
         self.current.borrow().clone()
     }
--- a/crates/trackbed/src/logs.rs
+++ b/crates/trackbed/src/logs.rs
@@ -26,6 +26,7 @@
     }
 }
 
+/// A text as it stands between the quotes of a JSON string.
 pub fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
     for letter in text.chars() {
--- a/crates/trackbed/src/net/datagrams.rs
+++ b/crates/trackbed/src/net/datagrams.rs
@@ -15,22 +15,29 @@
 /// What went over a socket since the start, for operators.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Tally {
+    /// Datagrams sent.
     pub sent: u64,
+    /// Bytes in them.
     pub sent_bytes: u64,
+    /// Datagrams received.
     pub received: u64,
+    /// Bytes in them.
     pub received_bytes: u64,
 }
 
+/// A socket for datagrams, with counters.
 pub struct Datagrams {
     socket: UdpSocket,
     tally: Cell<Tally>,
 }
 
 impl Datagrams {
+    /// Opens a socket at an address.
     pub fn bind(address: SocketAddr) -> io::Result<Self> {
         Ok(Self { socket: UdpSocket::bind(address)?, tally: Cell::default() })
     }
 
+    /// What was sent and received so far.
     pub fn tally(&self) -> Tally {
         self.tally.get()
     }
@@ -60,6 +67,7 @@
         });
     }
 
+    /// The next datagram, and who sent it.
     pub async fn receive(&self) -> (Vec<u8>, SocketAddr) {
         // True right after the socket was said to be readable.
         let mut promised = false;
--- a/crates/trackbed/src/net/frames.rs
+++ b/crates/trackbed/src/net/frames.rs
@@ -15,18 +15,23 @@
 const LENGTH_BYTES: usize = 4;
 const CHECKSUM_BYTES: usize = 4;
 
+/// Why no message could be read from a stream.
 #[derive(Debug, Display, Error, From)]
 pub enum FrameError {
+    /// The stream failed.
     #[display("the peer's stream failed ({_0}): it is dialled again")]
     Io(io::Error),
+    /// The frame is longer than any message may be; its length in bytes.
     #[display("a frame of {_0} bytes is over the limit: the stream is closed")]
     #[from(ignore)]
     TooLong(#[error(not(source))] usize),
     #[display(
         "a frame's checksum is wrong: the stream is closed and dialled again; check the link if this comes again"
     )]
+    /// The bytes are not those that the checksum was made of.
     #[from(ignore)]
     Spoilt,
+    /// The frame has no checksum, as older versions wrote it.
     #[display("a frame has no checksum: the peer runs an earlier version; run the same one on all nodes")]
     #[from(ignore)]
     Unchecked,
@@ -34,14 +39,17 @@
     #[display("a message is of a kind unknown here: it is left out; run the peer's later version on this node too")]
     #[from(ignore)]
     Unknown {
+        /// The frame's bytes.
         #[error(not(source))]
         body: Vec<u8>,
     },
+    /// The stream ended between two frames.
     #[display("the peer closed the stream")]
     #[from(ignore)]
     Closed,
 }
 
+/// The bytes of a message as a frame.
 pub fn encode_frame<T: BorshSerialize>(message: &T) -> Vec<u8> {
     let head = LENGTH_BYTES + CHECKSUM_BYTES;
     let mut bytes = vec![0u8; head];
@@ -97,14 +105,17 @@
 }
 
 impl<S: AsyncReadRent> FrameReader<S> {
+    /// Takes a stream over.
     pub fn new(stream: S) -> Self {
         Self { stream, held: Vec::new(), taken: 0, received: Rc::default() }
     }
 
+    /// Bytes received so far, counted on as more come.
     pub fn received(&self) -> Rc<Cell<u64>> {
         self.received.clone()
     }
 
+    /// The next message.
     pub async fn next<T: BorshDeserialize>(&mut self) -> Result<T, FrameError> {
         loop {
             let waiting = &self.held[self.taken..];
--- a/crates/trackbed/src/net/sockets.rs
+++ b/crates/trackbed/src/net/sockets.rs
@@ -69,6 +69,7 @@
 pub struct StreamHandle(Rc<UnsafeCell<TcpStream>>);
 
 impl StreamHandle {
+    /// A handle on the stream of this half.
     pub fn of(write: &OwnedWriteHalf<TcpStream>) -> Self {
         Self(write.0.clone())
     }
@@ -90,6 +91,7 @@
     action(socket2::SockRef::from(&descriptor))
 }
 
+/// Listens at an address.
 pub fn bind_tcp(address: SocketAddr) -> io::Result<TcpListener> {
     TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false).reuse_addr(true).backlog(1024))
 }
--- a/crates/trackbed/src/random.rs
+++ b/crates/trackbed/src/random.rs
@@ -1,9 +1,11 @@
 //! A small generator for jitter, ids and choices; seeded, so that tests repeat.
 
+/// The generator's state.
 #[derive(Clone, Debug)]
 pub struct Random(u64);
 
 impl Random {
+    /// A generator that draws the same numbers for the same seed.
     pub fn seeded(seed: u64) -> Self {
         Self(seed ^ 0x9e37_79b9_7f4a_7c15)
     }
@@ -23,6 +25,7 @@
         Self::seeded(seed)
     }
 
+    /// The next number.
     pub fn draw(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.0;
@@ -36,10 +39,12 @@
         if limit == 0 { 0 } else { self.draw() % limit }
     }
 
+    /// True for this share of all draws.
     pub fn chance(&mut self, share: f64) -> bool {
         (self.draw() >> 11) as f64 / (1u64 << 53) as f64 <= share
     }
 
+    /// Puts items into an order by chance.
     pub fn shuffle<T>(&mut self, items: &mut [T]) {
         for index in (1..items.len()).rev() {
             items.swap(index, self.below(index as u64 + 1) as usize);
