--- a/crates/timetable/src/configuration/digest.rs
+++ b/crates/timetable/src/configuration/digest.rs
@@ -12,14 +12,17 @@
 /// Routes are digested in so many parts, and one more holds limits and tenants.
 pub const LEAVES: usize = 64;
 
+/// What a whole table comes to, leaf by leaf.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct TableDigest {
+    /// The version of the configuration.
     pub epoch: ConfigEpoch,
     /// Invariant: `LEAVES` + 1 of them.
     pub leaves: Vec<u64>,
 }
 
 impl TableDigest {
+    /// All leaves in one number.
     pub fn root(&self) -> u64 {
         self.leaves.iter().fold(Mixer::default(), |mixer, leaf| mixer.number(*leaf)).0
     }
@@ -36,12 +39,16 @@
 /// The route that a request was planned by, as it goes between nodes.
 #[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct PlannedBy {
+    /// The version of the configuration.
     pub epoch: ConfigEpoch,
+    /// What the route comes to.
     pub digest: u64,
+    /// Whether the route lets a request run more than once.
     pub repeats: bool,
 }
 
 impl PlannedBy {
+    /// What a request is planned by: this route of this table.
     pub fn of(routes: &Routes, route: &Route) -> Self {
         Self { epoch: routes.epoch, digest: route.digest(), repeats: route.kind.repeats() }
     }
@@ -57,10 +64,12 @@
         }
     }
 
+    /// The text that goes along between nodes.
     pub fn write(&self) -> String {
         format!("{},{:x},{}", self.epoch.0, self.digest, self.repeats as u8)
     }
 
+    /// Reads the text of `write`; nothing where it is none.
     pub fn read(text: &str) -> Option<Self> {
         let mut parts = text.split(',');
         let epoch = ConfigEpoch(parts.next()?.parse().ok()?);
@@ -73,7 +82,9 @@
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Entry {
     /// Host and prefix under which lookups find it; what else a table holds has a name in brackets.
+    /// Host and prefix.
     pub place: String,
+    /// What the route there comes to.
     pub digest: u64,
     /// What it says, for people.
     pub says: String,
@@ -82,8 +93,11 @@
 /// An entry that is not as it was meant to be.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct EntryDrift {
+    /// Host and prefix.
     pub place: String,
+    /// The route that is meant there, where one is.
     pub meant: Option<String>,
+    /// The route that was found there, where one was.
     pub found: Option<String>,
 }
 
@@ -159,6 +173,7 @@
         self.kind.repeats() == repeats && self.split.iter().any(|(known, weight)| known == service && *weight > 0)
     }
 
+    /// The difference in words.
     pub fn says(&self) -> String {
         let split: Vec<String> = self.split.iter().map(|(service, weight)| format!("{service}:{weight}")).collect();
         format!(
@@ -241,6 +256,7 @@
 }
 
 impl DigestPass {
+    /// Begins a pass over a table.
     pub fn begin(routes: Rc<Routes>) -> Self {
         let hosts = routes.host_names();
         Self { routes, hosts, at: 0, leaves: vec![0; LEAVES + 1] }
@@ -251,6 +267,7 @@
         Rc::ptr_eq(&self.routes, routes)
     }
 
+    /// The table that the pass goes over.
     pub fn table(&self) -> &Rc<Routes> {
         &self.routes
     }
--- a/crates/timetable/src/configuration/document.rs
+++ b/crates/timetable/src/configuration/document.rs
@@ -22,6 +22,7 @@
 /// Invariant: every kept configuration passed all checks.
 #[derive(Clone, Debug, Default, BorshSerialize, BorshDeserialize)]
 pub struct Configuration {
+    /// The version.
     pub epoch: ConfigEpoch,
     routes: Items<Route>,
     services: Items<Service>,
@@ -42,8 +43,10 @@
     others: Edits,
 }
 
+/// A change of named items.
 #[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Patch {
+    /// The version.
     pub epoch: ConfigEpoch,
     /// By table: what to add or replace.
     upserts: BTreeMap<String, Texts>,
@@ -315,6 +318,7 @@
 }
 
 impl Patch {
+    /// Reads a change. Its items are checked when it is made.
     pub fn parse(body: &[u8]) -> Result<Self, Fault> {
         let value = read(body)?;
         let mut patch = Self { epoch: epoch_of(&value)?, ..Self::default() };
--- a/crates/timetable/src/configuration/observation.rs
+++ b/crates/timetable/src/configuration/observation.rs
@@ -8,6 +8,7 @@
 pub const OBSERVATION: &str = "observation";
 const LONGEST_HEADER: usize = 64;
 
+/// How clients and routes are counted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Observation {
     /// The request header that tells a tenant's clients apart. Invariant: lower case, and a header's name.
@@ -23,6 +24,7 @@
 }
 
 impl Observation {
+    /// Reads the settings; what is missing has its default.
     pub fn parse(value: &Value) -> Result<Self, Fault> {
         let wrong = |field: &str, wanted| Fault::Wrong { place: format!("/{OBSERVATION}{field}"), wanted };
         if !value.is_object() {
--- a/crates/timetable/src/configuration/route.rs
+++ b/crates/timetable/src/configuration/route.rs
@@ -5,11 +5,16 @@
 use std::time::Duration;
 use trackbed::ids::ServiceName;
 
+/// What may be done with a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
+    /// They may run more than once.
     Idempotent,
+    /// They run at most once.
     NonIdempotent,
+    /// Large bodies; run at most once.
     Upload,
+    /// Large answers; may run more than once.
     Download,
 }
 
@@ -30,19 +35,26 @@
     }
 }
 
+/// One route, typed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
+    /// Its name in the configuration.
     pub name: String,
     /// Lower case, without a port.
     pub hostname: String,
     /// Invariant: begins with a slash.
     pub prefix: String,
+    /// What may be done with its requests.
     pub kind: RouteKind,
+    /// How long a request may be held.
     pub timeout: Duration,
+    /// The time within which an answer earns its full worth.
     pub target: Duration,
+    /// Its rank; 0 is highest.
     pub priority: u8,
     /// Invariant: one at least, and a weight above zero among them.
     pub split: Vec<(ServiceName, u64)>,
+    /// Endpoints that one request may be offered to at most.
     pub max_goes: u32,
 }
 
@@ -62,6 +74,7 @@
 }
 
 impl Route {
+    /// Reads a route from its JSON.
     pub fn parse(name: &str, value: &Value) -> Result<Self, Fault> {
         if !value.is_object() {
             return Err(Fault::Wrong { place: format!("/routes/{name}"), wanted: "a table" });
@@ -155,9 +168,12 @@
     Call,
 }
 
+/// One service, typed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
+    /// Where its endpoints answer whether they are well.
     pub health_path: Option<String>,
+    /// Connections that an endpoint takes from all callers together.
     pub max_connections: u32,
     /// Each of its keys is held by one endpoint, and requests name their key.
     pub sharded: bool,
@@ -166,6 +182,7 @@
 }
 
 impl Service {
+    /// Reads a service from its JSON.
     pub fn parse(name: &str, value: &Value) -> Result<Self, Fault> {
         if !value.is_object() {
             return Err(Fault::Wrong { place: format!("/services/{name}"), wanted: "a table" });
@@ -186,11 +203,16 @@
     }
 }
 
+/// What a client may send, and how long it may take.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
+    /// The longest head, in bytes.
     pub header_bytes: u64,
+    /// The longest body, in bytes.
     pub body_bytes: u64,
+    /// How long a head may take to arrive.
     pub header_time: Duration,
+    /// How long a connection may rest.
     pub idle_time: Duration,
 }
 
@@ -206,6 +228,7 @@
 }
 
 impl Limits {
+    /// Reads limits; what is missing has its default.
     pub fn parse(value: &Value) -> Result<Self, Fault> {
         let standard = Self::default();
         let number = |field: &'static str, otherwise: f64| match value.pointer([field].iter()) {
--- a/crates/timetable/src/configuration/table.rs
+++ b/crates/timetable/src/configuration/table.rs
@@ -52,16 +52,24 @@
 /// What a configuration holds beside its items by name.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Settings {
+    /// The version of the configuration.
     pub epoch: ConfigEpoch,
+    /// What clients may send.
     pub limits: Limits,
+    /// How clients and routes are counted.
     pub observation: Observation,
 }
 
+/// The routes in force, found by host and path.
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
+    /// The version of the configuration.
     pub epoch: ConfigEpoch,
+    /// What clients may send.
     pub limits: Limits,
+    /// The tenants, and where their requests may be handled.
     pub tenants: Tenants,
+    /// How clients and routes are counted.
     pub observation: Observation,
     services: SharedMap<String, Rc<Service>>,
     hosts: HashTrieMap<String, Host>,
@@ -195,10 +203,12 @@
         }
     }
 
+    /// A service by its name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.get(name.as_str()).map(Rc::as_ref)
     }
 
+    /// Every service, by name.
     pub fn services(&self) -> impl Iterator<Item = (&String, &Service)> {
         self.services.iter().map(|(name, service)| (name, service.as_ref()))
     }
--- a/crates/timetable/src/configuration/tenant.rs
+++ b/crates/timetable/src/configuration/tenant.rs
@@ -16,12 +16,15 @@
 /// Invariant: one region at least.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
+    /// Its name.
     pub name: String,
+    /// Regions that may handle its requests.
     pub regions: Rc<BTreeSet<RegionName>>,
     /// Host and prefix of requests that are the tenant's without a word of their own.
     claims: Vec<(String, String)>,
 }
 
+/// Why a request's tenant can't be told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TenantDoubt {
     /// The header names nobody.
@@ -30,6 +33,7 @@
     Contradicted,
 }
 
+/// All tenants.
 #[derive(Clone, Debug, Default)]
 pub struct Tenants {
     by_name: SharedMap<String, Rc<Tenant>>,
@@ -44,6 +48,7 @@
 }
 
 impl Tenant {
+    /// Reads a tenant from its JSON.
     pub fn parse(name: &str, value: &Value) -> Result<Self, Fault> {
         let plain = |letter: char| letter.is_ascii_alphanumeric() || matches!(letter, '-' | '_' | '.');
         if name.is_empty() || name.len() > 128 || !name.chars().all(plain) {
@@ -150,10 +155,12 @@
         Ok(())
     }
 
+    /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
     }
 
+    /// Every tenant.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Tenant>> {
         self.by_name.values()
     }
--- a/crates/timetable/src/fleet/beat.rs
+++ b/crates/timetable/src/fleet/beat.rs
@@ -10,9 +10,11 @@
 /// What one beat says, as it was heard.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Beat {
+    /// The endpoint, as it describes itself.
     pub instance: Instance,
     /// Rises with each call, so that a late one can be known.
     pub sequence: u64,
+    /// For how much longer it is slow from its start.
     pub cold: Duration,
     /// Keys that it holds, or still works on.
     pub holds: Vec<(KeyRange, u64)>,
@@ -23,11 +25,14 @@
 /// The node beside an endpoint and where it takes requests, for those that have one.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Post {
+    /// The node's name.
     pub node: NodeName,
+    /// Where the node takes requests for the endpoint.
     pub beside: SocketAddr,
 }
 
 impl Beat {
+    /// Reads a beat. `zone` stands in where it names none.
     pub fn read(id: InstanceId, body: &[u8], post: Option<Post>, zone: &ZoneName) -> Result<Self, &'static str> {
         let value: Value = sonic_rs::from_slice(body).map_err(|_| "the body is not JSON")?;
         let text = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_str());
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -15,8 +15,10 @@
 /// How many ended lives and taken calls are remembered.
 const REMEMBERED: usize = 1024;
 
+/// The fleet's state as it stands on disks and goes between nodes.
 #[derive(Clone, Debug, Default, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct FleetSnapshot {
+    /// The last change in it.
     pub zxid: Zxid,
     configuration: Option<Configuration>,
     instances: SharedMap<InstanceId, Rc<Instance>>,
@@ -67,8 +69,11 @@
 pub enum FleetNews {
     /// Changes in order, right after the zxid asked for.
     Changes(Vec<(Zxid, Packed)>),
+    /// The whole state, where the changes are not kept any more.
     Whole {
+        /// The last change in it.
         zxid: Zxid,
+        /// The state.
         snapshot: Packed,
     },
 }
@@ -86,6 +91,7 @@
 }
 
 impl FleetState {
+    /// The state that a snapshot holds, with its indexes.
     pub fn from_snapshot(mut snapshot: FleetSnapshot) -> Self {
         let tail = NewsTail::starting_at(snapshot.zxid);
         // One that fails the checks of this version is kept all the same, and no request is sent by it.
@@ -102,27 +108,35 @@
         Self { tail: NewsTail::keeping_none(self.snapshot.zxid), told_whole: RefCell::default(), ..self.clone() }
     }
 
+    /// What goes on disks.
     pub fn snapshot(&self) -> &FleetSnapshot {
         &self.snapshot
     }
+    /// The last change made.
     pub fn zxid(&self) -> Zxid {
         self.snapshot.zxid
     }
+    /// The routes in force; nothing before the first configuration.
     pub fn routes(&self) -> Option<&Rc<Routes>> {
         self.routes.as_ref()
     }
+    /// The configuration in force.
     pub fn configuration(&self) -> Option<&Configuration> {
         self.snapshot.configuration.as_ref()
     }
+    /// Its version; zero before the first.
     pub fn epoch(&self) -> ConfigEpoch {
         self.snapshot.configuration.as_ref().map(|configuration| configuration.epoch).unwrap_or_default()
     }
+    /// An endpoint by its id.
     pub fn instance(&self, id: &InstanceId) -> Option<&Instance> {
         self.snapshot.instances.get(id).map(Rc::as_ref)
     }
+    /// Every endpoint.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
         self.snapshot.instances.values().map(Rc::as_ref)
     }
+    /// Whether a life is over, or has signed off.
     pub fn has_ended(&self, id: &InstanceId) -> bool {
         self.snapshot.ended.contains(id)
     }
@@ -136,9 +150,11 @@
         let oldest = self.snapshot.taken.oldest_mark()?;
         (self.snapshot.taken.len() >= REMEMBERED).then_some(*oldest)
     }
+    /// A region's council.
     pub fn charter(&self, region: &RegionName) -> Option<&Charter> {
         self.snapshot.charters.get(region)
     }
+    /// Every council.
     pub fn charters(&self) -> impl Iterator<Item = &Charter> {
         self.snapshot.charters.values()
     }
--- a/crates/timetable/src/packed.rs
+++ b/crates/timetable/src/packed.rs
@@ -23,6 +23,7 @@
 pub struct Packed(Rc<Vec<u8>>);
 
 impl Packed {
+    /// Encodes and packs a value.
     pub fn pack<T: BorshSerialize>(value: &T) -> Self {
         let plain = borsh::to_vec(value).expect("writing to memory can't fail");
         Self::of_plain(&plain)
@@ -44,6 +45,7 @@
         Self(Rc::new(bytes))
     }
 
+    /// The value; an error where the bytes hold none.
     pub fn unpack<T: BorshDeserialize>(&self) -> io::Result<T> {
         Self::read(&self.0)
     }
@@ -64,10 +66,12 @@
         plain.get(count..).map(Self::of_plain).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
     }
 
+    /// The packed bytes.
     pub fn into_bytes(self) -> Vec<u8> {
         Rc::unwrap_or_clone(self.0)
     }
 
+    /// How many bytes it is, packed.
     pub fn length(&self) -> usize {
         self.0.len()
     }
--- a/crates/timetable/src/shards/map.rs
+++ b/crates/timetable/src/shards/map.rs
@@ -9,11 +9,26 @@
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Holding {
     /// Nobody does, and no earlier hold can be in force. `handover` is what the last holder left, or empty.
-    Free { handover: String },
+    Free {
+        /// What the last holder left for the next, or empty.
+        handover: String,
+    },
     /// `owner` does, by its fence.
-    Held { owner: InstanceId, fence: u64, handover: String },
+    Held {
+        /// The holder.
+        owner: InstanceId,
+        /// Above that of every earlier holder.
+        fence: u64,
+        /// What the holder before left for this one, or empty.
+        handover: String,
+    },
     /// `owner` still may, and is to let go. Nobody else may until it has, or its hold has run out.
-    Releasing { owner: InstanceId, revoked: Zxid },
+    Releasing {
+        /// The holder.
+        owner: InstanceId,
+        /// The change that revoked its hold.
+        revoked: Zxid,
+    },
 }
 
 impl Holding {
@@ -30,9 +45,12 @@
     }
 }
 
+/// A range of keys that share one holding.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Shard {
+    /// The keys.
     pub range: KeyRange,
+    /// Who may run requests for them.
     pub holding: Holding,
 }
 
@@ -49,6 +67,7 @@
 }
 
 impl ShardMap {
+    /// All shards, in the order of their keys.
     pub fn shards(&self) -> &[Shard] {
         &self.shards
     }
--- a/crates/timetable/src/shards/mod.rs
+++ b/crates/timetable/src/shards/mod.rs
@@ -26,6 +26,7 @@
     Revoke(Vec<(KeyRange, InstanceId)>),
     /// A holder has let go, with what it hands over.
     Released {
+        /// The holder that let go.
         owner: InstanceId,
         /// Each with the holder's handover for whoever comes next.
         ranges: Vec<(KeyRange, String)>,
@@ -33,7 +34,12 @@
         seen: Zxid,
     },
     /// Holds that were revoked at or before `revoked` have run out.
-    Expired { owner: InstanceId, revoked: Zxid },
+    Expired {
+        /// The holder.
+        owner: InstanceId,
+        /// The last revocation that is meant.
+        revoked: Zxid,
+    },
 }
 
 const COUNTER_BITS: u32 = 36;
--- a/crates/timetable/src/shards/range.rs
+++ b/crates/timetable/src/shards/range.rs
@@ -15,6 +15,7 @@
 }
 
 impl KeyRange {
+    /// All keys.
     pub const ALL: KeyRange = KeyRange { first: 0, last: LAST_KEY };
 
     /// `None` where the first key is above the last.
@@ -22,10 +23,12 @@
         (first <= last).then_some(Self { first, last })
     }
 
+    /// The lowest key.
     pub fn first(self) -> u16 {
         self.first
     }
 
+    /// The highest key.
     pub fn last(self) -> u16 {
         self.last
     }
@@ -35,14 +38,17 @@
         (self.last - self.first) as u32 + 1
     }
 
+    /// Whether a key is in it.
     pub fn contains(self, key: u16) -> bool {
         (self.first..=self.last).contains(&key)
     }
 
+    /// Whether all keys of another range are in it.
     pub fn covers(self, other: KeyRange) -> bool {
         self.first <= other.first && other.last <= self.last
     }
 
+    /// The keys that are in both.
     pub fn intersection(self, other: KeyRange) -> Option<KeyRange> {
         Self::new(self.first.max(other.first), self.last.min(other.last))
     }
--- a/crates/timetable/src/shared/map.rs
+++ b/crates/timetable/src/shared/map.rs
@@ -12,18 +12,22 @@
 pub struct SharedMap<K: Ord, V>(RedBlackTreeMap<K, V>);
 
 impl<K: Ord, V> SharedMap<K, V> {
+    /// A map without entries.
     pub fn new() -> Self {
         Self(RedBlackTreeMap::new())
     }
 
+    /// How many entries there are.
     pub fn len(&self) -> usize {
         self.0.size()
     }
 
+    /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 
+    /// The value with this key.
     pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&V>
     where
         K: Borrow<Q>,
@@ -31,6 +35,7 @@
         self.0.get(key)
     }
 
+    /// Whether there is an entry with this key.
     pub fn contains_key<Q: Ord + ?Sized>(&self, key: &Q) -> bool
     where
         K: Borrow<Q>,
@@ -43,14 +48,17 @@
         self.0.first()
     }
 
+    /// Entries in the order of their keys.
     pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
         self.0.iter()
     }
 
+    /// Keys in their order.
     pub fn keys(&self) -> impl Iterator<Item = &K> {
         self.0.keys()
     }
 
+    /// Values in the order of their keys.
     pub fn values(&self) -> impl Iterator<Item = &V> {
         self.0.values()
     }
--- a/crates/timetable/src/shared/recent.rs
+++ b/crates/timetable/src/shared/recent.rs
@@ -15,18 +15,22 @@
 }
 
 impl<K: Hash + Eq + Clone, M> RecentKeys<K, M> {
+    /// A queue without keys.
     pub fn new() -> Self {
         Self { order: Queue::new(), counts: HashTrieMap::new() }
     }
 
+    /// Whether a key is remembered.
     pub fn contains(&self, key: &K) -> bool {
         self.counts.contains_key(key)
     }
 
+    /// How many keys are remembered.
     pub fn len(&self) -> usize {
         self.order.len()
     }
 
+    /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.order.is_empty()
     }
