What a failed trial left in the queue goes; one reader of keys, one way to see work through

Cause: the last reading found the state of a trial that was given up (a smaller margin while a queue has just begun): both margins had been set to 2.0, so the time since somebody waits was kept for nothing; the shard key was parsed in two places, and "stop with the client where it may run again" stood in two. Change: one constant margin; headers::shard_key; Presence::unless_left_where. Behaviour is as before.

--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -227,10 +227,7 @@
         let presence = errand.request.presence.clone();
         let going = go(node, &candidate, &plan.route, &errand);
         // What may not run twice is seen through once it is on its way: it may be at work.
-        let result = match repeats {
-            true => presence.unless_left(going).await,
-            false => Some(going.await),
-        };
+        let result = presence.unless_left_where(repeats, going).await;
         let Some(GoResult { outcome, .. }) = result else { return client_left() };
         if looks_for_free && !candidate.is_local {
             let free = !matches!(outcome, Outcome::NotTaken { why: Passed::Busy, .. });
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -15,7 +15,7 @@
 pub const STAMP: &str = "ferryhinge-server-stamp";
 pub const NOT_EXECUTED: &str = "ferryhinge-not-executed";
 /// The key of a request to a service that is divided by key.
-pub const SHARD_KEY: &str = "ferryhinge-shard-key";
+const SHARD_KEY: &str = "ferryhinge-shard-key";
 pub const CALLER: &str = "ferryhinge-caller-service";
 /// Between own nodes only.
 pub const PRIORITY: &str = "ferryhinge-line-priority";
@@ -34,6 +34,11 @@
 pub const LINE_HEADERS: [&str; 11] =
     [PERMIT, PLANNED, REPEATS, PRIORITY, TARGET, PATIENCE, OUTCOME, OCCUPANCY, FREE_IN, SPENT, REGIONS];
 
+/// The key that a request names, where it can be read.
+pub fn shard_key(request: &Request) -> Option<u16> {
+    request.header(SHARD_KEY).and_then(|text| text.trim().parse().ok())
+}
+
 /// Reads what a peer node passes on.
 pub fn read_errand(request: Request, sort: u64, now: Moment) -> Option<Errand> {
     let millis = |name: &str| request.header(name).and_then(|text| text.parse::<u64>().ok()).map(Duration::from_millis);
@@ -47,7 +52,7 @@
     let patience = millis(PATIENCE).unwrap_or(target.since(now));
     let binding = request.header(REGIONS).map(Binding::read).unwrap_or_default();
     let permit = request.header(PERMIT).and_then(|text| text.parse().ok());
-    let key = request.header(SHARD_KEY).and_then(|text| text.trim().parse().ok());
+    let key = shard_key(&request);
     Some(Errand {
         key,
         permit,
--- a/crates/pointsman/src/dispatch/plan.rs
+++ b/crates/pointsman/src/dispatch/plan.rs
@@ -1,6 +1,6 @@
 //! What is to be done with a request, as data.
 
-use super::headers::{ATTEMPT, DEADLINE, SHARD_KEY};
+use super::headers::{ATTEMPT, DEADLINE, shard_key};
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::configuration::{PlannedBy, Route, Routes};
@@ -67,7 +67,6 @@
     if !routes.service(service).is_some_and(|service| service.sharded) {
         return Ok(None);
     }
-    let key = request.header(SHARD_KEY).and_then(|text| text.trim().parse().ok());
     let wanted = "Ferryhinge-Shard-Key is missing or not a number from 0 to 65535: this service is divided by key";
-    key.map(Some).ok_or(Unplanned::Malformed(wanted))
+    shard_key(request).map(Some).ok_or(Unplanned::Malformed(wanted))
 }
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -121,11 +121,7 @@
                 let given = errand.permit.and_then(|number| self.0.permits.redeem(number, &platform));
                 let presence = errand.request.presence.clone();
                 let running = platform.run_in(&errand, given);
-                let result = match errand.repeats {
-                    true => presence.unless_left(running).await,
-                    false => Some(running.await),
-                };
-                result.unwrap_or_else(gone)
+                presence.unless_left_where(errand.repeats, running).await.unwrap_or_else(gone)
             }
             None => gone(),
         };
--- a/crates/pointsman/src/platform/admission/queue.rs
+++ b/crates/pointsman/src/platform/admission/queue.rs
@@ -12,12 +12,8 @@
 
 /// A queue holds at most this many times the slots.
 const QUEUE_FACTOR: usize = 6;
-/// Mean deviations of a request's work that are kept free before its target: few while the queue comes and goes, more
-/// once it stands. A standing queue serves nothing sooner; it only makes all that waits in it late.
-const MARGIN_OF_PASSING: f64 = 2.0;
-const MARGIN_OF_STANDING: f64 = 2.0;
-/// A queue that was not empty for this many times what usually occupies a slot stands.
-const STANDS_AFTER: f64 = 2.0;
+/// Mean deviations of a request's work that are kept free before its target.
+const MARGIN: f64 = 2.0;
 /// Work that takes less than this share of what usually occupies a slot counts as short.
 const SHORT: f64 = 1.0 / 3.0;
 /// A slot is kept free of longer work where short work fills at least this many slots on average.
@@ -89,8 +85,6 @@
     waiting: Vec<Waiting>,
     /// Routes that can be deferred, and the slots that they may take together.
     reserved: Option<(Vec<u64>, u32)>,
-    /// Since when somebody waits.
-    waited_since: Option<Moment>,
     work: WorkTimes,
     next_ticket: u64,
 }
@@ -102,7 +96,6 @@
             running: Vec::new(),
             waiting: Vec::new(),
             reserved: None,
-            waited_since: None,
             work: WorkTimes::default(),
             next_ticket: 0,
         }
@@ -152,20 +145,18 @@
         let wait = self.wait_at(place, claim.sort, now);
         let full = self.waiting.len() >= self.slots as usize * QUEUE_FACTOR;
         let end_by = if self.is_short(expected) { claim.horizon } else { claim.target };
-        let margin = self.work.spread(claim.sort).mul_f64(self.margin(now));
+        let margin = self.work.spread(claim.sort).mul_f64(MARGIN);
         let in_time = now + wait + expected + margin <= end_by;
         if full || wait > claim.patience || !in_time {
             return Offer::TurnAway { free_in: wait };
         }
         self.waiting.push(Waiting { place, claim: *claim, expected });
-        self.waited_since.get_or_insert(now);
         Offer::Wait { ticket, start_by: self.last_start(claim, expected, now) }
     }
 
     /// A waiting request is given up by its sender.
     pub fn withdraw(&mut self, ticket: Ticket) {
         self.waiting.retain(|waiting| waiting.place.2 != ticket);
-        self.note_empty();
     }
 
     /// A running request has ended; its slot is free.
@@ -184,7 +175,6 @@
         });
         let best = open.min_by_key(|index| self.waiting[*index].place)?;
         let next = self.waiting.swap_remove(best);
-        self.note_empty();
         let ticket = next.place.2;
         if self.is_lost(&next, now) {
             return Some(Decision::TurnAway(ticket));
@@ -193,21 +183,6 @@
         Some(Decision::Start(ticket))
     }
 
-    fn note_empty(&mut self) {
-        if self.waiting.is_empty() {
-            self.waited_since = None;
-        }
-    }
-
-    /// Mean deviations of work to be kept free before a target.
-    fn margin(&self, now: Moment) -> f64 {
-        let longest = self.work.occupying().mul_f64(STANDS_AFTER);
-        match self.waited_since {
-            Some(since) if now.since(since) > longest => MARGIN_OF_STANDING,
-            _ => MARGIN_OF_PASSING,
-        }
-    }
-
     /// Whether running it would be of no use.
     fn is_lost(&self, waiting: &Waiting, now: Moment) -> bool {
         if now >= waiting.claim.horizon {
--- a/crates/trackbed/src/http/presence.rs
+++ b/crates/trackbed/src/http/presence.rs
@@ -47,6 +47,14 @@
         .await
     }
 
+    /// The same where the work `may_stop`; else it is seen through, whoever has left.
+    pub async fn unless_left_where<T>(&self, may_stop: bool, work: impl Future<Output = T>) -> Option<T> {
+        match may_stop {
+            true => self.unless_left(work).await,
+            false => Some(work.await),
+        }
+    }
+
     /// Does a piece of work, and notices meanwhile when the connection that `closed` waits for ends.
     pub(super) async fn watch_while<T>(&self, closed: impl Future<Output = ()>, work: impl Future<Output = T>) -> T {
         let (mut closed, mut work) = (pin!(closed), pin!(work));
