--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -7,7 +7,7 @@
 use super::headers::CALLER;
 use super::plan::Plan;
 use super::{BudgetBounds, direct, remote};
-use crate::node::{Mode, Pointsman, learn, tenancy};
+use crate::node::{KeyRefusal, Mode, Pointsman, learn, tenancy};
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::configuration::Route;
@@ -127,7 +127,7 @@
             balance.shun_node(&candidate.node, now, SHUN_NODE)
         }
         Outcome::NotSent => balance.shun(&candidate.instance, now, SHUN_UNREACHABLE),
-        Outcome::NotTaken { why: Passed::Gone | Passed::Outside, .. } => {
+        Outcome::NotTaken { why: Passed::Gone | Passed::NotHeld | Passed::Outside, .. } => {
             balance.shun(&candidate.instance, now, SHUN_GONE)
         }
         Outcome::Failed(_) | Outcome::NotExecuted | Outcome::Misdirected => {
@@ -143,6 +143,15 @@
     node.roster.borrow().address_of(&candidate.node)
 }
 
+/// Counts an outcome that says that the request's key is held elsewhere.
+fn count_key_refusal(node: &Pointsman, outcome: &Outcome) {
+    match outcome {
+        Outcome::NotTaken { why: Passed::NotHeld, .. } => node.metrics.keys.refused(KeyRefusal::NotHeld),
+        Outcome::Misdirected => node.metrics.keys.refused(KeyRefusal::Misdirected),
+        _ => {}
+    }
+}
+
 /// Sees a request through to its answer.
 pub async fn carry_out(node: &Rc<Pointsman>, mut plan: Plan, request: Request, binding: Binding) -> Return {
     let now = clock::now();
@@ -167,6 +176,9 @@
     };
     errand.request.headers.remove(CALLER);
     let mut left = candidates(node, &plan, &errand.binding, now);
+    if plan.key.is_some() && left.is_empty() {
+        node.metrics.keys.refused(KeyRefusal::NoHolder);
+    }
     // Those that had no slot free, and could be waited for.
     let mut full: Vec<Candidate> = Vec::new();
     let mut asked_in_vain = 0;
@@ -233,6 +245,7 @@
             let free = !matches!(outcome, Outcome::NotTaken { why: Passed::Busy, .. });
             node.balance.borrow_mut().looked(&plan.service, free);
         }
+        count_key_refusal(node, &outcome);
         match outcome {
             Outcome::Answered(answer) => {
                 // An endpoint's own failure of a repeatable request may go better elsewhere.
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -63,6 +63,8 @@
 pub enum Passed {
     /// That life is not here, or is on its way out.
     Gone,
+    /// The endpoint doesn't hold the request's key, as far as its node knows.
+    NotHeld,
     /// It could not be run in time.
     Busy,
     /// This node may not handle it.
--- a/crates/pointsman/src/dispatch/headers.rs
+++ b/crates/pointsman/src/dispatch/headers.rs
@@ -75,6 +75,7 @@
     match outcome {
         Outcome::Answered(_) => "answered",
         Outcome::NotTaken { why: Passed::Gone, .. } => "gone",
+        Outcome::NotTaken { why: Passed::NotHeld, .. } => "not_held",
         Outcome::NotTaken { why: Passed::Busy, .. } => "busy",
         Outcome::NotTaken { why: Passed::Late, .. } => "late",
         Outcome::NotTaken { why: Passed::Outside, .. } => "outside",
@@ -127,6 +128,7 @@
     let outcome = match header(OUTCOME)? {
         "answered" => None,
         "gone" => Some(not_taken(Passed::Gone)),
+        "not_held" => Some(not_taken(Passed::NotHeld)),
         "busy" => Some(not_taken(Passed::Busy)),
         "late" => Some(not_taken(Passed::Late)),
         "outside" => Some(not_taken(Passed::Outside)),
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -7,6 +7,7 @@
 use timetable::configuration::{PlannedBy, Route, Routes};
 use trackbed::clock;
 use trackbed::http::{DoorLimits, Handler, JsonReturn, Pacer, Request, Return};
+use trackbed::metrics;
 use trackbed::random::stable_hash;
 
 /// Requests begin here.
@@ -152,8 +153,11 @@
         if request.path() == "/v1/clients" {
             return Some(Return::json(200, aggregation::view(node)));
         }
+        if request.path() == metrics::PATH {
+            return Some(metrics::answer(&node.metrics.registry));
+        }
         if request.path() != "/v1/readiness" {
-            return Some(Return::text(404, "ask for /v1/readiness, /v1/fleet or /v1/clients"));
+            return Some(Return::text(404, "ask for /v1/readiness, /v1/fleet, /v1/clients or /v1/metrics"));
         }
         let knows = node.assured.get() && node.fleet.borrow().routes().is_some();
         if node.routes_check.is_mistrusted() && !node.leaving.get() {
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod doors;
 mod error;
 pub mod learn;
+mod metrics;
 mod mode;
 mod routes_check;
 mod start;
@@ -14,6 +15,7 @@
 pub mod test_node;
 
 pub use error::NodeError;
+pub use metrics::{KeyMetrics, KeyRefusal, NodeMetrics};
 pub use mode::Mode;
 pub use routes_check::RoutesCheck;
 pub use start::{Launched, launch, run};
@@ -77,6 +79,8 @@
     /// All that was acknowledged before this process started is known here.
     pub assured: Cell<bool>,
     pub leaving: Cell<bool>,
+    /// What this node counts of itself.
+    pub metrics: NodeMetrics,
     /// News are being fetched.
     pub fetching: Cell<bool>,
 }
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -3,7 +3,7 @@
 use super::aggregation::{self, Counting};
 use super::coordination::{self, Coordination};
 use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
-use super::{Mode, NodeError, Pointsman, RoutesCheck, learn, routes_check};
+use super::{Mode, NodeError, NodeMetrics, Pointsman, RoutesCheck, learn, routes_check};
 use crate::dispatch::{Balance, Budgets, Pool};
 use crate::platform::{BeatsDoor, Homes, Lines, Permits, Platform, ownership};
 use lineside::call::{Caller, serve_peers};
@@ -82,6 +82,7 @@
         random: RefCell::new(Random::from_system()),
         assured: Cell::new(false),
         leaving: Cell::new(false),
+        metrics: NodeMetrics::default(),
         fetching: Cell::new(false),
     });
     node.platform.link.set(config.limits.link_bytes);
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -199,7 +199,7 @@
             self.ownership.asked_for(key);
         }
         if errand.key.is_some_and(|key| !self.ownership.may_hold(key, now)) {
-            return self.passed(Passed::Gone, KEY_ELSEWHERE);
+            return self.passed(Passed::NotHeld, KEY_ELSEWHERE);
         }
         let promised = match self.way_out.promise(errand.sort, self.link.get(), now.until(errand.target)) {
             Ok(promised) => promised,
--- a/crates/signalbox/src/node/listeners.rs
+++ b/crates/signalbox/src/node/listeners.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::http::{DoorLimits, Handler, JsonReturn, Request, Return, Serving, serve_listener};
+use trackbed::metrics;
 use trackbed::net::bind_tcp;
 
 /// Answers the requests of the control API.
@@ -43,6 +44,9 @@
                 _ => Return::fault(405, "the fleet can only be read here"),
             });
         }
+        if request.path() == metrics::PATH {
+            return Some(metrics::answer(&self.0.metrics.registry));
+        }
         if request.path() == aggregation::PATH && request.method == http::Method::GET {
             return Some(Return::json(200, aggregation::view(&self.0)));
         }
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod listeners;
 mod majority;
 mod members;
+mod metrics;
 mod peers;
 mod primary;
 mod shards;
@@ -83,6 +84,8 @@
     pub complaints: Complaints,
     /// What the primary knows of services divided by key, beyond the log.
     pub sharding: shards::Sharding,
+    /// What this node counts of itself.
+    pub metrics: metrics::NodeMetrics,
     /// When a primary was last asked how far its committed state goes, and what it said.
     pub assurance: Cell<Option<(Moment, Zxid)>>,
 }
--- a/crates/signalbox/src/node/shards.rs
+++ b/crates/signalbox/src/node/shards.rs
@@ -5,6 +5,7 @@
 //! saw the revocation committed. Nodes renew holds only by a state that a primary vouched for under its lease, from the
 //! moment they asked; so whatever was renewed after the revocation rests on a state before it, and ends in that time.
 
+use super::metrics::RangesOrdered;
 use super::{Signalbox, primary};
 use crate::ledger::Change;
 use crate::shards::{Endpoint, ServiceLoad, plan};
@@ -13,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
+use timetable::configuration::GrantWay;
 use timetable::fleet::{FleetChange, FleetState};
 use timetable::shards::{Holding, KeyRange, ShardChange, ShardMap, certainly_over};
 use trackbed::clock::{self, Moment};
@@ -34,6 +36,8 @@
     /// The endpoints of each service without any grant, and since when they are the same.
     first: RefCell<BTreeMap<ServiceName, (BTreeSet<InstanceId>, Moment)>>,
     moved: RefCell<BTreeMap<ServiceName, Moment>>,
+    /// Services of which it was said that their form isn't built.
+    told: RefCell<BTreeSet<ServiceName>>,
 }
 
 impl Sharding {
@@ -55,6 +59,8 @@
         }
         expire(&node, now);
         for service in sharded_services(&node) {
+            tell_what_is_not_built(&node, &service);
+            count_without_holder(&node, &service);
             step(&node, &service, now);
         }
     }
@@ -67,7 +73,49 @@
     services.filter(|(_, service)| service.sharded).map(|(name, _)| ServiceName::new(name)).collect()
 }
 
+/// Keys of a service that nobody holds, for the figures.
+fn count_without_holder(node: &Signalbox, service: &ServiceName) {
+    let committed = node.committed.borrow();
+    let free = match committed.fleet.shards(service) {
+        Some(map) => {
+            let free = map.shards().iter().filter(|shard| shard.holding.owner().is_none());
+            free.map(|shard| shard.range.length()).sum()
+        }
+        None => KeyRange::ALL.length(),
+    };
+    node.metrics.shards.set_without_holder(service, free);
+}
+
+/// Says once for each service that its keys are to be given in a form that isn't built.
+fn tell_what_is_not_built(node: &Signalbox, service: &ServiceName) {
+    let (by_calls, without_node) = {
+        let committed = node.committed.borrow();
+        let routes = committed.fleet.routes();
+        let settings = routes.and_then(|routes| routes.service(service));
+        let by_calls = settings.is_some_and(|settings| settings.grants == GrantWay::Call);
+        let serving = committed.fleet.serving(service);
+        (by_calls, !serving.is_empty() && serving.iter().all(|instance| !instance.has_node_beside()))
+    };
+    let reason = match (by_calls, without_node) {
+        (true, _) => "its endpoints are to be given keys by calls",
+        (_, true) => "its endpoints have no node beside them",
+        _ => return,
+    };
+    if node.sharding.told.borrow_mut().insert(service.clone()) {
+        log::error!("service {service} is divided by key and nobody will serve it: {reason}, which isn't built");
+    }
+}
+
 fn order(node: &Signalbox, service: &ServiceName, change: ShardChange) {
+    let ranges = match &change {
+        ShardChange::Grant(ranges) => Some(RangesOrdered::Granted(ranges.len())),
+        ShardChange::Revoke(ranges) => Some(RangesOrdered::Revoked(ranges.len())),
+        ShardChange::Expired { .. } => Some(RangesOrdered::Expired(1)),
+        ShardChange::Released { .. } => None,
+    };
+    if let Some(ranges) = ranges {
+        node.metrics.shards.ordered(service, ranges);
+    }
     primary::order_change(node, Change::Fleet(FleetChange::Shards { service: service.clone(), change }));
 }
 
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -3,6 +3,7 @@
 use super::aggregation::{self, Aggregation};
 use super::calls::OpenCalls;
 use super::majority::Majority;
+use super::metrics::NodeMetrics;
 use super::{NodeError, Signalbox, beats, councils, disk, forecast, inspection, listeners, peers, shards, turn};
 use crate::ledger::Ledger;
 use crate::replica::Replica;
@@ -123,6 +124,7 @@
                 majority: RefCell::new(Majority::new(now)),
                 complaints: Complaints::default(),
                 sharding: shards::Sharding::default(),
+                metrics: NodeMetrics::default(),
                 assurance: Cell::new(None),
             });
             monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
--- a/crates/trackbed/src/lib.rs
+++ b/crates/trackbed/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod ids;
 pub mod kernel;
 pub mod logs;
+pub mod metrics;
 pub mod net;
 pub mod random;
