--- /dev/null
+++ b/crates/soak/src/invariants_tests.rs
@@ -0,0 +1,42 @@
+//! The checks see what they are to see.
+
+use super::*;
+
+fn started(at: u64, life: &str) -> Event {
+    Event::Started { at, life: life.into() }
+}
+
+fn held(at: u64, life: &str, first: u16, last: u16, until: u64) -> Event {
+    Event::Held { at, life: life.into(), first, last, fence: 1, until }
+}
+
+fn ran(at: u64, life: &str, attempt: &str, key: u16) -> Event {
+    Event::Ran { at, life: life.into(), attempt: attempt.into(), key, safe: false }
+}
+
+fn witness(events: Vec<Event>, ended: &[u64]) -> Witness {
+    Witness { events, ended: ended.to_vec() }
+}
+
+#[test]
+fn two_holders_that_both_begin_requests_are_seen() {
+    let one = vec![started(0, "a"), held(1, "a", 0, 99, 100), ran(60, "a", "x", 7)];
+    let other = vec![started(0, "b"), held(50, "b", 5, 9, 150), ran(70, "b", "y", 8)];
+    let found = violations(&[witness(one.clone(), &[]), witness(other.clone(), &[])]);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].starts_with("OWNER: a and b held 5-9 together"), "{found:?}");
+    let killed = violations(&[witness(one.clone(), &[49]), witness(other.clone(), &[])]);
+    assert_eq!(killed, Vec::<String>::new(), "the first one's process had ended");
+    let mut let_go = one;
+    let_go.insert(2, Event::LetGo { at: 40, life: "a".into(), first: 0, last: 50 });
+    assert_eq!(violations(&[witness(let_go, &[]), witness(other, &[])]), Vec::<String>::new(), "it had let go");
+}
+
+#[test]
+fn a_request_that_began_twice_is_seen() {
+    let one = vec![started(0, "a"), held(1, "a", 0, 9, 100), ran(6, "a", "x", 7), ran(7, "a", "y", 7)];
+    let other = vec![started(0, "b"), ran(9, "b", "x", 8)];
+    let found = violations(&[witness(one, &[]), witness(other, &[])]);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].starts_with("TWICE: x"), "{found:?}");
+}
--- /dev/null
+++ b/crates/soak/src/layout.rs
@@ -0,0 +1,200 @@
+//! Where each process of a run listens, and its settings.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+
+/// Core nodes of a run.
+pub const CORES: usize = 3;
+/// Nodes that carry requests.
+pub const NODES: usize = 4;
+/// Endpoints of the divided service; beside nodes there is one for each.
+pub const ENDPOINTS: usize = 4;
+/// The service that is divided by key.
+pub const SERVICE: &str = "fonts";
+/// The host of its routes.
+pub const HOST: &str = "fonts.example";
+/// Requests under this prefix may run more than once.
+pub const SAFE_PREFIX: &str = "/safe/";
+/// Requests under this prefix may run once at most.
+pub const UNSAFE_PREFIX: &str = "/unsafe/";
+/// Requests that an endpoint works on at once.
+pub const SLOTS: u32 = 6;
+/// The longest hold that the settings allow, in seconds.
+pub const HOLD_MAX_SECONDS: f64 = 4.0;
+/// How often endpoints send heartbeats.
+pub const HEARTBEAT_SECONDS: f64 = 0.5;
+
+const CONTROL_PLANE: u16 = 8144;
+const READINESS: u16 = 8141;
+const ENDPOINT: u16 = 8145;
+const INBOUND: u16 = 8146;
+const REQUESTS: u16 = 8147;
+const ZONES: usize = 2;
+
+/// How endpoints of the divided service are told what they hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grants {
+    /// In answers to their heartbeats.
+    Heartbeat,
+    /// By calls to their address.
+    Call,
+}
+
+/// What stands before the endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tier {
+    /// A node beside each endpoint.
+    Beside,
+    /// Gateways; endpoints have no node beside them.
+    Gateway,
+}
+
+/// One form of the contract on keys that endpoints hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Form {
+    /// What stands before the endpoints.
+    pub tier: Tier,
+    /// How they are told what they hold.
+    pub grants: Grants,
+}
+
+impl Form {
+    /// Every form.
+    pub const ALL: [Form; 4] = [
+        Form { tier: Tier::Beside, grants: Grants::Heartbeat },
+        Form { tier: Tier::Beside, grants: Grants::Call },
+        Form { tier: Tier::Gateway, grants: Grants::Heartbeat },
+        Form { tier: Tier::Gateway, grants: Grants::Call },
+    ];
+
+    /// The name on the command line and in reports.
+    pub fn name(self) -> &'static str {
+        match (self.tier, self.grants) {
+            (Tier::Beside, Grants::Heartbeat) => "beside-heartbeat",
+            (Tier::Beside, Grants::Call) => "beside-calls",
+            (Tier::Gateway, Grants::Heartbeat) => "gateway-heartbeat",
+            (Tier::Gateway, Grants::Call) => "gateway-calls",
+        }
+    }
+
+    /// The form of that name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|form| form.name() == name)
+    }
+}
+
+/// The addresses of one run. Two runs with different blocks may go on side by side.
+#[derive(Clone, Copy, Debug)]
+pub struct Layout {
+    /// The second number of all addresses.
+    pub block: u8,
+    /// The form that is played.
+    pub form: Form,
+}
+
+impl Layout {
+    fn ip(self, part: u8, index: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.block, part, 10 + index as u8)
+    }
+
+    /// Where a core node serves operators and endpoints.
+    pub fn core(self, index: usize) -> SocketAddr {
+        (self.ip(1, index), CONTROL_PLANE).into()
+    }
+
+    /// Where a node takes requests from clients.
+    pub fn requests(self, node: usize) -> SocketAddr {
+        (self.ip(2, node), REQUESTS).into()
+    }
+
+    /// Where a node says whether it is ready.
+    pub fn readiness(self, node: usize) -> SocketAddr {
+        (self.ip(2, node), READINESS).into()
+    }
+
+    /// Where an endpoint takes requests.
+    pub fn endpoint(self, index: usize) -> SocketAddr {
+        match self.form.tier {
+            Tier::Beside => (self.ip(2, index), ENDPOINT).into(),
+            Tier::Gateway => (self.ip(3, index), ENDPOINT).into(),
+        }
+    }
+
+    /// Where an endpoint sends its heartbeats; the next where one fails.
+    pub fn heartbeats(self, endpoint: usize) -> Vec<SocketAddr> {
+        match self.form.tier {
+            Tier::Beside => vec![(self.ip(2, endpoint), CONTROL_PLANE).into()],
+            Tier::Gateway => (0..CORES).map(|index| self.core((endpoint + index) % CORES)).collect(),
+        }
+    }
+
+    fn settings(self, name: &str, ip: Ipv4Addr, zone: usize, rest: &str) -> String {
+        let seeds: Vec<String> = (0..CORES).map(|index| format!("\"{}\"", self.core(index))).collect();
+        let zones: Vec<String> = (0..ZONES).map(|zone| format!("\"zone-{zone}\":\"region\"")).collect();
+        format!(
+            r#"{{"node_name":"{name}","ip_address":"{ip}","zone":"zone-{}","region":"region","zones":{{{}}},"seed_nodes":[{}],
+"internal_port_range":[7380,7395],"heartbeat_s":{HEARTBEAT_SECONDS},"initial_start":true,
+"limits":{{"memory_mb":256,"file_descriptors":4096}},"fault_tolerance":{{"machine_losses":1}},
+"bounds":["config_apply_s=3","drain_s=1","grace_period_s=4","retry_budget_ratio=0.2","budget_window_s=10","retry_slack=100",
+"hold_max_s={HOLD_MAX_SECONDS}","history_s=20","address_reuse_s=2"],{rest}}}"#,
+            zone % ZONES,
+            zones.join(","),
+            seeds.join(",")
+        )
+    }
+
+    /// A core node's settings.
+    pub fn core_settings(self, index: usize, data: &Path) -> String {
+        let ip = self.ip(1, index);
+        let rest = format!(
+            r#""serves":["control_plane"],"data_directory":"{}","listen_addresses":{{"control_plane":"{ip}:{CONTROL_PLANE}"}}"#,
+            data.display()
+        );
+        self.settings(&format!("core-{index}"), ip, index, &rest)
+    }
+
+    /// The settings of a node that carries requests.
+    pub fn node_settings(self, index: usize) -> String {
+        let ip = self.ip(2, index);
+        let rest = match self.form.tier {
+            Tier::Beside => format!(
+                r#""serves":["sidecar"],"service_name":"{SERVICE}","app_address":"{ip}:{ENDPOINT}",
+"listen_addresses":{{"inbound":"{ip}:{INBOUND}","outbound":"{ip}:{REQUESTS}","readiness":"{ip}:{READINESS}","control_plane":"{ip}:{CONTROL_PLANE}"}}"#
+            ),
+            Tier::Gateway => format!(
+                r#""serves":["edge"],"listen_addresses":{{"frontend":"{ip}:{REQUESTS}","readiness":"{ip}:{READINESS}"}}"#
+            ),
+        };
+        self.settings(&format!("node-{index}"), ip, index, &rest)
+    }
+
+    /// An endpoint's settings, read by [`crate::endpoint`].
+    pub fn endpoint_settings(self, index: usize) -> String {
+        let heartbeats: Vec<String> = self.heartbeats(index).iter().map(|address| format!("\"{address}\"")).collect();
+        format!(
+            r#"{{"index":{index},"service":"{SERVICE}","address":"{}","zone":"zone-{}","slots":{SLOTS},"heartbeats":[{}],"heartbeat_s":{HEARTBEAT_SECONDS},"lists":{}}}"#,
+            self.endpoint(index),
+            index % ZONES,
+            heartbeats.join(","),
+            self.form.grants == Grants::Heartbeat
+        )
+    }
+
+    /// A configuration of the divided service with its routes.
+    pub fn configuration(self, version: u64) -> String {
+        let route = |name: &str, prefix: &str, kind: &str| {
+            format!(
+                r#""{name}":{{"hostname":"{HOST}","path_prefix":"{prefix}","route_type":"{kind}","timeout_s":2,"target_latency_s":1,"priority":1,"service_name":"{SERVICE}","max_attempts":2}}"#
+            )
+        };
+        let grants = match self.form.grants {
+            Grants::Heartbeat => "heartbeat",
+            Grants::Call => "invocation",
+        };
+        format!(
+            r#"{{"version":"r{version}","routes":{{{},{}}},"services":{{"{SERVICE}":{{"health_check_path":"/health","max_connections":100,"sharded":true,"warmup_s":1,"grants":"{grants}"}}}}}}"#,
+            route("safe", SAFE_PREFIX, "idempotent"),
+            route("unsafe", UNSAFE_PREFIX, "non_idempotent"),
+        )
+    }
+}
--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,69 @@
+//! What a run comes to.
+
+use serde::Serialize;
+
+/// Share of the requests of the last, quiet span that must be served.
+pub const LEAST_SERVED: f64 = 0.97;
+
+/// One run's result, as text and as a JSON line.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The form that was played.
+    pub form: &'static str,
+    /// The seed of troubles and requests.
+    pub seed: u64,
+    /// Seconds of troubles.
+    pub seconds: u64,
+    /// Troubles played.
+    pub troubles: usize,
+    /// Requests sent in all.
+    pub asked: usize,
+    /// Of these, served.
+    pub served: usize,
+    /// Requests of the last, quiet span.
+    pub quiet_asked: usize,
+    /// Of these, served.
+    pub quiet_served: usize,
+    /// Requests of the quiet span that came to an endpoint that didn't hold their key.
+    pub quiet_misdirected: usize,
+    /// Broken rules, in words.
+    pub violations: Vec<String>,
+    /// Where the logs are, when the run failed.
+    pub logs: Option<String>,
+}
+
+impl Report {
+    /// The share of the quiet span's requests that was served.
+    pub fn quiet_share(&self) -> f64 {
+        self.quiet_served as f64 / self.quiet_asked.max(1) as f64
+    }
+
+    /// Whether no rule was broken and the quiet span was served.
+    pub fn passed(&self) -> bool {
+        self.violations.is_empty() && self.quiet_asked > 0 && self.quiet_share() >= LEAST_SERVED
+    }
+
+    /// One line for a person, and one for each broken rule.
+    pub fn text(&self) -> String {
+        let mut text = format!(
+            "{} {} seed {}: {} troubles, {} of {} served; at the end {} of {} ({:.3}), {} misdirected",
+            if self.passed() { "passed" } else { "FAILED" },
+            self.form,
+            self.seed,
+            self.troubles,
+            self.served,
+            self.asked,
+            self.quiet_served,
+            self.quiet_asked,
+            self.quiet_share(),
+            self.quiet_misdirected,
+        );
+        for violation in &self.violations {
+            text.push_str(&format!("\n  {violation}"));
+        }
+        if let Some(logs) = &self.logs {
+            text.push_str(&format!("\n  logs: {logs}"));
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,237 @@
+//! One run: processes are started, troubled, left in peace for a while, and ended; then the rules are checked.
+
+use crate::client::{Clients, Outcome};
+use crate::endpoint::events::{Event, shared_micros};
+use crate::error::SoakError;
+use crate::invariants::{self, Witness};
+use crate::layout::{CORES, ENDPOINTS, Form, Layout, NODES, Tier};
+use crate::operator::Operator;
+use crate::process::{Process, Program};
+use crate::report::Report;
+use crate::trouble::{self, Kind, Target, Trouble};
+use http::Method;
+use nix::sys::signal::Signal;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use trackbed::http::{Client, Request};
+
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Left in peace before the first trouble.
+const BEFORE: Duration = Duration::from_secs(3);
+/// Left in peace after the last trouble: holds of killed processes run out, and the rest is given out anew.
+const SETTLE: Duration = Duration::from_secs(9);
+/// The quiet span at the end, in which almost all must be served.
+const QUIET: Duration = Duration::from_secs(3);
+/// The last requests have ended by then.
+const LAST_REQUESTS: Duration = Duration::from_millis(1700);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// What to play.
+#[derive(Clone, Debug)]
+pub struct Play {
+    /// The form of the contract.
+    pub form: Form,
+    /// Seed of troubles and requests.
+    pub seed: u64,
+    /// Seconds of troubles; none are played where it is zero.
+    pub seconds: u64,
+    /// The second number of the run's addresses.
+    pub block: u8,
+    /// An executable of this crate: every process of the run is one of it.
+    pub executable: PathBuf,
+    /// Where settings, state and logs go.
+    pub folder: PathBuf,
+}
+
+struct Fleet {
+    cores: Vec<Process>,
+    nodes: Vec<Process>,
+    endpoints: Vec<Process>,
+    /// When each endpoint's process was killed.
+    ended: Vec<Vec<u64>>,
+}
+
+impl Fleet {
+    fn start(play: &Play, layout: Layout) -> Result<Self, SoakError> {
+        let start = |program, name: String, settings: &str| {
+            Process::start(&play.executable, program, name, settings, &play.folder)
+        };
+        let mut fleet = Self { cores: Vec::new(), nodes: Vec::new(), endpoints: Vec::new(), ended: Vec::new() };
+        for index in 0..CORES {
+            let data = play.folder.join(format!("data-{index}"));
+            std::fs::create_dir_all(&data).map_err(|error| SoakError::io(data.display(), &error))?;
+            let settings = layout.core_settings(index, &data);
+            fleet.cores.push(start(Program::Signalbox, format!("core-{index}"), &settings)?);
+        }
+        for index in 0..NODES {
+            let settings = layout.node_settings(index);
+            fleet.nodes.push(start(Program::Pointsman, format!("node-{index}"), &settings)?);
+        }
+        for index in 0..ENDPOINTS {
+            let settings = layout.endpoint_settings(index);
+            fleet.endpoints.push(start(Program::Endpoint, format!("endpoint-{index}"), &settings)?);
+            fleet.ended.push(Vec::new());
+        }
+        Ok(fleet)
+    }
+
+    fn process(&mut self, target: Target) -> &mut Process {
+        match target {
+            Target::Core(index) => &mut self.cores[index],
+            Target::Node(index) => &mut self.nodes[index],
+            Target::Endpoint(index) => &mut self.endpoints[index],
+        }
+    }
+
+    fn begin(&mut self, trouble: &Trouble) {
+        let process = self.process(trouble.target);
+        match trouble.kind {
+            Kind::Kill => process.kill(),
+            Kind::Pause => process.signal(Signal::SIGSTOP),
+            Kind::Terminate => process.signal(Signal::SIGTERM),
+            Kind::LoseAnswers => process.signal(Signal::SIGUSR1),
+            Kind::Silence => process.signal(Signal::SIGUSR2),
+        }
+        if let (Kind::Kill, Target::Endpoint(index)) = (trouble.kind, trouble.target) {
+            self.ended[index].push(shared_micros());
+        }
+    }
+
+    fn end(&mut self, trouble: &Trouble) -> Result<(), SoakError> {
+        let process = self.process(trouble.target);
+        match trouble.kind {
+            Kind::Kill | Kind::Terminate => process.restart(),
+            Kind::Pause => {
+                process.signal(Signal::SIGCONT);
+                Ok(())
+            }
+            Kind::LoseAnswers | Kind::Silence => Ok(()),
+        }
+    }
+
+    /// Processes that ended though nobody ended them.
+    fn ended_by_themselves(&mut self) -> Vec<String> {
+        let processes = self.cores.iter_mut().chain(&mut self.nodes).chain(&mut self.endpoints);
+        processes.filter_map(|process| process.has_ended().then(|| process.name().to_owned())).collect()
+    }
+
+    fn stop(&mut self) {
+        let processes = self.cores.iter_mut().chain(&mut self.nodes).chain(&mut self.endpoints);
+        processes.for_each(Process::kill);
+    }
+
+    fn witnesses(&self) -> Result<Vec<Witness>, SoakError> {
+        let witness = |(process, ended): (&Process, &Vec<u64>)| {
+            Ok(Witness { events: read_events(process.output())?, ended: ended.clone() })
+        };
+        self.endpoints.iter().zip(&self.ended).map(witness).collect()
+    }
+}
+
+/// The events of a file. A line that a kill cut off is passed over.
+fn read_events(path: &Path) -> Result<Vec<Event>, SoakError> {
+    let text = std::fs::read_to_string(path).map_err(|error| SoakError::io(path.display(), &error))?;
+    Ok(text.lines().filter_map(|line| sonic_rs::from_str(line).ok()).collect())
+}
+
+/// Plays one run. Call it on a runtime of its own.
+///
+/// # Errors
+///
+/// [`SoakError`] where the system could not be started; a rule that was broken stands in the report.
+pub async fn run(play: &Play) -> Result<Report, SoakError> {
+    let layout = Layout { block: play.block, form: play.form };
+    std::fs::create_dir_all(&play.folder).map_err(|error| SoakError::io(play.folder.display(), &error))?;
+    let mut fleet = Fleet::start(play, layout)?;
+    let operator = Operator::new(layout);
+    wait_until_ready(&operator, layout, play).await?;
+    let clients = Clients::new(layout, play.seed);
+    monoio::spawn(clients.clone().run());
+    monoio::spawn(operator.clone().configure_for_ever());
+    monoio::spawn(operator.clone().draw_for_ever());
+    monoio::time::sleep(BEFORE).await;
+    let troubles = trouble::plan(play.seed, play.seconds * 1000);
+    let mut violations = play_troubles(&mut fleet, &troubles).await?;
+    monoio::time::sleep(SETTLE).await;
+    let quiet_from = shared_micros();
+    monoio::time::sleep(QUIET).await;
+    clients.stop();
+    operator.stop();
+    monoio::time::sleep(LAST_REQUESTS).await;
+    operator.read_back().await;
+    for name in fleet.ended_by_themselves() {
+        violations.push(format!("CRASH: {name} ended by itself"));
+    }
+    fleet.stop();
+    let witnesses = fleet.witnesses()?;
+    violations.extend(invariants::violations(&witnesses));
+    violations.extend(operator.violations());
+    let records = clients.records();
+    let mixed = records.iter().filter(|record| record.outcome == Outcome::Mixed).count();
+    if mixed > 0 {
+        violations.push(format!("MIXED: {mixed} answers bore another request's body"));
+    }
+    let served = |from: u64| {
+        let later = records.iter().filter(move |record| record.at >= from);
+        (later.clone().count(), later.filter(|record| record.outcome == Outcome::Served).count())
+    };
+    let ((asked, all_served), (quiet_asked, quiet_served)) = (served(0), served(quiet_from));
+    let mut report = Report {
+        form: play.form.name(),
+        seed: play.seed,
+        seconds: play.seconds,
+        troubles: troubles.len(),
+        asked,
+        served: all_served,
+        quiet_asked,
+        quiet_served,
+        quiet_misdirected: invariants::misdirected(&witnesses, quiet_from),
+        violations,
+        logs: None,
+    };
+    report.logs = (!report.passed()).then(|| play.folder.display().to_string());
+    Ok(report)
+}
+
+/// Waits for the first configuration and for every node's readiness.
+async fn wait_until_ready(operator: &Operator, layout: Layout, play: &Play) -> Result<(), SoakError> {
+    let logs = play.folder.display().to_string();
+    let not_ready = || SoakError::NotReady { seconds: READY_LIMIT.as_secs(), logs: logs.clone() };
+    let ready = async {
+        operator.configure(1).await;
+        for node in 0..NODES {
+            let request = Request::own(Method::GET, "/v1/readiness".into(), &[], Default::default());
+            let limit = Duration::from_millis(300);
+            while !Client::new(layout.readiness(node))
+                .call(&request, limit)
+                .await
+                .is_ok_and(|answer| answer.is_success())
+            {
+                monoio::time::sleep(LOOK_EVERY).await;
+            }
+        }
+    };
+    monoio::time::timeout(READY_LIMIT, ready).await.map_err(|_| not_ready())
+}
+
+/// Begins and ends troubles when they are due; gives what went wrong on the way.
+async fn play_troubles(fleet: &mut Fleet, troubles: &[Trouble]) -> Result<Vec<String>, SoakError> {
+    let begun = Instant::now();
+    let mut steps: Vec<(u64, bool, &Trouble)> =
+        troubles.iter().flat_map(|trouble| [(trouble.from, true, trouble), (trouble.until, false, trouble)]).collect();
+    steps.sort_by_key(|(at, begins, _)| (*at, *begins));
+    for (at, begins, trouble) in steps {
+        let due = begun + Duration::from_millis(at);
+        monoio::time::sleep(due.saturating_duration_since(Instant::now())).await;
+        match begins {
+            true => fleet.begin(trouble),
+            false => fleet.end(trouble)?,
+        }
+    }
+    Ok(Vec::new())
+}
+
+/// Whether the endpoints of a form share their machine's address with a node.
+pub fn is_beside(form: Form) -> bool {
+    form.tier == Tier::Beside
+}
--- a/crates/trackbed/src/http/line.rs
+++ b/crates/trackbed/src/http/line.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Whether the next close is to break the connection off, dropping what was not sent.
+    pub(super) fn break_off_on_close(&self, breaks_off: bool) {
+        self.stream.set_reset_on_close(breaks_off);
+    }
+
     /// Has the close break the connection off, so that nothing looks complete that isn't.
     pub fn break_off(self) {
         self.stream.reset_on_close();
--- a/crates/trackbed/src/http/mod.rs
+++ b/crates/trackbed/src/http/mod.rs
@@ -2,6 +2,7 @@
 //! read in two ways is turned away.
 
 mod body;
+mod client;
 mod door;
 mod flow;
 mod head;
@@ -15,6 +16,7 @@
 mod tests;
 
 pub use body::Framing;
+pub use client::{CallFault, Client};
 pub use door::{DoorError, DoorLimits};
 pub use flow::{Flow, HELD_WHOLE};
 pub use head::{Request, connection_closes, is_hop_header, single};
--- a/crates/trackbed/src/net/sockets.rs
+++ b/crates/trackbed/src/net/sockets.rs
@@ -20,7 +20,11 @@
     /// True when the other side has closed or broken off the connection, and all that it sent was read.
     fn is_closed(&self) -> bool;
     /// Has the next close break off the connection at once, dropping what was not sent.
-    fn reset_on_close(&self);
+    fn reset_on_close(&self) {
+        self.set_reset_on_close(true);
+    }
+    /// Whether the next close breaks off the connection at once.
+    fn set_reset_on_close(&self, resets: bool);
 }
 
 impl SocketExt for TcpStream {
@@ -56,9 +60,9 @@
         })
     }
 
-    fn reset_on_close(&self) {
+    fn set_reset_on_close(&self, resets: bool) {
         with_socket(self, |socket| {
-            if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
+            if let Err(error) = socket.set_linger(resets.then_some(Duration::ZERO)) {
                 log::debug!("linger could not be set: {error}");
             }
         });
