Keys are given in every form: by calls and in heartbeats, beside a node and without one

Change: lineside::holds decides and makes grant and release calls; the node beside an endpoint makes them, or the primary under its lease; core nodes answer heartbeats with holds by a word of the primary asked for after the heartbeat came; gateways send a key's requests to its holder and tell the core what is asked of keys; a revoked hold keeps its fence in the log.

--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -82,6 +82,18 @@
     pub requests: Vec<(u16, u32)>,
 }
 
+/// What a gateway saw of a sharded service whose endpoints have no node beside them.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct ShardDemand {
+    pub from: NodeName,
+    pub service: ServiceName,
+    pub window_millis: u32,
+    /// Requests that began there in the window, by bucket of keys; none for those that are not named.
+    pub requests: Vec<(u16, u32)>,
+    /// Mean time of one request at each endpoint that is at home there, where one was measured.
+    pub service_micros: Vec<(InstanceId, u32)>,
+}
+
 /// An endpoint has let go of keys that it was to let go.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct ShardRelease {
@@ -164,6 +176,7 @@
     },
     ShardLoad(ShardLoad),
     ShardRelease(ShardRelease),
+    ShardDemand(ShardDemand),
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/lineside/src/call/mod.rs
+++ b/crates/lineside/src/call/mod.rs
@@ -11,5 +11,5 @@
 pub use caller::{CallError, Caller};
 pub use complaints::Complaints;
 pub use messages::{
-    Ask, ControlCall, ControlReturn, KEYS_IN_BUCKET, PeerMessage, Permit, Reply, ShardLoad, ShardRelease,
+    Ask, ControlCall, ControlReturn, KEYS_IN_BUCKET, PeerMessage, Permit, Reply, ShardDemand, ShardLoad, ShardRelease,
 };
--- /dev/null
+++ b/crates/lineside/src/holds/driver.rs
@@ -0,0 +1,96 @@
+//! Carries out the calls that one life of an endpoint is due.
+
+use super::calls::{EndpointRelease, HoldCall, HoldCalls, HoldTerms};
+use super::metrics::HoldMetrics;
+use super::wire::call_endpoint;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use timetable::shards::{Assignment, KeyRange};
+use trackbed::clock::{self, Moment};
+use trackbed::http::Client;
+use trackbed::ids::InstanceId;
+
+/// Where a driver learns what its endpoint is to hold, and tells what it has let go.
+pub trait HoldSource {
+    /// What the ordered state says now of the endpoint's keys.
+    fn assignment(&self, endpoint: &InstanceId) -> Assignment;
+    /// By what holds may be granted now.
+    fn terms(&self) -> HoldTerms;
+    /// The endpoint has let go of keys: the core is to be told.
+    fn released(&self, endpoint: &InstanceId, release: EndpointRelease);
+    /// Where calls are counted.
+    fn metrics(&self) -> &HoldMetrics;
+}
+
+/// The calls to one life of an endpoint, and the connection that grants go over.
+pub struct HoldDriver {
+    endpoint: InstanceId,
+    address: SocketAddr,
+    calls: RefCell<HoldCalls>,
+    grants: RefCell<Option<Client>>,
+    is_granting: Cell<bool>,
+}
+
+impl HoldDriver {
+    /// For a life whose process listens at an address.
+    pub fn new(endpoint: InstanceId, address: SocketAddr) -> Rc<Self> {
+        let grants = RefCell::new(Some(Client::new(address)));
+        Rc::new(Self { endpoint, address, calls: RefCell::default(), grants, is_granting: Cell::new(false) })
+    }
+
+    /// The life that is called.
+    pub fn endpoint(&self) -> &InstanceId {
+        &self.endpoint
+    }
+
+    /// What the endpoint is known to hold, each range until when at least.
+    pub fn held(&self) -> Vec<(KeyRange, Moment)> {
+        self.calls.borrow().held()
+    }
+
+    /// Starts the calls that are due now. Releases go side by side, as each waits for the work on its keys; grants one
+    /// after the other over one connection.
+    pub fn step<S: HoldSource + 'static>(self: &Rc<Self>, source: &Rc<S>) {
+        if self.is_granting.get() {
+            return;
+        }
+        let assignment = source.assignment(&self.endpoint);
+        let due = self.calls.borrow_mut().due(&assignment, source.terms(), clock::now());
+        let (grants, releases): (Vec<HoldCall>, Vec<HoldCall>) =
+            due.into_iter().partition(|call| matches!(call, HoldCall::Grant { .. }));
+        for release in releases {
+            let (driver, source) = (self.clone(), source.clone());
+            monoio::spawn(async move {
+                let mut client = Client::new(driver.address);
+                driver.make(&mut client, &release, &*source).await;
+            });
+        }
+        if grants.is_empty() {
+            return;
+        }
+        self.is_granting.set(true);
+        let (driver, source) = (self.clone(), source.clone());
+        monoio::spawn(async move {
+            let mut client = driver.grants.borrow_mut().take().unwrap_or_else(|| Client::new(driver.address));
+            for grant in grants {
+                driver.make(&mut client, &grant, &*source).await;
+            }
+            *driver.grants.borrow_mut() = Some(client);
+            driver.is_granting.set(false);
+        });
+    }
+
+    async fn make<S: HoldSource>(&self, client: &mut Client, call: &HoldCall, source: &S) {
+        let sent = clock::now();
+        let outcome = call_endpoint(client, &self.endpoint, call).await;
+        source.metrics().count(call, &outcome);
+        let assignment = source.assignment(&self.endpoint);
+        let hold_max = source.terms().hold_max;
+        let now = clock::now();
+        let released = self.calls.borrow_mut().answered(call, &outcome, &assignment, hold_max, sent, now);
+        if let Some(release) = released {
+            source.released(&self.endpoint, release);
+        }
+    }
+}
--- a/crates/lineside/src/lib.rs
+++ b/crates/lineside/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod call;
 pub mod council;
 pub mod gossip;
+pub mod holds;
 pub mod inspection;
--- a/crates/pointsman/src/dispatch/candidates.rs
+++ b/crates/pointsman/src/dispatch/candidates.rs
@@ -24,7 +24,10 @@
 pub fn candidates(node: &Pointsman, plan: &Plan, binding: &Binding, now: Moment) -> Vec<Candidate> {
     match node.mode {
         Mode::Beside => beside(node, plan, binding),
-        Mode::Gateway => gateway(node, plan, binding, now),
+        Mode::Gateway => match plan.key {
+            Some(key) => gateway_holder(node, plan, key, binding, now).into_iter().collect(),
+            None => gateway(node, plan, binding, now),
+        },
     }
 }
 
@@ -109,6 +112,21 @@
     found
 }
 
+/// The holder of a key, by way of its home or of who stands in for it.
+fn gateway_holder(node: &Pointsman, plan: &Plan, key: u16, binding: &Binding, now: Moment) -> Option<Candidate> {
+    let config = node.live.get();
+    let seating = node.homes.seating(&plan.service)?;
+    let holder = node.fleet.borrow().shards(&plan.service)?.owner_of(key)?.clone();
+    let seat = seating.seats.iter().find(|seat| seat.instance.id == holder)?;
+    let is_shunned = node.balance.borrow().is_node_shunned(&seat.home.name, now);
+    let gate = seat.deputy.as_ref().filter(|_| is_shunned).unwrap_or(&seat.home);
+    let permitted =
+        binding.permits(config.zones.get(&seat.instance.zone)) && binding.permits(config.zones.get(&gate.zone));
+    let is_local = gate.name == config.node_name;
+    let (node, beside) = (gate.name.clone(), gate.address);
+    permitted.then(|| Candidate { node, beside, is_local, ..candidate(&config, &seat.instance) })
+}
+
 /// Those at home here, and a few at home elsewhere.
 fn gateway(node: &Pointsman, plan: &Plan, binding: &Binding, now: Moment) -> Vec<Candidate> {
     let config = node.live.get();
--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -176,6 +176,9 @@
     };
     errand.request.headers.remove(CALLER);
     let mut left = candidates(node, &plan, &errand.binding, now);
+    if let Some(key) = plan.key.filter(|_| node.mode == Mode::Gateway) {
+        node.key_demand.began(&plan.service, key);
+    }
     if plan.key.is_some() && left.is_empty() {
         node.metrics.keys.refused(KeyRefusal::NoHolder);
     }
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -136,6 +136,7 @@
             heard: now,
             leaving: instance.draining,
             cold_until: now,
+            lists_keys: true,
         });
     }
 }
--- a/crates/pointsman/src/node/metrics.rs
+++ b/crates/pointsman/src/node/metrics.rs
@@ -1,5 +1,6 @@
 //! What this node counts of itself, for `GET /v1/metrics` at its readiness address.
 
+use lineside::holds::HoldMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -26,6 +27,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct KeyMetrics {
     refusals: Family<RefusalLabels, Counter>,
+    overdue: Counter,
 }
 
 impl KeyMetrics {
@@ -34,6 +36,11 @@
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
 
+    /// Counts a range that the endpoint was to hold and did not take in time: a violated invariant.
+    pub fn overdue(&self) {
+        self.overdue.inc();
+    }
+
     /// How many did not, for that reason.
     pub fn refusals(&self, reason: KeyRefusal) -> u64 {
         self.refusals.get_or_create(&RefusalLabels { reason }).get()
@@ -42,6 +49,8 @@
     fn register(&self, registry: &mut Registry) {
         let help = "Requests to services divided by key that did not reach their key's holder, by reason";
         registry.register("key_refusals", help, self.refusals.clone());
+        let help = "Ranges that the endpoint was to hold and did not take in time: the invariant is violated";
+        registry.register("keys_overdue", help, self.overdue.clone());
     }
 }
 
@@ -49,6 +58,8 @@
 pub struct NodeMetrics {
     /// Those of requests that name a key.
     pub keys: KeyMetrics,
+    /// Those of calls to the endpoint about its keys.
+    pub holds: HoldMetrics,
     /// All of them, for whoever asks.
     pub registry: Registry,
 }
@@ -58,6 +69,8 @@
         let keys = KeyMetrics::default();
         let mut registry = Registry::with_prefix(PREFIX);
         keys.register(&mut registry);
-        Self { keys, registry }
+        let holds = HoldMetrics::default();
+        holds.register(&mut registry);
+        Self { keys, holds, registry }
     }
 }
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -5,6 +5,7 @@
 pub mod core_calls;
 mod doors;
 mod error;
+pub mod key_demand;
 pub mod learn;
 mod metrics;
 mod mode;
@@ -79,6 +80,8 @@
     /// All that was acknowledged before this process started is known here.
     pub assured: Cell<bool>,
     pub leaving: Cell<bool>,
+    /// What is asked of keys, where this node is a gateway.
+    pub key_demand: key_demand::KeyDemand,
     /// What this node counts of itself.
     pub metrics: NodeMetrics,
     /// News are being fetched.
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -3,6 +3,7 @@
 use super::aggregation::{self, Counting};
 use super::coordination::{self, Coordination};
 use super::doors::{InboundDoor, OutboundDoor, ReadinessDoor};
+use super::key_demand::{self, KeyDemand};
 use super::{Mode, NodeError, NodeMetrics, Pointsman, RoutesCheck, learn, routes_check};
 use crate::dispatch::{Balance, Budgets, Pool};
 use crate::platform::{BeatsDoor, Homes, Lines, Permits, Platform, ownership};
@@ -82,6 +83,7 @@
         random: RefCell::new(Random::from_system()),
         assured: Cell::new(false),
         leaving: Cell::new(false),
+        key_demand: KeyDemand::default(),
         metrics: NodeMetrics::default(),
         fetching: Cell::new(false),
     });
@@ -95,8 +97,9 @@
     monoio::spawn(learn::pull(node.clone()));
     monoio::spawn(routes_check::keep(node.clone()));
     monoio::spawn(coordination::keep(node.clone()));
-    if node.mode == Mode::Beside {
-        monoio::spawn(ownership::keep(node.clone()));
+    match node.mode {
+        Mode::Beside => drop(monoio::spawn(ownership::keep(node.clone()))),
+        Mode::Gateway => drop(monoio::spawn(key_demand::keep(node.clone()))),
     }
     Ok(Launched { node, doors })
 }
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -101,6 +101,7 @@
                 life.heard = now;
                 life.leaving = beat.instance.draining;
                 life.cold_until = now + beat.cold;
+                life.lists_keys = beat.lists_keys;
                 life.instance = beat.instance.clone();
             }
             _ => {
@@ -120,6 +121,7 @@
                     heard: now,
                     leaving: beat.instance.draining,
                     cold_until: now + beat.cold,
+                    lists_keys: beat.lists_keys,
                 });
             }
         }
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -184,6 +184,7 @@
                 heard: now,
                 leaving: instance.draining,
                 cold_until: now,
+                lists_keys: false,
             });
             (Rc::new(platform), now)
         });
@@ -211,6 +212,16 @@
         self.platforms.borrow().values().flat_map(|(platform, _)| platform.take_work()).collect()
     }
 
+    /// Mean time of one request at each endpoint of a service that is at home here.
+    pub fn mean_micros(&self, service: &ServiceName) -> Vec<(InstanceId, u32)> {
+        let platforms = self.platforms.borrow();
+        let of_service = platforms.iter().filter(|(_, (platform, _))| {
+            platform.life.borrow().as_ref().is_some_and(|life| life.instance.service == *service)
+        });
+        let known = of_service.map(|(id, (platform, _))| (id.clone(), platform.admission.mean_micros()));
+        known.filter(|(_, micros)| *micros > 0).collect()
+    }
+
     pub fn reserve(&self, reservations: &Reservations) {
         self.platforms.borrow().values().for_each(|(platform, _)| platform.reserve(reservations));
     }
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -64,6 +64,8 @@
     /// It says so, or has signed off: nothing new goes to it. Invariant: never taken back in one life.
     pub leaving: bool,
     pub cold_until: Moment,
+    /// Its heartbeats list the keys that it holds.
+    pub lists_keys: bool,
 }
 
 pub struct Platform {
--- a/crates/pointsman/src/platform/ownership_tests.rs
+++ b/crates/pointsman/src/platform/ownership/tests.rs
@@ -4,6 +4,7 @@
 use crate::node::test_node::start;
 use std::net::SocketAddr;
 use timetable::configuration::Configuration;
+use timetable::fleet::{Beat, Instance};
 use timetable::fleet::{ConfigChange, FleetChange};
 use timetable::shards::{ShardChange, fence_at};
 use trackbed::ids::{InstanceId, NodeName, ZoneName};
@@ -27,7 +28,7 @@
 
 fn beat(index: u16) -> Beat {
     let cold = Duration::ZERO;
-    Beat { instance: instance(index), sequence: 1, cold, holds: Vec::new(), released: Vec::new() }
+    Beat { instance: instance(index), sequence: 1, cold, holds: Vec::new(), lists_keys: true, released: Vec::new() }
 }
 
 fn range(first: u16, last: u16) -> KeyRange {
--- a/crates/signalbox/src/node/beats.rs
+++ b/crates/signalbox/src/node/beats.rs
@@ -4,7 +4,7 @@
 //! nothing. Once a second each core node tells the primary whom it heard. An endpoint of which the
 //! primary was told nothing for long is taken off the list; it is taken back when it speaks again.
 
-use super::{Signalbox, primary};
+use super::{Signalbox, endpoint_keys, primary};
 use lineside::call::{Ask, Reply};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -90,7 +90,7 @@
     }
 }
 
-pub async fn answer(node: &Signalbox, request: &Request) -> Return {
+pub async fn answer(node: &Rc<Signalbox>, request: &Request) -> Return {
     let id = request.path().strip_prefix(PREFIX).unwrap_or("");
     if id.is_empty() || id.len() > 200 {
         return Return::fault(404, "no such resource: beats go to /v1/instances/ID");
@@ -107,7 +107,8 @@
     }
 }
 
-async fn beat(node: &Signalbox, id: InstanceId, request: &Request) -> Return {
+async fn beat(node: &Rc<Signalbox>, id: InstanceId, request: &Request) -> Return {
+    let arrived = clock::now();
     let zone = node.live.get().zone.clone();
     let beat = match Beat::read(id, &request.body, None, &zone) {
         Ok(beat) => beat,
@@ -127,10 +128,13 @@
         let committed = node.committed.borrow();
         committed.fleet.has_ended(&id) || committed.fleet.instance(&id) == Some(&beat.instance)
     };
-    match ordered {
-        true => acknowledged(),
-        false => to_response(primary::register(node, beat.instance).await),
+    if !ordered {
+        let reply = primary::register(node, beat.instance.clone()).await;
+        if reply != Reply::Done {
+            return to_response(reply);
+        }
     }
+    Return::json(200, endpoint_keys::answer_to(node, &beat, arrived).await)
 }
 
 /// Tells the primary who was heard here, and judges the silent if this is the primary.
--- a/crates/signalbox/src/node/metrics.rs
+++ b/crates/signalbox/src/node/metrics.rs
@@ -1,5 +1,6 @@
 //! What this core node counts of itself, for `GET /v1/metrics` at its control-plane address.
 
+use lineside::holds::HoldMetrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -54,6 +55,8 @@
 /// All figures of a core node.
 pub struct NodeMetrics {
     pub shards: ShardMetrics,
+    /// Calls to endpoints about their keys.
+    pub holds: HoldMetrics,
     /// All of them, for whoever asks.
     pub registry: Registry,
 }
@@ -68,6 +71,8 @@
         keys.register("granted", "Ranges granted, by service", shards.granted.clone());
         keys.register("revoked", "Ranges revoked, by service", shards.revoked.clone());
         keys.register("expired", "Ranges whose hold ran out, by service", shards.expired.clone());
-        Self { shards, registry }
+        let holds = HoldMetrics::default();
+        holds.register(&mut registry);
+        Self { shards, holds, registry }
     }
 }
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod councils;
 mod disk;
+mod endpoint_keys;
 mod error;
 mod fleet_view;
 mod forecast;
@@ -86,6 +87,8 @@
     pub sharding: shards::Sharding,
     /// What this node counts of itself.
     pub metrics: metrics::NodeMetrics,
+    /// Keys of endpoints that have no node beside them.
+    pub endpoint_keys: endpoint_keys::EndpointKeys,
     /// When a primary was last asked how far its committed state goes, and what it said.
     pub assurance: Cell<Option<(Moment, Zxid)>>,
 }
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -109,7 +109,7 @@
 }
 
 /// How far the primary's committed state goes, by its own word under its lease.
-async fn ask_how_far(node: &Signalbox) -> Result<Zxid, Reply> {
+pub async fn ask_how_far(node: &Signalbox) -> Result<Zxid, Reply> {
     let Some(primary) = node.zab.borrow().primary() else {
         return Err(Reply::NotNow("no primary just now".into()));
     };
@@ -126,7 +126,7 @@
 }
 
 /// Waits a moment until this node's committed state goes so far.
-async fn wait_until_known(node: &Signalbox, upto: Zxid) -> bool {
+pub async fn wait_until_known(node: &Signalbox, upto: Zxid) -> bool {
     for _ in 0..10 {
         if node.committed.borrow().fleet.zxid() >= upto {
             return true;
--- a/crates/signalbox/src/node/shards.rs
+++ b/crates/signalbox/src/node/shards.rs
@@ -9,7 +9,7 @@
 use super::{Signalbox, primary};
 use crate::ledger::Change;
 use crate::shards::{Endpoint, ServiceLoad, plan};
-use lineside::call::{Ask, CallError, Reply, ShardLoad, ShardRelease};
+use lineside::call::{Ask, CallError, Reply, ShardDemand, ShardLoad, ShardRelease};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -36,7 +36,7 @@
     /// The endpoints of each service without any grant, and since when they are the same.
     first: RefCell<BTreeMap<ServiceName, (BTreeSet<InstanceId>, Moment)>>,
     moved: RefCell<BTreeMap<ServiceName, Moment>>,
-    /// Services of which it was said that their form isn't built.
+    /// Services of which it was said that they name no way.
     told: RefCell<BTreeSet<ServiceName>>,
 }
 
@@ -59,7 +59,7 @@
         }
         expire(&node, now);
         for service in sharded_services(&node) {
-            tell_what_is_not_built(&node, &service);
+            tell_unnamed_way(&node, &service);
             count_without_holder(&node, &service);
             step(&node, &service, now);
         }
@@ -86,23 +86,18 @@
     node.metrics.shards.set_without_holder(service, free);
 }
 
-/// Says once for each service that its keys are to be given in a form that isn't built.
-fn tell_what_is_not_built(node: &Signalbox, service: &ServiceName) {
-    let (by_calls, without_node) = {
+/// Says once for each service that it names no way that is known.
+fn tell_unnamed_way(node: &Signalbox, service: &ServiceName) {
+    let is_unnamed = {
         let committed = node.committed.borrow();
-        let routes = committed.fleet.routes();
-        let settings = routes.and_then(|routes| routes.service(service));
-        let by_calls = settings.is_some_and(|settings| settings.grants == GrantWay::Call);
-        let serving = committed.fleet.serving(service);
-        (by_calls, !serving.is_empty() && serving.iter().all(|instance| !instance.has_node_beside()))
+        let settings = committed.fleet.routes().and_then(|routes| routes.service(service));
+        settings.is_some_and(|settings| settings.grants == GrantWay::Unnamed)
     };
-    let reason = match (by_calls, without_node) {
-        (true, _) => "its endpoints are to be given keys by calls",
-        (_, true) => "its endpoints have no node beside them",
-        _ => return,
-    };
-    if node.sharding.told.borrow_mut().insert(service.clone()) {
-        log::error!("service {service} is divided by key and nobody will serve it: {reason}, which isn't built");
+    if is_unnamed && node.sharding.told.borrow_mut().insert(service.clone()) {
+        log::error!(
+            "service {service} is divided by key and its grants names neither heartbeat nor invocation: endpoints whose \
+             heartbeats list keys are answered with them, those beside a node are called otherwise"
+        );
     }
 }
 
@@ -146,7 +141,7 @@
 
 fn revocations(map: &ShardMap) -> impl Iterator<Item = (&InstanceId, Zxid)> {
     map.shards().iter().filter_map(|shard| match &shard.holding {
-        Holding::Releasing { owner, revoked } => Some((owner, *revoked)),
+        Holding::Releasing { owner, revoked, .. } => Some((owner, *revoked)),
         _ => None,
     })
 }
@@ -177,7 +172,7 @@
 }
 
 fn endpoints(fleet: &FleetState, service: &ServiceName) -> Vec<Endpoint> {
-    let serving = fleet.serving(service).iter().filter(|instance| !instance.draining && instance.has_node_beside());
+    let serving = fleet.serving(service).iter().filter(|instance| !instance.draining);
     serving.map(|instance| Endpoint { id: instance.id.clone(), slots: instance.slots }).collect()
 }
 
@@ -232,16 +227,34 @@
 
 /// What an endpoint's node measured: for the primary.
 pub async fn report(node: &Signalbox, report: ShardLoad) -> Reply {
-    let Some(primary) = node.zab.borrow().primary() else {
-        return Reply::NotNow("no primary just now".into());
-    };
-    if primary.id != node.zab.borrow().me().id {
-        return match node.caller.call(primary.address, Ask::ShardLoad(report), FORWARD_LIMIT).await {
-            Ok(reply) => reply,
-            Err(CallError::NotSent | CallError::NoReply) => Reply::NotNow("the primary can't be reached".into()),
-        };
+    if let Some(reply) = forwarded(node, Ask::ShardLoad(report.clone())).await {
+        return reply;
     }
     let mut loads = node.sharding.loads.borrow_mut();
     loads.entry(report.service.clone()).or_default().reported(&report, clock::now());
     Reply::Done
 }
+
+/// What a gateway saw: for the primary.
+pub async fn demand(node: &Signalbox, demand: ShardDemand) -> Reply {
+    if let Some(reply) = forwarded(node, Ask::ShardDemand(demand.clone())).await {
+        return reply;
+    }
+    let mut loads = node.sharding.loads.borrow_mut();
+    loads.entry(demand.service.clone()).or_default().demanded(&demand, clock::now());
+    Reply::Done
+}
+
+/// The primary's reply to an ask that only it answers; nothing where this node is the primary.
+async fn forwarded(node: &Signalbox, ask: Ask) -> Option<Reply> {
+    let Some(primary) = node.zab.borrow().primary() else {
+        return Some(Reply::NotNow("no primary just now".into()));
+    };
+    if primary.id == node.zab.borrow().me().id {
+        return None;
+    }
+    Some(match node.caller.call(primary.address, ask, FORWARD_LIMIT).await {
+        Ok(reply) => reply,
+        Err(CallError::NotSent | CallError::NoReply) => Reply::NotNow("the primary can't be reached".into()),
+    })
+}
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -2,6 +2,7 @@
 
 use super::aggregation::{self, Aggregation};
 use super::calls::OpenCalls;
+use super::endpoint_keys::{self, EndpointKeys};
 use super::majority::Majority;
 use super::metrics::NodeMetrics;
 use super::{NodeError, Signalbox, beats, councils, disk, forecast, inspection, listeners, peers, shards, turn};
@@ -125,6 +126,7 @@
                 complaints: Complaints::default(),
                 sharding: shards::Sharding::default(),
                 metrics: NodeMetrics::default(),
+                endpoint_keys: EndpointKeys::default(),
                 assurance: Cell::new(None),
             });
             monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
@@ -139,6 +141,7 @@
             monoio::spawn(aggregation::keep(node.clone()));
             monoio::spawn(forecast::keep(node.clone()));
             monoio::spawn(shards::keep(node.clone()));
+            monoio::spawn(endpoint_keys::keep(node.clone()));
             kernel::watch_platform(&signals, &live).await;
             turn::leave(&node, &serving).await;
             Ok::<(), NodeError>(())
--- a/crates/signalbox/src/shards/load.rs
+++ b/crates/signalbox/src/shards/load.rs
@@ -1,17 +1,19 @@
 //! What is asked of the keys of one service, and how fast its endpoints are, as reported.
 
-use lineside::call::{KEYS_IN_BUCKET, ShardLoad};
+use lineside::call::{KEYS_IN_BUCKET, ShardDemand, ShardLoad};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use timetable::shards::{KeyRange, LAST_KEY};
 use trackbed::clock::Moment;
-use trackbed::ids::InstanceId;
+use trackbed::ids::{InstanceId, NodeName};
 
 const BUCKETS: usize = (LAST_KEY as usize + 1) / KEYS_IN_BUCKET as usize;
 /// Share of a new report in what is known of a bucket or an endpoint.
 const NEWEST: f64 = 0.5;
 /// A report that is older says nothing any more.
 const REPORT_LASTS: Duration = Duration::from_secs(8);
+/// A gateway's rate for a bucket that has fallen below this is forgotten, in requests a second.
+const LEAST_RATE: f64 = 0.01;
 /// Requests asked of all keys together below which nothing is moved for its load.
 const FEWEST_A_SECOND: f64 = 5.0;
 
@@ -25,12 +27,21 @@
 #[derive(Clone, Debug)]
 pub struct ServiceLoad {
     rates: Vec<f64>,
+    /// Of these, what each gateway told, and when.
+    gateways: BTreeMap<NodeName, GatewayRates>,
     speeds: BTreeMap<InstanceId, Speed>,
 }
 
+/// Requests a second that begin at one gateway, by bucket of keys.
+#[derive(Clone, Debug)]
+struct GatewayRates {
+    rates: BTreeMap<u16, f64>,
+    at: Moment,
+}
+
 impl Default for ServiceLoad {
     fn default() -> Self {
-        Self { rates: vec![0.0; BUCKETS], speeds: BTreeMap::new() }
+        Self { rates: vec![0.0; BUCKETS], gateways: BTreeMap::new(), speeds: BTreeMap::new() }
     }
 }
 
@@ -50,12 +61,52 @@
                 self.rates[bucket] += (rate - self.rates[bucket]) * NEWEST;
             }
         }
-        if report.service_micros > 0 {
-            let newest = report.service_micros as f64 / 1e6;
-            let known = self.speeds.entry(report.instance.clone()).or_insert(Speed { seconds: newest, at: now });
-            known.seconds += (newest - known.seconds) * NEWEST;
-            known.at = now;
+        self.measured(&report.instance, report.service_micros, now);
+    }
+
+    /// Takes in what a gateway saw. The rates of all gateways add up.
+    pub fn demanded(&mut self, demand: &ShardDemand, now: Moment) {
+        let seconds = demand.window_millis.max(1) as f64 / 1000.0;
+        let mut rates: BTreeMap<u16, f64> =
+            demand.requests.iter().map(|(bucket, count)| (*bucket, *count as f64 / seconds * NEWEST)).collect();
+        let before = self.gateways.remove(&demand.from);
+        for (bucket, rate) in before.iter().flat_map(|before| &before.rates) {
+            *rates.entry(*bucket).or_default() += rate * (1.0 - NEWEST);
+        }
+        rates.retain(|bucket, rate| *rate > LEAST_RATE && (*bucket as usize) < BUCKETS);
+        before.iter().for_each(|before| self.add(&before.rates, -1.0));
+        self.add(&rates, 1.0);
+        self.gateways.insert(demand.from.clone(), GatewayRates { rates, at: now });
+        self.forget_silent_gateways(now);
+        demand.service_micros.iter().for_each(|(instance, micros)| self.measured(instance, *micros, now));
+    }
+
+    fn add(&mut self, rates: &BTreeMap<u16, f64>, times: f64) {
+        for (bucket, rate) in rates {
+            let sum = &mut self.rates[*bucket as usize];
+            *sum = (*sum + rate * times).max(0.0);
+        }
+    }
+
+    fn forget_silent_gateways(&mut self, now: Moment) {
+        let silent = |told: &GatewayRates| now.since(told.at) >= REPORT_LASTS;
+        let gone: Vec<NodeName> =
+            self.gateways.iter().filter(|(_, told)| silent(told)).map(|(name, _)| name.clone()).collect();
+        for name in gone {
+            if let Some(told) = self.gateways.remove(&name) {
+                self.add(&told.rates, -1.0);
+            }
+        }
+    }
+
+    fn measured(&mut self, instance: &InstanceId, service_micros: u32, now: Moment) {
+        if service_micros == 0 {
+            return;
         }
+        let newest = service_micros as f64 / 1e6;
+        let known = self.speeds.entry(instance.clone()).or_insert(Speed { seconds: newest, at: now });
+        known.seconds += (newest - known.seconds) * NEWEST;
+        known.at = now;
     }
 
     /// Forgets endpoints that are gone.
--- a/crates/timetable/src/configuration/route.rs
+++ b/crates/timetable/src/configuration/route.rs
@@ -166,6 +166,20 @@
     Heartbeat,
     /// By calls to their address.
     Call,
+    /// The configuration names no way that is known: endpoints whose heartbeats list their keys are answered with them,
+    /// the others are called.
+    Unnamed,
+}
+
+impl GrantWay {
+    /// Whether an endpoint is told in the answers to its heartbeats, by whether those list its keys.
+    pub fn is_by_heartbeat(self, lists_keys: bool) -> bool {
+        match self {
+            Self::Heartbeat => true,
+            Self::Call => false,
+            Self::Unnamed => lists_keys,
+        }
+    }
 }
 
 /// One service, typed.
@@ -196,7 +210,8 @@
         let sharded = value.pointer(["sharded"].iter()).and_then(|sharded| sharded.as_bool()).unwrap_or(false);
         let grants = match value.pointer(["grants"].iter()).and_then(|way| way.as_str()) {
             Some("heartbeat") => GrantWay::Heartbeat,
-            _ => GrantWay::Call,
+            Some("invocation") => GrantWay::Call,
+            _ => GrantWay::Unnamed,
         };
         let max_connections = max_connections.clamp(1, 1_000_000) as u32;
         Ok(Self { health_path, max_connections, sharded, grants })
--- a/crates/timetable/src/fleet/beat.rs
+++ b/crates/timetable/src/fleet/beat.rs
@@ -18,6 +18,8 @@
     pub cold: Duration,
     /// Keys that it holds, or still works on.
     pub holds: Vec<(KeyRange, u64)>,
+    /// Whether it lists keys at all, though it may hold none.
+    pub lists_keys: bool,
     /// Keys that it has let go since its last acknowledged beat, each with what it hands over.
     pub released: Vec<(KeyRange, String)>,
 }
@@ -61,7 +63,8 @@
         let holds = rows(&value, "holds", |third| third.as_u64()).ok_or("holds is no list of [from, to, fence]")?;
         let released = rows(&value, "released", |third| third.as_str().map(str::to_owned))
             .ok_or("released is no list of [from, to, handover]")?;
-        Ok(Self { instance, sequence, cold: Duration::from_secs_f64(cold), holds, released })
+        let lists_keys = value.pointer(["holds"].iter()).is_some_and(|list| list.is_array());
+        Ok(Self { instance, sequence, cold: Duration::from_secs_f64(cold), holds, lists_keys, released })
     }
 }
 
--- a/crates/timetable/src/fleet/mod.rs
+++ b/crates/timetable/src/fleet/mod.rs
@@ -7,4 +7,6 @@
 
 pub use beat::{Beat, Post};
 pub use changes::{Charter, ConfigChange, FleetChange, Instance, Member};
-pub use state::{FleetNews, FleetSnapshot, FleetSnapshotBefore, FleetSnapshotBeforeShards, FleetState};
+pub use state::{
+    FleetNews, FleetSnapshot, FleetSnapshotBefore, FleetSnapshotBeforeFences, FleetSnapshotBeforeShards, FleetState,
+};
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -4,10 +4,11 @@
 use super::tail::{NewsTail, TailEntry};
 use crate::configuration::{Configuration, Fault, Routes};
 use crate::packed::Packed;
-use crate::shards::{ShardChange, ShardMap};
+use crate::shards::{FormerShardMap, ShardChange, ShardMap};
 use crate::shared::{RecentKeys, SharedMap};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use trackbed::ids::{ConfigEpoch, InstanceId, RegionName, ServiceName, Zxid};
@@ -29,6 +30,26 @@
     shards: SharedMap<ServiceName, Rc<ShardMap>>,
 }
 
+/// As it stood on disks before a revoked hold kept its fence.
+#[derive(BorshDeserialize)]
+pub struct FleetSnapshotBeforeFences {
+    zxid: Zxid,
+    configuration: Option<Configuration>,
+    instances: SharedMap<InstanceId, Rc<Instance>>,
+    ended: RecentKeys<InstanceId, ()>,
+    taken: RecentKeys<u128, ConfigEpoch>,
+    charters: SharedMap<RegionName, Charter>,
+    shards: BTreeMap<ServiceName, FormerShardMap>,
+}
+
+impl From<FleetSnapshotBeforeFences> for FleetSnapshot {
+    fn from(before: FleetSnapshotBeforeFences) -> Self {
+        let FleetSnapshotBeforeFences { zxid, configuration, instances, ended, taken, charters, shards } = before;
+        let shards = shards.into_iter().map(|(service, shards)| (service, Rc::new(shards.into()))).collect();
+        Self { zxid, configuration, instances, ended, taken, charters, shards }
+    }
+}
+
 /// As it stood on disks before keys had holders.
 #[derive(BorshDeserialize)]
 pub struct FleetSnapshotBeforeShards {
--- a/crates/timetable/src/shards/map.rs
+++ b/crates/timetable/src/shards/map.rs
@@ -26,6 +26,8 @@
     Releasing {
         /// The holder.
         owner: InstanceId,
+        /// The fence of its hold; nothing where the state comes from a former version.
+        fence: Option<u64>,
         /// The change that revoked its hold.
         revoked: Zxid,
     },
@@ -67,6 +69,11 @@
 }
 
 impl ShardMap {
+    /// A map of shards that keep to its invariant.
+    pub(super) fn of(shards: Vec<Shard>) -> Self {
+        Self { shards }
+    }
+
     /// All shards, in the order of their keys.
     pub fn shards(&self) -> &[Shard] {
         &self.shards
@@ -147,15 +154,12 @@
                 push(&mut shards, shard);
                 continue;
             };
-            let before = inside.first().checked_sub(1).and_then(|last| KeyRange::new(shard.range.first(), last));
-            let after = inside.last().checked_add(1).and_then(|first| KeyRange::new(first, shard.range.last()));
-            if let Some(range) = before {
-                push(&mut shards, Shard { range, holding: shard.holding.clone() });
-            }
+            let (before, after): (Vec<KeyRange>, Vec<KeyRange>) =
+                shard.range.without(inside).partition(|left| left.last() < inside.first());
+            let kept = |range: KeyRange| Shard { range, holding: shard.holding.clone() };
+            before.into_iter().for_each(|range| push(&mut shards, kept(range)));
             push(&mut shards, Shard { range: inside, holding });
-            if let Some(range) = after {
-                push(&mut shards, Shard { range, holding: shard.holding });
-            }
+            after.into_iter().for_each(|range| push(&mut shards, kept(range)));
         }
         self.shards = shards;
     }
@@ -163,15 +167,15 @@
 
 fn revoked(holding: &Holding, owner: &InstanceId, zxid: Zxid) -> Option<Holding> {
     match holding {
-        Holding::Held { owner: holder, .. } if holder == owner => {
-            Some(Holding::Releasing { owner: owner.clone(), revoked: zxid })
+        Holding::Held { owner: holder, fence, .. } if holder == owner => {
+            Some(Holding::Releasing { owner: owner.clone(), fence: Some(*fence), revoked: zxid })
         }
         _ => None,
     }
 }
 
 fn was_revoked_by(holding: &Holding, owner: &InstanceId, upto: Zxid) -> bool {
-    matches!(holding, Holding::Releasing { owner: holder, revoked } if holder == owner && *revoked <= upto)
+    matches!(holding, Holding::Releasing { owner: holder, revoked, .. } if holder == owner && *revoked <= upto)
 }
 
 /// Appends a shard, joined to the last one where both have the same holding.
--- a/crates/timetable/src/shards/mod.rs
+++ b/crates/timetable/src/shards/mod.rs
@@ -4,12 +4,16 @@
 //! holder is to let go, it has let go (or its hold has certainly run out), the next holder has it. So at every zxid
 //! each key has one holder at most, and a fence that is the zxid of its grant.
 
+mod assigned;
+mod former;
 mod holds;
 mod map;
 mod range;
 #[cfg(test)]
 mod tests;
 
+pub use assigned::{AssignedRange, Assignment, RevokedRange};
+pub use former::FormerShardMap;
 pub use holds::{certainly_over, renewable_for};
 pub use map::{Holding, Shard, ShardMap};
 pub use range::{KeyRange, LAST_KEY};
--- a/crates/timetable/src/shards/range.rs
+++ b/crates/timetable/src/shards/range.rs
@@ -48,6 +48,15 @@
         self.first <= other.first && other.last <= self.last
     }
 
+    /// What is left without another range's keys: the keys before it and those after it.
+    pub fn without(self, cut: KeyRange) -> impl Iterator<Item = KeyRange> {
+        let disjoint = self.intersection(cut).is_none().then_some(self);
+        let inside = self.intersection(cut);
+        let before = inside.and_then(|inside| Self::new(self.first, inside.first.checked_sub(1)?));
+        let after = inside.and_then(|inside| Self::new(inside.last.checked_add(1)?, self.last));
+        [disjoint, before, after].into_iter().flatten()
+    }
+
     /// The keys that are in both.
     pub fn intersection(self, other: KeyRange) -> Option<KeyRange> {
         Self::new(self.first.max(other.first), self.last.min(other.last))
--- a/crates/timetable/tests/shard_holds.rs
+++ b/crates/timetable/tests/shard_holds.rs
@@ -160,7 +160,7 @@
                     self.log.shards(ShardChange::Revoke(vec![(part, owner.clone())]));
                 }
                 Holding::Held { .. } => {}
-                Holding::Releasing { owner, revoked } => {
+                Holding::Releasing { owner, revoked, .. } => {
                     let key = (owner.clone(), *revoked);
                     let known = self.log.seen.iter().find(|seen| (seen.0.clone(), seen.1) == key);
                     match known.map(|seen| seen.2) {
--- a/crates/trackbed/src/http/client.rs
+++ b/crates/trackbed/src/http/client.rs
@@ -16,6 +16,9 @@
 /// Why a call brought no answer.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum CallFault {
+    /// Nothing was sent: no process listens at the address.
+    #[display("nobody listens there")]
+    Refused,
     /// Nothing was sent: the server was not reached.
     #[display("the server can't be reached")]
     NotSent,
@@ -45,7 +48,10 @@
         let kept = self.line.take().filter(Line::is_quiet);
         let mut line = match kept {
             Some(line) => line,
-            None => Line::new(connect(self.address, limit).await.map_err(|_| CallFault::NotSent)?),
+            None => Line::new(connect(self.address, limit).await.map_err(|error| match error.kind() {
+                std::io::ErrorKind::ConnectionRefused => CallFault::Refused,
+                _ => CallFault::NotSent,
+            })?),
         };
         line.break_off_on_close(true);
         let host = self.address.to_string();
