--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,7 @@
 use getopts::Options;
 use soak::endpoint;
 use soak::error::SoakError;
-use soak::layout::Form;
+use soak::layout::{ENDPOINTS, Form};
 use soak::process::Program;
 use soak::report::Report;
 use soak::run::{Play, run};
@@ -19,6 +19,8 @@
 /// The first block of addresses; each run of a process takes the next.
 const FIRST_BLOCK: u64 = 100;
 const BLOCKS: u64 = 100;
+/// In every run of so many an endpoint is lost for good.
+const LOST_EVERY: u64 = 3;
 
 struct Plan {
     forms: Vec<Form>,
@@ -113,6 +115,7 @@
                 form: *form,
                 seed,
                 seconds: plan.seconds,
+                lost: (seed % LOST_EVERY == 0).then_some((seed / LOST_EVERY) as usize % ENDPOINTS),
                 block: (FIRST_BLOCK + runs % BLOCKS) as u8,
                 executable: executable.clone(),
                 folder: plan.folder.join(format!("{}-{seed}", form.name())),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -35,6 +35,8 @@
     pub seed: u64,
     /// Seconds of troubles; none are played where it is zero.
     pub seconds: u64,
+    /// An endpoint that is killed before the first trouble and never comes back.
+    pub lost: Option<usize>,
     /// The second number of the run's addresses.
     pub block: u8,
     /// An executable of this crate: every process of the run is one of it.
@@ -49,6 +51,7 @@
     endpoints: Vec<Process>,
     /// When each endpoint's process was killed.
     ended: Vec<Vec<u64>>,
+    lost: Option<usize>,
 }
 
 impl Fleet {
@@ -56,7 +59,8 @@
         let start = |program, name: String, settings: &str| {
             Process::start(&play.executable, program, name, settings, &play.folder)
         };
-        let mut fleet = Self { cores: Vec::new(), nodes: Vec::new(), endpoints: Vec::new(), ended: Vec::new() };
+        let mut fleet =
+            Self { cores: Vec::new(), nodes: Vec::new(), endpoints: Vec::new(), ended: Vec::new(), lost: None };
         for index in 0..CORES {
             let data = play.folder.join(format!("data-{index}"));
             std::fs::create_dir_all(&data).map_err(|error| SoakError::io(data.display(), &error))?;
@@ -109,9 +113,18 @@
         }
     }
 
+    /// Kills an endpoint for good.
+    fn lose(&mut self, endpoint: usize) {
+        self.endpoints[endpoint].kill();
+        self.ended[endpoint].push(shared_micros());
+        self.lost = Some(endpoint);
+    }
+
     /// Processes that ended though nobody ended them.
     fn ended_by_themselves(&mut self) -> Vec<String> {
-        let processes = self.cores.iter_mut().chain(&mut self.nodes).chain(&mut self.endpoints);
+        let lost = self.lost;
+        let endpoints = self.endpoints.iter_mut().enumerate().filter(|(index, _)| lost != Some(*index));
+        let processes = self.cores.iter_mut().chain(&mut self.nodes).chain(endpoints.map(|(_, process)| process));
         processes.filter_map(|process| process.has_ended().then(|| process.name().to_owned())).collect()
     }
 
@@ -151,6 +164,13 @@
     monoio::spawn(operator.clone().draw_for_ever());
     monoio::time::sleep(BEFORE).await;
     let troubles = trouble::plan(play.seed, play.seconds * 1000);
+    let troubles: Vec<Trouble> = troubles
+        .into_iter()
+        .filter(|trouble| trouble.target != Target::Endpoint(play.lost.unwrap_or(usize::MAX)))
+        .collect();
+    if let Some(lost) = play.lost {
+        fleet.lose(lost);
+    }
     let mut violations = play_troubles(&mut fleet, &troubles).await?;
     monoio::time::sleep(SETTLE).await;
     let quiet_from = shared_micros();
