--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -177,6 +177,8 @@
     ShardLoad(ShardLoad),
     ShardRelease(ShardRelease),
     ShardDemand(ShardDemand),
+    /// The endpoint beside the asker, of a service divided by key, is silent.
+    EndpointSilent(InstanceId),
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/pointsman/src/platform/ownership/mod.rs
+++ b/crates/pointsman/src/platform/ownership/mod.rs
@@ -8,6 +8,7 @@
 mod overdue;
 mod releases;
 mod reports;
+mod silence;
 #[cfg(test)]
 mod tests;
 
@@ -18,6 +19,7 @@
 use lineside::call::{Ask, Reply, ShardRelease};
 use overdue::Overdue;
 use reports::Reports;
+use silence::Silence;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,6 +47,7 @@
     calls: RefCell<Option<EndpointCalls>>,
     reports: Reports,
     overdue: RefCell<Overdue>,
+    silence: Silence,
     freshened: Cell<Moment>,
 }
 
@@ -114,6 +117,7 @@
         }
         reports::tell_if_due(&node, &life.instance, now);
         overdue::watch(&node, &life, now);
+        silence::watch(&node, &life, now);
         if now.since(ownership.freshened.get()) >= FRESHEN_EVERY {
             ownership.freshened.set(now);
             freshen(&node).await;
--- a/crates/signalbox/src/node/beats.rs
+++ b/crates/signalbox/src/node/beats.rs
@@ -52,12 +52,24 @@
         self.last.extend(heard.into_iter().map(|name| (name, now)));
     }
 
+    /// How long an endpoint has been silent; nothing while the core itself can't hear well.
+    pub fn silence_of(&self, endpoint: &InstanceId, core: usize, now: Moment) -> Option<Duration> {
+        if !self.all_report(core, now) {
+            return None;
+        }
+        let last = self.last.get(&stable_hash(endpoint.as_str())).copied().unwrap_or(self.counted_from);
+        Some(now.since(last.max(self.counted_from)))
+    }
+
+    fn all_report(&self, core: usize, now: Moment) -> bool {
+        self.reports.values().filter(|at| now.since(**at) < REPORT_EVERY * 3).count() >= core
+    }
+
     /// Those silent for too long. Nobody, while the core itself can't hear well: when a core node
     /// does not report, or most endpoints are silent at once, silence is told of the core and not
     /// of the endpoints, and is counted anew.
     fn silent(&mut self, fleet: &FleetState, core: usize, longest: Duration, now: Moment) -> Vec<InstanceId> {
-        let recent = self.reports.values().filter(|at| now.since(**at) < REPORT_EVERY * 3).count();
-        if recent < core {
+        if !self.all_report(core, now) {
             self.counted_from = now;
             return Vec::new();
         }
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod disk;
 mod endpoint_keys;
 mod error;
+mod fitness;
 mod fleet_view;
 mod forecast;
 mod inspection;
@@ -87,6 +88,8 @@
     pub sharding: shards::Sharding,
     /// What this node counts of itself.
     pub metrics: metrics::NodeMetrics,
+    /// Which endpoints may hold keys.
+    pub fitness: fitness::Fitness,
     /// Keys of endpoints that have no node beside them.
     pub endpoint_keys: endpoint_keys::EndpointKeys,
     /// When a primary was last asked how far its committed state goes, and what it said.
--- a/crates/signalbox/src/node/peers.rs
+++ b/crates/signalbox/src/node/peers.rs
@@ -57,6 +57,7 @@
             Ask::HandOver { member, limit } => {
                 members::answer_hand_over(&self, member, Duration::from_millis(limit as u64)).await
             }
+            Ask::EndpointSilent(endpoint) => shards::endpoint_silent(&self, endpoint).await,
             Ask::ShardDemand(demand) => shards::demand(&self, demand).await,
             Ask::FreshNews { since } => primary::fresh_news(&self, since).await,
             Ask::ShardLoad(load) => shards::report(&self, load).await,
--- a/crates/signalbox/src/node/shards.rs
+++ b/crates/signalbox/src/node/shards.rs
@@ -5,6 +5,7 @@
 //! saw the revocation committed. Nodes renew holds only by a state that a primary vouched for under its lease, from the
 //! moment they asked; so whatever was renewed after the revocation rests on a state before it, and ends in that time.
 
+use super::fitness::{self, Survey};
 use super::metrics::RangesOrdered;
 use super::{Signalbox, primary};
 use crate::ledger::Change;
@@ -15,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::configuration::GrantWay;
-use timetable::fleet::{FleetChange, FleetState};
+use timetable::fleet::FleetChange;
 use timetable::shards::{Holding, KeyRange, ShardChange, ShardMap, certainly_over};
 use trackbed::clock::{self, Moment};
 use trackbed::ids::{InstanceId, ServiceName, Zxid};
@@ -55,6 +56,7 @@
         let now = clock::now();
         if !node.zab.borrow().is_primary() || !primary::lease_holds(&node) {
             node.sharding.start_anew();
+            node.fitness.start_anew();
             continue;
         }
         expire(&node, now);
@@ -146,34 +148,60 @@
     })
 }
 
+/// A step of a service's assignment.
+enum DueStep {
+    /// Holders are gone: what they hold is revoked at once.
+    RevokeLost(ShardChange),
+    /// What the planner wants; moves by load have a pace of their own.
+    Planned(Vec<ShardChange>),
+}
+
 /// Orders the next step of a service's assignment, if one is due.
 fn step(node: &Signalbox, service: &ServiceName, now: Moment) {
-    let changes = {
-        let proposed = node.proposed.borrow();
-        let Some(fleet) = proposed.as_ref().map(|proposed| &proposed.fleet) else { return };
-        let endpoints = endpoints(fleet, service);
-        let first = ShardMap::default();
-        let map = fleet.shards(service).map(Rc::as_ref);
-        if map.is_none() && !is_quiet(node, service, &endpoints, now) {
-            return;
+    match due_step(node, service, now) {
+        Some(DueStep::RevokeLost(change)) => {
+            log::warn!("keys of {service}: {}, as their holders are gone", described(&change));
+            order(node, service, change);
         }
-        let mut loads = node.sharding.loads.borrow_mut();
-        let load = loads.entry(service.clone()).or_default();
-        load.retain(|instance| endpoints.iter().any(|endpoint| endpoint.id == *instance));
-        plan(map.unwrap_or(&first), load, &endpoints, now)
-    };
-    for change in changes {
-        if matches!(change, ShardChange::Revoke(_)) && !may_move(node, service, now) {
-            continue;
+        Some(DueStep::Planned(changes)) => {
+            for change in changes {
+                if matches!(change, ShardChange::Revoke(_)) && !may_move(node, service, now) {
+                    continue;
+                }
+                log::info!("keys of {service}: {}", described(&change));
+                order(node, service, change);
+            }
         }
-        log::info!("keys of {service}: {}", described(&change));
-        order(node, service, change);
+        None => {}
+    }
+}
+
+fn due_step(node: &Signalbox, service: &ServiceName, now: Moment) -> Option<DueStep> {
+    let proposed = node.proposed.borrow();
+    let fleet = &proposed.as_ref()?.fleet;
+    let survey = fitness::survey(node, fleet, service, now);
+    let map = fleet.shards(service).map(Rc::as_ref);
+    if map.is_none() && !is_quiet(node, service, &survey.fit, now) {
+        return None;
+    }
+    if let Some(change) = map.and_then(|map| revoke_lost(map, &survey)) {
+        return Some(DueStep::RevokeLost(change));
     }
+    let mut loads = node.sharding.loads.borrow_mut();
+    let load = loads.entry(service.clone()).or_default();
+    load.retain(|instance| survey.fit.iter().any(|endpoint| endpoint.id == *instance));
+    let nobody = ShardMap::default();
+    Some(DueStep::Planned(plan(map.unwrap_or(&nobody), load, &survey.fit, now)))
 }
 
-fn endpoints(fleet: &FleetState, service: &ServiceName) -> Vec<Endpoint> {
-    let serving = fleet.serving(service).iter().filter(|instance| !instance.draining);
-    serving.map(|instance| Endpoint { id: instance.id.clone(), slots: instance.slots }).collect()
+/// Has what lost endpoints hold revoked, at once.
+fn revoke_lost(map: &ShardMap, survey: &Survey) -> Option<ShardChange> {
+    let held = map.shards().iter().filter_map(|shard| match &shard.holding {
+        Holding::Held { owner, .. } if survey.lost.contains(owner) => Some((shard.range, owner.clone())),
+        _ => None,
+    });
+    let held: Vec<(KeyRange, InstanceId)> = held.collect();
+    (!held.is_empty()).then_some(ShardChange::Revoke(held))
 }
 
 /// Whether the endpoints of a service that starts from nothing have been the same for a while.
@@ -245,6 +273,15 @@
     Reply::Done
 }
 
+/// The node beside an endpoint says that it is silent: for the primary.
+pub async fn endpoint_silent(node: &Signalbox, endpoint: InstanceId) -> Reply {
+    if let Some(reply) = forwarded(node, Ask::EndpointSilent(endpoint.clone())).await {
+        return reply;
+    }
+    node.fitness.told_silent(endpoint, clock::now());
+    Reply::Done
+}
+
 /// The primary's reply to an ask that only it answers; nothing where this node is the primary.
 async fn forwarded(node: &Signalbox, ask: Ask) -> Option<Reply> {
     let Some(primary) = node.zab.borrow().primary() else {
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -3,6 +3,7 @@
 use super::aggregation::{self, Aggregation};
 use super::calls::OpenCalls;
 use super::endpoint_keys::{self, EndpointKeys};
+use super::fitness::Fitness;
 use super::majority::Majority;
 use super::metrics::NodeMetrics;
 use super::{NodeError, Signalbox, beats, councils, disk, forecast, inspection, listeners, peers, shards, turn};
@@ -126,6 +127,7 @@
                 complaints: Complaints::default(),
                 sharding: shards::Sharding::default(),
                 metrics: NodeMetrics::default(),
+                fitness: Fitness::default(),
                 endpoint_keys: EndpointKeys::default(),
                 assurance: Cell::new(None),
             });
