--- a/crates/signalbox/src/node/metrics.rs
+++ b/crates/signalbox/src/node/metrics.rs
@@ -21,6 +21,7 @@
     granted: Family<ServiceLabels, Counter>,
     revoked: Family<ServiceLabels, Counter>,
     expired: Family<ServiceLabels, Counter>,
+    overdue: Family<ServiceLabels, Counter>,
 }
 
 /// How many ranges of a service a change ordered.
@@ -42,6 +43,11 @@
         counter.get_or_create(&labels(service)).inc_by(count as u64);
     }
 
+    /// Counts a range that was without a holder for too long: a violated invariant.
+    pub fn overdue(&self, service: &ServiceName) {
+        self.overdue.get_or_create(&labels(service)).inc();
+    }
+
     /// How many keys of a service nobody holds now.
     pub fn set_without_holder(&self, service: &ServiceName, keys: u32) {
         self.keys_without_holder.get_or_create(&labels(service)).set(keys as i64);
@@ -71,6 +77,8 @@
         keys.register("granted", "Ranges granted, by service", shards.granted.clone());
         keys.register("revoked", "Ranges revoked, by service", shards.revoked.clone());
         keys.register("expired", "Ranges whose hold ran out, by service", shards.expired.clone());
+        let help = "Ranges without a holder for longer than the invariant allows, by service";
+        keys.register("overdue", help, shards.overdue.clone());
         let holds = HoldMetrics::default();
         holds.register(&mut registry);
         Self { shards, holds, registry }
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod peers;
 mod primary;
+mod shard_invariant;
 mod shards;
 mod start;
 mod turn;
--- a/crates/signalbox/src/node/shards.rs
+++ b/crates/signalbox/src/node/shards.rs
@@ -7,6 +7,7 @@
 
 use super::fitness::{self, Survey};
 use super::metrics::RangesOrdered;
+use super::shard_invariant::{OverdueRange, ShardInvariant};
 use super::{Signalbox, primary};
 use crate::ledger::Change;
 use crate::shards::{Endpoint, ServiceLoad, plan};
@@ -39,6 +40,7 @@
     moved: RefCell<BTreeMap<ServiceName, Moment>>,
     /// Services of which it was said that they name no way.
     told: RefCell<BTreeSet<ServiceName>>,
+    invariants: RefCell<BTreeMap<ServiceName, ShardInvariant>>,
 }
 
 impl Sharding {
@@ -47,6 +49,7 @@
         self.revoked.borrow_mut().clear();
         self.first.borrow_mut().clear();
         self.moved.borrow_mut().clear();
+        self.invariants.borrow_mut().clear();
     }
 }
 
@@ -64,6 +67,7 @@
             tell_unnamed_way(&node, &service);
             count_without_holder(&node, &service);
             step(&node, &service, now);
+            check_invariant(&node, &service, now);
         }
     }
 }
@@ -176,6 +180,23 @@
     }
 }
 
+/// Counts and logs ranges that have been without a holder for too long.
+fn check_invariant(node: &Signalbox, service: &ServiceName, now: Moment) {
+    let overdue = {
+        let committed = node.committed.borrow();
+        let survey = fitness::survey(node, &committed.fleet, service, now);
+        let nobody = Rc::new(ShardMap::default());
+        let map = committed.fleet.shards(service).unwrap_or(&nobody);
+        let mut invariants = node.sharding.invariants.borrow_mut();
+        let invariant = invariants.entry(service.clone()).or_default();
+        invariant.look(map, !survey.fit.is_empty(), node.live.get().bounds.hold_max(), now)
+    };
+    for OverdueRange { range, limit } in overdue {
+        node.metrics.shards.overdue(service);
+        log::error!("keys {range} of {service} have been without a holder for over {:.1} s", limit.as_secs_f64());
+    }
+}
+
 fn due_step(node: &Signalbox, service: &ServiceName, now: Moment) -> Option<DueStep> {
     let proposed = node.proposed.borrow();
     let fleet = &proposed.as_ref()?.fleet;
--- a/crates/soak/src/endpoint/events.rs
+++ b/crates/soak/src/endpoint/events.rs
@@ -22,6 +22,13 @@
         /// The life's id.
         life: String,
     },
+    /// A life has ended by itself.
+    Ended {
+        /// When.
+        at: u64,
+        /// The life's id.
+        life: String,
+    },
     /// It holds keys from now on, until a time unless it is renewed or lets go earlier.
     Held {
         /// When it took them.
--- a/crates/soak/src/endpoint/mod.rs
+++ b/crates/soak/src/endpoint/mod.rs
@@ -27,6 +27,13 @@
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// For how long a signalled trouble lasts.
 const TROUBLE_LASTS: Duration = Duration::from_secs(2);
+/// An endpoint that leaves ends after so long, acknowledged or not.
+const LEAVES_WITHIN: Duration = Duration::from_secs(2);
+/// How long it serves on after it was acknowledged as leaving.
+const SERVES_ON: Duration = Duration::from_millis(1200);
+/// Work of a request: at least so much, and up to so much more.
+const LEAST_WORK_MILLIS: u64 = 40;
+const MORE_WORK_MILLIS: u64 = 80;
 /// Share of answers lost while the endpoint loses them.
 const LOST_SHARE: f64 = 0.4;
 /// A clock may run this much slow; those of every second endpoint do.
@@ -103,6 +110,9 @@
     letting_go: RefCell<Vec<(u16, u16)>>,
     loses_answers_until: Cell<u64>,
     silent_until: Cell<u64>,
+    is_draining: Cell<bool>,
+    /// A heartbeat that said so was acknowledged.
+    drain_is_known: Cell<bool>,
 }
 
 /// Runs an endpoint until its process is killed or asked to end; gives the process's status.
@@ -136,6 +146,8 @@
         letting_go: RefCell::default(),
         loses_answers_until: Cell::new(0),
         silent_until: Cell::new(0),
+        is_draining: Cell::new(false),
+        drain_is_known: Cell::new(false),
     });
     let outcome = kernel::run(async {
         let listener = match bind_tcp(endpoint.settings.address) {
@@ -157,10 +169,29 @@
             }
             monoio::time::sleep(LOOK_EVERY).await;
         }
+        leave(&endpoint).await;
+        Event::Ended { at: shared_micros(), life: endpoint.life.clone() }.tell();
     });
     outcome.is_err() as i32
 }
 
+/// Says that it leaves, serves on for a while, signs off.
+async fn leave(endpoint: &Endpoint) {
+    endpoint.is_draining.set(true);
+    let last = shared_micros() + LEAVES_WITHIN.as_micros() as u64;
+    while !endpoint.drain_is_known.get() && shared_micros() < last {
+        monoio::time::sleep(LOOK_EVERY).await;
+    }
+    monoio::time::sleep(SERVES_ON).await;
+    let path = format!("/v1/instances/{}", endpoint.life);
+    let request = Request::own(Method::DELETE, path, &[], Bytes::new());
+    for address in &endpoint.settings.heartbeats {
+        if Client::new(*address).call(&request, HEARTBEAT_LIMIT).await.is_ok_and(|answer| answer.is_success()) {
+            return;
+        }
+    }
+}
+
 fn fail(reason: &str) -> i32 {
     eprintln!("endpoint: {reason}");
     1
@@ -205,7 +236,7 @@
             zone: &self.settings.zone,
             version: "v1",
             capacity_slots: self.settings.slots,
-            lifecycle_state: "ready",
+            lifecycle_state: if self.is_draining.get() { "draining" } else { "ready" },
             cold_remaining_s: 0.0,
             sequence,
             holds: lists.then(holds),
@@ -256,6 +287,7 @@
             monoio::time::sleep(LOOK_EVERY).await;
         }
         let letting_go = endpoint.finish_letting_go();
+        let says_draining = endpoint.is_draining.get();
         let told = endpoint.released.borrow().len();
         let address = told_target.unwrap_or(endpoint.settings.heartbeats[target]);
         let sent = shared_micros();
@@ -264,6 +296,7 @@
         match Client::new(address).call(&request, HEARTBEAT_LIMIT).await {
             Ok(answer) if answer.is_success() => {
                 told_target = endpoint.heard(&answer.body, sent, told).or(told_target);
+                endpoint.drain_is_known.set(says_draining);
                 monoio::time::sleep(if letting_go { LETTING_GO_EVERY } else { period }).await;
             }
             _ => {
@@ -351,7 +384,7 @@
     let safe = request.method == Method::GET;
     Event::Ran { at: now, life: endpoint.life.clone(), attempt: attempt.clone(), key, safe }.tell();
     endpoint.running.borrow_mut().push(key);
-    let work = Duration::from_millis(4 + endpoint.random.borrow_mut().below(16));
+    let work = Duration::from_millis(LEAST_WORK_MILLIS + endpoint.random.borrow_mut().below(MORE_WORK_MILLIS));
     monoio::time::sleep(work).await;
     let mut running = endpoint.running.borrow_mut();
     if let Some(at) = running.iter().position(|other| *other == key) {
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -77,6 +77,10 @@
                     }
                 }
             }
+            Event::Ended { at, .. } => {
+                let ended = std::mem::take(&mut open);
+                all.extend(ended.into_iter().map(|held| Held { until: held.until.min(*at), ..held }));
+            }
             Event::Ran { .. } | Event::Misdirected { .. } => {}
         }
     }
@@ -136,6 +140,12 @@
     twice.map(|(attempt, lives)| format!("TWICE: {attempt} may run once and began at {lives:?}")).collect()
 }
 
+/// How often keys were let go.
+pub fn let_go(witnesses: &[Witness]) -> usize {
+    let events = witnesses.iter().flat_map(|witness| &witness.events);
+    events.filter(|event| matches!(event, Event::LetGo { .. })).count()
+}
+
 /// Requests that reached an endpoint that didn't hold their key, from a moment on.
 pub fn misdirected(witnesses: &[Witness], from: u64) -> usize {
     let events = witnesses.iter().flat_map(|witness| &witness.events);
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -1,6 +1,7 @@
 //! Where each process of a run listens, and its settings.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use crate::error::SoakError;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 
 /// Core nodes of a run.
@@ -83,6 +84,37 @@
     }
 }
 
+/// A block of loopback addresses that no other run on this machine uses. Invariant: given back when this is dropped.
+pub struct Block {
+    number: u8,
+    _guard: TcpListener,
+}
+
+const FIRST_BLOCK: u8 = 100;
+const LAST_BLOCK: u8 = 199;
+const GUARD: u16 = 8139;
+
+impl Block {
+    /// Takes the first block that is free.
+    ///
+    /// # Errors
+    ///
+    /// [`SoakError::Io`] where all are taken.
+    pub fn take() -> Result<Self, SoakError> {
+        for number in FIRST_BLOCK..=LAST_BLOCK {
+            if let Ok(guard) = TcpListener::bind((Ipv4Addr::new(127, number, 0, 1), GUARD)) {
+                return Ok(Self { number, _guard: guard });
+            }
+        }
+        Err(SoakError::io("loopback addresses", &std::io::ErrorKind::AddrInUse.into()))
+    }
+
+    /// The second number of its addresses.
+    pub fn number(&self) -> u8 {
+        self.number
+    }
+}
+
 /// The addresses of one run. Two runs with different blocks may go on side by side.
 #[derive(Clone, Copy, Debug)]
 pub struct Layout {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -16,9 +16,6 @@
 seed, and checks the safety rules from what the endpoints saw. Runs one seed of one form after the other.
 Status: 0 all passed; 1 a rule was broken or too little was served at the end; 2 wrong usage, or it could not start.";
 const FORMS: &str = "beside-heartbeat, beside-calls, gateway-heartbeat, gateway-calls or all";
-/// The first block of addresses; each run of a process takes the next.
-const FIRST_BLOCK: u64 = 100;
-const BLOCKS: u64 = 100;
 /// In every run of so many an endpoint is lost for good.
 const LOST_EVERY: u64 = 3;
 
@@ -107,16 +104,13 @@
 fn play_all(plan: &Plan) -> i32 {
     let Ok(executable) = std::env::current_exe() else { return 2 };
     let mut status = 0;
-    let mut runs = u64::from(std::process::id());
     for seed in plan.first..plan.first + plan.seeds {
         for form in &plan.forms {
-            runs += 1;
             let play = Play {
                 form: *form,
                 seed,
                 seconds: plan.seconds,
                 lost: (seed % LOST_EVERY == 0).then_some((seed / LOST_EVERY) as usize % ENDPOINTS),
-                block: (FIRST_BLOCK + runs % BLOCKS) as u8,
                 executable: executable.clone(),
                 folder: plan.folder.join(format!("{}-{seed}", form.name())),
             };
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -24,6 +24,8 @@
     pub quiet_asked: usize,
     /// Of these, served.
     pub quiet_served: usize,
+    /// How often endpoints let go of keys.
+    pub let_go: usize,
     /// Requests of the quiet span that came to an endpoint that didn't hold their key.
     pub quiet_misdirected: usize,
     /// Broken rules, in words.
@@ -46,11 +48,12 @@
     /// One line for a person, and one for each broken rule.
     pub fn text(&self) -> String {
         let mut text = format!(
-            "{} {} seed {}: {} troubles, {} of {} served; at the end {} of {} ({:.3}), {} misdirected",
+            "{} {} seed {}: {} troubles, keys let go {} times, {} of {} served; at the end {} of {} ({:.3}), {} misdirected",
             if self.passed() { "passed" } else { "FAILED" },
             self.form,
             self.seed,
             self.troubles,
+            self.let_go,
             self.served,
             self.asked,
             self.quiet_served,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,10 +1,10 @@
 //! One run: processes are started, troubled, left in peace for a while, and ended; then the rules are checked.
 
-use crate::client::{Clients, Outcome};
+use crate::client::{Clients, Outcome, Record};
 use crate::endpoint::events::{Event, shared_micros};
 use crate::error::SoakError;
 use crate::invariants::{self, Witness};
-use crate::layout::{CORES, ENDPOINTS, Form, Layout, NODES, Tier};
+use crate::layout::{Block, CORES, ENDPOINTS, Form, Layout, NODES};
 use crate::operator::Operator;
 use crate::process::{Process, Program};
 use crate::report::Report;
@@ -37,8 +37,6 @@
     pub seconds: u64,
     /// An endpoint that is killed before the first trouble and never comes back.
     pub lost: Option<usize>,
-    /// The second number of the run's addresses.
-    pub block: u8,
     /// An executable of this crate: every process of the run is one of it.
     pub executable: PathBuf,
     /// Where settings, state and logs go.
@@ -104,7 +102,14 @@
     fn end(&mut self, trouble: &Trouble) -> Result<(), SoakError> {
         let process = self.process(trouble.target);
         match trouble.kind {
-            Kind::Kill | Kind::Terminate => process.restart(),
+            Kind::Kill | Kind::Terminate => {
+                let still_runs = !process.has_ended();
+                process.restart()?;
+                if let (true, Target::Endpoint(index)) = (still_runs, trouble.target) {
+                    self.ended[index].push(shared_micros());
+                }
+                Ok(())
+            }
             Kind::Pause => {
                 process.signal(Signal::SIGCONT);
                 Ok(())
@@ -153,7 +158,8 @@
 ///
 /// [`SoakError`] where the system could not be started; a rule that was broken stands in the report.
 pub async fn run(play: &Play) -> Result<Report, SoakError> {
-    let layout = Layout { block: play.block, form: play.form };
+    let block = Block::take()?;
+    let layout = Layout { block: block.number(), form: play.form };
     std::fs::create_dir_all(&play.folder).map_err(|error| SoakError::io(play.folder.display(), &error))?;
     let mut fleet = Fleet::start(play, layout)?;
     let operator = Operator::new(layout);
@@ -172,6 +178,7 @@
         fleet.lose(lost);
     }
     let mut violations = play_troubles(&mut fleet, &troubles).await?;
+    clients.spread_evenly();
     monoio::time::sleep(SETTLE).await;
     let quiet_from = shared_micros();
     monoio::time::sleep(QUIET).await;
@@ -191,6 +198,7 @@
     if mixed > 0 {
         violations.push(format!("MIXED: {mixed} answers bore another request's body"));
     }
+    write_unserved(&play.folder, &records)?;
     let served = |from: u64| {
         let later = records.iter().filter(move |record| record.at >= from);
         (later.clone().count(), later.filter(|record| record.outcome == Outcome::Served).count())
@@ -205,6 +213,7 @@
         served: all_served,
         quiet_asked,
         quiet_served,
+        let_go: invariants::let_go(&witnesses),
         quiet_misdirected: invariants::misdirected(&witnesses, quiet_from),
         violations,
         logs: None,
@@ -213,6 +222,14 @@
     Ok(report)
 }
 
+/// Writes what was not served beside the logs, one JSON line each.
+fn write_unserved(folder: &Path, records: &[Record]) -> Result<(), SoakError> {
+    let unserved = records.iter().filter(|record| record.outcome != Outcome::Served);
+    let lines: Vec<String> = unserved.filter_map(|record| sonic_rs::to_string(record).ok()).collect();
+    let path = folder.join("unserved.jsonl");
+    std::fs::write(&path, lines.join("\n")).map_err(|error| SoakError::io(path.display(), &error))
+}
+
 /// Waits for the first configuration and for every node's readiness.
 async fn wait_until_ready(operator: &Operator, layout: Layout, play: &Play) -> Result<(), SoakError> {
     let logs = play.folder.display().to_string();
@@ -250,8 +267,3 @@
     }
     Ok(Vec::new())
 }
-
-/// Whether the endpoints of a form share their machine's address with a node.
-pub fn is_beside(form: Form) -> bool {
-    form.tier == Tier::Beside
-}
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -10,7 +10,7 @@
     Kill,
     /// Stopped by a signal, and continued when the trouble ends.
     Pause,
-    /// Asked to end, and started again when the trouble ends.
+    /// Asked to end, and started again when the trouble ends. An endpoint says that it leaves first.
     Terminate,
     /// The endpoint runs requests and breaks connections off in place of their answers, for two seconds.
     LoseAnswers,
@@ -71,7 +71,7 @@
 }
 
 fn draw(random: &mut Random) -> (Kind, Target) {
-    match random.below(10) {
+    match random.below(12) {
         0 | 1 => (Kind::Kill, Target::Core(random.below(CORES as u64) as usize)),
         2 => (Kind::Pause, Target::Core(random.below(CORES as u64) as usize)),
         3 => (Kind::Kill, Target::Node(random.below(NODES as u64) as usize)),
@@ -79,7 +79,8 @@
         5 => (Kind::Terminate, Target::Node(random.below(NODES as u64) as usize)),
         6 => (Kind::Kill, Target::Endpoint(random.below(ENDPOINTS as u64) as usize)),
         7 => (Kind::Pause, Target::Endpoint(random.below(ENDPOINTS as u64) as usize)),
-        8 => (Kind::LoseAnswers, Target::Endpoint(random.below(ENDPOINTS as u64) as usize)),
+        8 | 9 => (Kind::Terminate, Target::Endpoint(random.below(ENDPOINTS as u64) as usize)),
+        10 => (Kind::LoseAnswers, Target::Endpoint(random.below(ENDPOINTS as u64) as usize)),
         _ => (Kind::Silence, Target::Endpoint(random.below(ENDPOINTS as u64) as usize)),
     }
 }
--- a/crates/trackbed/src/config/command.rs
+++ b/crates/trackbed/src/config/command.rs
@@ -1,6 +1,7 @@
 //! The command line that both programs share.
 
 use super::local::{ConfigError, LocalConfig};
+use super::support::unsupported;
 use getopts::Options;
 use log::LevelFilter;
 use std::path::PathBuf;
@@ -49,6 +50,7 @@
             }
             CommandOutcome::Run(command) => {
                 crate::logs::start(program, command.config.node_name.as_str(), command.level);
+                unsupported(&command.config).iter().for_each(|found| log::error!("{found}"));
                 match run(*command) {
                     Ok(()) => 0,
                     Err(error) => {
@@ -105,6 +107,11 @@
             }
         };
         if matches.opt_present("check") {
+            let unsupported = unsupported(&config);
+            if !unsupported.is_empty() {
+                let lines: Vec<String> = unsupported.iter().map(|found| format!("{program}: {found}")).collect();
+                return CommandOutcome::Done { text: lines.join("\n"), status: 1 };
+            }
             let text = format!("{program}: settings of {} in {} are complete", config.node_name, path.display());
             return CommandOutcome::Done { text, status: 0 };
         }
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -109,6 +109,14 @@
     pub app_address: Option<SocketAddr>,
     /// The service of the endpoint beside this node.
     pub service_name: Option<ServiceName>,
+    /// The parts of the users' rules that are in force.
+    pub contracts: Vec<String>,
+    /// How endpoints are told which keys they hold.
+    pub grants: Option<String>,
+    /// Where it is known from which endpoints there are.
+    pub discovery_source: Option<String>,
+    /// How clients arrive.
+    pub entry_type: Option<String>,
 }
 
 struct Fields<'a>(&'a Value);
@@ -213,6 +221,13 @@
             ),
             None => Bounds::default(),
         };
+        let named = |field: &str| {
+            let text = fields.find(&[field]).and_then(|value| value.as_str());
+            text.filter(|text| !text.is_empty()).map(str::to_owned)
+        };
+        let contracts = fields.find(&["active_contracts"]).and_then(|list| list.as_array());
+        let contracts = contracts.into_iter().flat_map(|list| list.iter());
+        let contracts = contracts.filter_map(|name| name.as_str().map(str::to_owned)).collect();
         let wanted = "the machine's IP address";
         Ok(Self {
             node_name: NodeName::new(fields.text(&["node_name"], "the machine's name")?),
@@ -247,6 +262,10 @@
             bounds,
             app_address: fields.address(&["app_address"])?,
             service_name: fields.find(&["service_name"]).and_then(|value| value.as_str()).map(ServiceName::new),
+            contracts,
+            grants: named("grants"),
+            discovery_source: named("discovery_source"),
+            entry_type: named("entry_type"),
         })
     }
 
--- a/crates/trackbed/src/config/mod.rs
+++ b/crates/trackbed/src/config/mod.rs
@@ -3,7 +3,9 @@
 mod bounds;
 mod command;
 mod local;
+mod support;
 
 pub use bounds::Bounds;
 pub use command::{Command, CommandOutcome};
 pub use local::{ConfigError, Limits, ListenAddresses, LocalConfig};
+pub use support::{Unsupported, unsupported};
