Endpoints that come anew aren't taken for silent and are served when taken back; shares fit sooner

Change: silence of an endpoint begins when it is first seen, a freeze of the primary starts the count anew, homes follow the list. Planner: reports every 0.8 s, rates that jump are taken at once, errors of estimates, moves of all surplus at once where they pay.

--- a/crates/lineside/src/holds/calls.rs
+++ b/crates/lineside/src/holds/calls.rs
@@ -123,6 +123,8 @@
     under_way: Vec<HoldCall>,
     /// Keys of grants without a clear answer, and until when a hold may rest on them.
     unclear: Vec<(KeyRange, Moment)>,
+    /// Grants that the endpoint refused, since it has seen a higher fence: the same one is never made again.
+    refused: Vec<(KeyRange, u64)>,
     /// Revoked keys that the endpoint let go, each with its revocation.
     let_go: Vec<(KeyRange, Zxid)>,
     /// No call is due before.
@@ -153,6 +155,8 @@
     fn forget_what_is_over(&mut self, assignment: &Assignment, now: Moment) {
         self.taken.retain(|taken| now < taken.until);
         self.unclear.retain(|(_, until)| now < *until);
+        let is_held = |range, fence| assignment.held.iter().any(|row| row.fence == fence && overlaps(row.range, range));
+        self.refused.retain(|(range, fence)| is_held(*range, *fence));
         let is_revoked =
             |range, revoked| assignment.revoked.iter().any(|row| row.revoked == revoked && overlaps(row.range, range));
         self.let_go.retain(|(range, revoked)| is_revoked(*range, *revoked));
@@ -183,7 +187,10 @@
             taken.map(|taken| taken.until).max().is_some_and(|until| now + hold < until + gain)
         };
         let stale = assignment.held.iter().filter(|row| !is_fresh(row.range, row.fence));
-        let free = stale.filter(|row| !self.is_under_way(row.range));
+        let is_refused = |range: KeyRange, fence: u64| {
+            self.refused.iter().any(|(refused, by)| *by == fence && overlaps(*refused, range))
+        };
+        let free = stale.filter(|row| !self.is_under_way(row.range) && !is_refused(row.range, row.fence));
         let grant = |row: &timetable::shards::AssignedRange| HoldCall::Grant {
             range: row.range,
             fence: row.fence,
@@ -217,6 +224,11 @@
                 self.rest(now);
                 None
             }
+            (HoldCall::Grant { range, fence, .. }, CallOutcome::HigherFence) => {
+                log::error!("an endpoint refused keys {range} under fence {fence}: it has seen a higher one");
+                self.refused.push((*range, *fence));
+                None
+            }
             (HoldCall::Release { range, seen, .. }, CallOutcome::Done { handover }) => {
                 self.let_go(*range, handover, *seen, assignment)
             }
--- a/crates/lineside/src/holds/tests.rs
+++ b/crates/lineside/src/holds/tests.rs
@@ -94,3 +94,15 @@
     assignment.revoked[0].fence = None;
     assert!(HoldCalls::default().due(&assignment, terms(0), at(0)).is_empty());
 }
+
+#[test]
+fn a_grant_that_was_refused_for_its_fence_is_not_made_again_under_it() {
+    let mut calls = HoldCalls::default();
+    let assignment = held(0, 99);
+    let grant = calls.due(&assignment, terms(0), at(0)).remove(0);
+    calls.answered(&grant, &CallOutcome::HigherFence, &assignment, HOLD_MAX, at(0), at(2));
+    assert!(calls.due(&assignment, terms(5000), at(5000)).is_empty());
+    let mut granted_anew = assignment.clone();
+    granted_anew.held[0].fence = 7;
+    assert_eq!(calls.due(&granted_anew, terms(5000), at(5000)).len(), 1);
+}
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -121,6 +121,17 @@
     seating
 }
 
+/// Has a platform follow what the list says of its endpoint; false where that isn't listed. One that was taken off the list
+/// for its silence may be taken back in the same life, and has a new platform then.
+fn follow_list(platform: &Platform, instance: Option<&Instance>) -> bool {
+    match instance {
+        Some(instance) if !instance.draining => platform.admission.set_slots(instance.slots),
+        // Nothing new goes to it from here, whatever was on its way.
+        _ => platform.leave_life(),
+    }
+    instance.is_some()
+}
+
 impl Homes {
     pub fn new(lines: Rc<Lines>) -> Self {
         Self { lines, made_for: Cell::new(None), by_service: RefCell::default(), platforms: RefCell::default() }
@@ -162,14 +173,7 @@
         for instance in &here {
             self.hold(instance, now);
         }
-        let platforms = self.platforms.borrow();
-        for (id, (platform, _)) in platforms.iter() {
-            match fleet.instance(id) {
-                Some(instance) if !instance.draining => platform.admission.set_slots(instance.slots),
-                // Nothing new goes to it from here, whatever was on its way.
-                _ => platform.leave_life(),
-            }
-        }
+        self.platforms.borrow_mut().retain(|id, (platform, _)| follow_list(platform, fleet.instance(id)));
     }
 
     /// Takes up an endpoint's slots here.
@@ -241,6 +245,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use lineside::gossip::{Peer, RosterTiming};
+    use timetable::fleet::FleetChange;
+    use trackbed::ids::{Incarnation, RegionName};
+    use trackbed::random::Random;
 
     fn instances(count: usize) -> Vec<Rc<Instance>> {
         let instance = |index: usize| Instance {
@@ -286,6 +294,36 @@
         assert!(held(&seating).values().all(|count| *count <= 3), "{:?}", held(&seating));
     }
 
+    #[test]
+    fn an_endpoint_that_is_taken_back_on_the_list_is_served_again() {
+        let instance = instances(1).remove(0);
+        let register = || FleetChange::Register((*instance).clone());
+        let mut fleet = FleetState::default();
+        fleet.apply(Zxid::new(1, 1), register());
+        let me = Peer {
+            name: NodeName::new("gate-0"),
+            incarnation: Incarnation(1),
+            role: Role::Gate,
+            address: ([10, 0, 0, 1], 9).into(),
+            zone: ZoneName::new("a"),
+            region: RegionName::new("r"),
+        };
+        let now = Moment::from_micros(1_000_000);
+        let roster = Roster::new(me, Vec::new(), RosterTiming::default(), Random::seeded(1), now);
+        let homes = Homes::new(Rc::default());
+        homes.refresh(&fleet, &roster, None, now);
+        let takes = |fleet: &FleetState| {
+            homes.platform(&instance.id, fleet, now).is_some_and(|platform| platform.takes(&instance.id, now))
+        };
+        assert!(takes(&fleet));
+        fleet.apply(Zxid::new(1, 2), FleetChange::Lost(instance.id.clone()));
+        homes.refresh(&fleet, &roster, None, now);
+        assert!(!takes(&fleet), "it is off the list");
+        fleet.apply(Zxid::new(1, 3), register());
+        homes.refresh(&fleet, &roster, None, now);
+        assert!(takes(&fleet), "it has spoken again");
+    }
+
     #[test]
     fn a_lost_home_moves_few_and_a_zone_without_gates_is_served_from_others() {
         let (instances, gates) = (instances(240), gates(90));
--- a/crates/pointsman/src/platform/ownership/reports.rs
+++ b/crates/pointsman/src/platform/ownership/reports.rs
@@ -11,7 +11,7 @@
 use timetable::shards::KeyRange;
 use trackbed::clock::Moment;
 
-const REPORT_EVERY: Duration = Duration::from_millis(2000);
+const REPORT_EVERY: Duration = Duration::from_millis(800);
 
 /// Counts since the last report.
 #[derive(Default)]
--- a/crates/signalbox/src/node/beats.rs
+++ b/crates/signalbox/src/node/beats.rs
@@ -37,6 +37,8 @@
     reports: BTreeMap<SocketAddr, Moment>,
     /// Since when silence counts. Invariant: not before this node became primary.
     counted_from: Moment,
+    /// When the silent were last looked for here.
+    looked: Moment,
 }
 
 impl EndpointHeartbeats {
@@ -52,24 +54,43 @@
         self.last.extend(heard.into_iter().map(|name| (name, now)));
     }
 
-    /// How long an endpoint has been silent; nothing while the core itself can't hear well.
+    /// How long an endpoint has been silent; nothing while that can't be told.
     pub fn silence_of(&self, endpoint: &InstanceId, core: usize, now: Moment) -> Option<Duration> {
-        if !self.all_report(core, now) {
+        if !self.hears_well(core, now) {
             return None;
         }
-        let last = self.last.get(&stable_hash(endpoint.as_str())).copied().unwrap_or(self.counted_from);
+        let last = *self.last.get(&stable_hash(endpoint.as_str()))?;
         Some(now.since(last.max(self.counted_from)))
     }
 
-    fn all_report(&self, core: usize, now: Moment) -> bool {
-        self.reports.values().filter(|at| now.since(**at) < REPORT_EVERY * 3).count() >= core
+    /// Whether every core node reports, and this one was not frozen just now.
+    fn hears_well(&self, core: usize, now: Moment) -> bool {
+        let recent = |at: Moment| now.since(at) < REPORT_EVERY * 3;
+        recent(self.looked) && self.reports.values().filter(|at| recent(**at)).count() >= core
+    }
+
+    /// Takes a look at the list. The silence of an endpoint that is new to this node begins now: whoever registered it has
+    /// heard it, and the report of that is still on its way.
+    fn look(&mut self, fleet: &FleetState, now: Moment) {
+        if now.since(self.looked) >= REPORT_EVERY * 3 {
+            // This node was frozen: what it has not heard meanwhile is nobody's silence.
+            self.counted_from = now;
+        }
+        self.looked = now;
+        let homeless = fleet.instances().filter(|instance| !instance.has_node_beside());
+        let listed: BTreeSet<u64> = homeless.map(|instance| stable_hash(instance.id.as_str())).collect();
+        self.last.retain(|name, _| listed.contains(name));
+        for name in listed {
+            self.last.entry(name).or_insert(now);
+        }
     }
 
     /// Those silent for too long. Nobody, while the core itself can't hear well: when a core node
     /// does not report, or most endpoints are silent at once, silence is told of the core and not
     /// of the endpoints, and is counted anew.
     fn silent(&mut self, fleet: &FleetState, core: usize, longest: Duration, now: Moment) -> Vec<InstanceId> {
-        if !self.all_report(core, now) {
+        self.look(fleet, now);
+        if !self.hears_well(core, now) {
             self.counted_from = now;
             return Vec::new();
         }
@@ -210,6 +231,45 @@
         fleet
     }
 
+    #[test]
+    fn an_endpoint_that_has_just_come_is_not_silent_though_nobody_reported_it_yet() {
+        let mut heartbeats = EndpointHeartbeats::default();
+        let longest = Duration::from_secs(12);
+        let mut now = Moment::from_micros(1_000_000);
+        heartbeats.start_anew(now);
+        for second in 0..30 {
+            now = now + Duration::from_secs(1);
+            // The tenth is registered after the primary has been one for long, and its first report is still on its way.
+            let fleet = fleet(if second < 20 { 9 } else { 10 });
+            let speaking = (0..9).map(|index| stable_hash(&format!("i{index}"))).collect();
+            heartbeats.reported(core(0), speaking, now);
+            assert_eq!(heartbeats.silent(&fleet, 1, longest, now), [], "second {second}");
+        }
+        let newest = InstanceId::new("i9");
+        assert!(heartbeats.silence_of(&newest, 1, now).is_some_and(|silence| silence < Duration::from_secs(11)));
+    }
+
+    #[test]
+    fn after_a_freeze_of_the_primary_nobody_counts_as_silent() {
+        let fleet = fleet(4);
+        let mut heartbeats = EndpointHeartbeats::default();
+        let mut now = Moment::from_micros(1_000_000);
+        heartbeats.start_anew(now);
+        let all = || (0..4).map(|index| stable_hash(&format!("i{index}"))).collect::<Vec<u64>>();
+        for _ in 0..10 {
+            now = now + Duration::from_secs(1);
+            heartbeats.reported(core(0), all(), now);
+            heartbeats.silent(&fleet, 1, Duration::from_secs(12), now);
+        }
+        now = now + Duration::from_secs(30);
+        // Reports that waited in its sockets are read before it looks again.
+        heartbeats.reported(core(0), Vec::new(), now);
+        let id = InstanceId::new("i1");
+        assert_eq!(heartbeats.silence_of(&id, 1, now), None);
+        assert_eq!(heartbeats.silent(&fleet, 1, Duration::from_secs(12), now), []);
+        assert_eq!(heartbeats.silence_of(&id, 1, now), Some(Duration::ZERO));
+    }
+
     fn core(index: u8) -> SocketAddr {
         ([10, 0, 1, index], 1).into()
     }
--- a/crates/signalbox/src/node/shards.rs
+++ b/crates/signalbox/src/node/shards.rs
@@ -24,7 +24,7 @@
 
 const EVERY: Duration = Duration::from_millis(150);
 /// Moves by load are looked for this often.
-const MOVES_EVERY: Duration = Duration::from_millis(1500);
+const MOVES_EVERY: Duration = Duration::from_millis(700);
 /// The first grant waits until no further endpoint has come for so long.
 const QUIET_BEFORE_FIRST: Duration = Duration::from_millis(1200);
 const FORWARD_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/signalbox/src/shards/load.rs
+++ b/crates/signalbox/src/shards/load.rs
@@ -8,8 +8,12 @@
 use trackbed::ids::{InstanceId, NodeName};
 
 const BUCKETS: usize = (LAST_KEY as usize + 1) / KEYS_IN_BUCKET as usize;
-/// Share of a new report in what is known of a bucket or an endpoint.
+/// Share of a new measure in what is known of an endpoint's speed or a gateway's rates.
 const NEWEST: f64 = 0.5;
+/// How long what was reported of a bucket counts, on average.
+const RATES_LAST: f64 = 3.0;
+/// Keys of which so many times more is asked than was known are taken at their newest measure.
+const JUMP: f64 = 1.6;
 /// A report that is older says nothing any more.
 const REPORT_LASTS: Duration = Duration::from_secs(8);
 /// A gateway's rate for a bucket that has fallen below this is forgotten, in requests a second.
@@ -20,6 +24,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Speed {
     seconds: f64,
+    /// For how long what is known of the endpoint's keys was measured, in seconds; older measures count for less.
+    observed: f64,
     at: Moment,
 }
 
@@ -55,13 +61,25 @@
         let seconds = report.window_millis.max(1) as f64 / 1000.0;
         let counts: BTreeMap<usize, f64> =
             report.requests.iter().map(|(bucket, count)| (*bucket as usize, *count as f64 / seconds)).collect();
-        for range in &report.covered {
-            for bucket in buckets(*range) {
-                let rate = counts.get(&bucket).copied().unwrap_or(0.0) / share_of_bucket(*range, bucket).max(0.1);
-                self.rates[bucket] += (rate - self.rates[bucket]) * NEWEST;
-            }
+        let measured: Vec<(usize, f64)> = report
+            .covered
+            .iter()
+            .flat_map(|range| buckets(*range).map(move |bucket| (bucket, share_of_bucket(*range, bucket).max(0.1))))
+            .map(|(bucket, share)| (bucket, counts.get(&bucket).copied().unwrap_or(0.0) / share))
+            .collect();
+        let known: f64 = measured.iter().map(|(bucket, _)| self.rates[*bucket]).sum();
+        let newest: f64 = measured.iter().map(|(_, rate)| rate).sum();
+        // What was known before a service is asked for anything says nothing of what is asked now.
+        let jumped = newest > known * JUMP;
+        let weight = if jumped { 1.0 } else { 1.0 - (-seconds / RATES_LAST).exp() };
+        for (bucket, rate) in measured {
+            self.rates[bucket] += (rate - self.rates[bucket]) * weight;
         }
         self.measured(&report.instance, report.service_micros, now);
+        if let Some(speed) = self.speeds.get_mut(&report.instance) {
+            let before = if jumped { 0.0 } else { speed.observed * (1.0 - weight) };
+            speed.observed = before + seconds;
+        }
     }
 
     /// Takes in what a gateway saw. The rates of all gateways add up.
@@ -104,7 +122,8 @@
             return;
         }
         let newest = service_micros as f64 / 1e6;
-        let known = self.speeds.entry(instance.clone()).or_insert(Speed { seconds: newest, at: now });
+        let known =
+            self.speeds.entry(instance.clone()).or_insert(Speed { seconds: newest, observed: RATES_LAST, at: now });
         known.seconds += (newest - known.seconds) * NEWEST;
         known.at = now;
     }
@@ -131,6 +150,13 @@
         buckets(range).map(|bucket| self.rates[bucket] * share_of_bucket(range, bucket)).sum()
     }
 
+    /// The relative error to be reckoned with in an endpoint's load, where it has this rate of requests: that of a count
+    /// over the time for which it was measured.
+    pub fn error(&self, instance: &InstanceId, rate: f64) -> f64 {
+        let observed = self.speeds.get(instance).map_or(RATES_LAST, |speed| speed.observed);
+        1.0 / (rate * observed).max(1.0).sqrt()
+    }
+
     /// Seconds of a slot that one request takes at an endpoint; the mean of all where that is not known.
     pub fn seconds(&self, instance: &InstanceId, now: Moment) -> f64 {
         let fresh = |speed: &&Speed| now.since(speed.at) < REPORT_LASTS;
--- a/crates/signalbox/src/shards/planner.rs
+++ b/crates/signalbox/src/shards/planner.rs
@@ -9,9 +9,19 @@
 
 /// A freed range is given out in parts of at most this share of an endpoint's mean load.
 const LARGEST_PART: f64 = 0.25;
-/// An endpoint gives keys away from this utilization on, where it is also `UNEVEN` times the mean.
-const HOT: f64 = 0.7;
-const UNEVEN: f64 = 1.15;
+/// Endpoints that are busier than the coolest by no more than this take keys like it.
+const AS_COOL: f64 = 0.1;
+/// A move must save more requests within this time than it costs.
+const PAYS_WITHIN_SECONDS: f64 = 8.0;
+/// For how long nobody serves keys that change hands.
+const MOVE_SECONDS: f64 = 1.0;
+/// Requests begin to be late at this utilization, and at 1 so many are late or refused.
+const FIRST_LATE: f64 = 0.6;
+const LOST_WHEN_FULL: f64 = 0.15;
+/// Ranges that one endpoint gives away at once.
+const MOST_CUTS: usize = 4;
+/// What is left above the mean is not worth another cut.
+const SMALLEST_SURPLUS: f64 = 0.05;
 /// One that holds no keys gets some from one that is busier than this.
 const BUSY_ENOUGH: f64 = 0.3;
 /// How much cooler than the giver the taker must be, so that keys don't go back and forth.
@@ -19,7 +29,7 @@
 /// A move may come to this many times what is too much.
 const MOST_OVER_SURPLUS: f64 = 1.5;
 /// Ranges in other hands at once, as a share of the endpoints.
-const MOVING_AT_ONCE: f64 = 0.25;
+const MOVING_AT_ONCE: f64 = 0.5;
 /// An endpoint with more ranges than this gets no further ones by a move.
 const MOST_RANGES: usize = 24;
 
@@ -36,6 +46,8 @@
     seconds: f64,
     /// Share of its slots in use, by the keys that it holds or is about to.
     utilization: f64,
+    /// The relative error of that.
+    error: f64,
     ranges: usize,
     is_moving: bool,
 }
@@ -80,7 +92,9 @@
     let candidate = |endpoint: &Endpoint| {
         let (rate, ranges, is_moving) = by_owner.get(&endpoint.id).copied().unwrap_or_default();
         let seconds = load.seconds(&endpoint.id, now);
-        let mut candidate = Candidate { endpoint: endpoint.clone(), seconds, utilization: 0.0, ranges, is_moving };
+        let error = load.error(&endpoint.id, rate);
+        let mut candidate =
+            Candidate { endpoint: endpoint.clone(), seconds, utilization: 0.0, error, ranges, is_moving };
         candidate.utilization = candidate.load_of(rate);
         candidate
     };
@@ -174,25 +188,67 @@
         if releasing + moves.len() >= most {
             break;
         }
-        if candidates[giver].is_moving {
-            continue;
+        if !candidates[giver].is_moving {
+            give_away(map, load, candidates, giver, mean, &mut moves);
         }
-        let Some(taker) = coolest_taker(candidates, giver) else { continue };
+    }
+    moves
+}
+
+/// Cuts ranges off one endpoint until it has no more than the others, or until there is nobody to take them.
+fn give_away(
+    map: &ShardMap,
+    load: &ServiceLoad,
+    candidates: &mut [Candidate],
+    giver: usize,
+    mean: f64,
+    moves: &mut Vec<(KeyRange, InstanceId)>,
+) {
+    let mut held: Vec<KeyRange> = map.held_by(&candidates[giver].endpoint.id).map(|(range, _, _)| range).collect();
+    for _ in 0..MOST_CUTS {
+        let Some(taker) = coolest_taker(candidates, giver) else { return };
         let (hot, cool) = (candidates[giver].utilization, candidates[taker].utilization);
-        let overloaded = hot > HOT && hot > mean * UNEVEN && cool < hot * COOLER;
         let starts_empty = candidates[taker].ranges == 0 && hot > BUSY_ENOUGH;
-        if !overloaded && !starts_empty {
-            continue;
-        }
         let surplus = (hot - mean.max(cool)).min((hot - cool) / 2.0);
-        let Some(range) = edge(map, load, &candidates[giver], surplus) else { continue };
+        if surplus < SMALLEST_SURPLUS || cool >= hot * COOLER {
+            return;
+        }
+        let Some(range) = edge(&held, load, &candidates[giver], surplus) else { return };
         let rate = load.rate(range);
+        let takers = candidates.iter().filter(|other| other.utilization <= mean.min(cool + AS_COOL)).count();
+        if !starts_empty && !pays(&candidates[giver], &candidates[taker], takers, rate) {
+            return;
+        }
+        held = held.iter().flat_map(|kept| kept.without(range)).collect();
         candidates[giver].utilization -= candidates[giver].load_of(rate);
         candidates[taker].utilization += candidates[taker].load_of(rate);
         candidates[taker].ranges += 1;
         moves.push((range, candidates[giver].endpoint.id.clone()));
     }
-    moves
+}
+
+/// The share of requests that are late or refused at a utilization.
+fn lost_share(utilization: f64) -> f64 {
+    match utilization {
+        low if low <= FIRST_LATE => 0.0,
+        busy if busy <= 1.0 => (busy - FIRST_LATE) / (1.0 - FIRST_LATE) * LOST_WHEN_FULL,
+        full => 1.0 - (1.0 - LOST_WHEN_FULL) / full,
+    }
+}
+
+/// Whether a move of keys with this rate saves more than it costs. The giver is taken to have no more than is sure. What it
+/// gives is spread over as many takers, each as cool as the one that is shown.
+fn pays(giver: &Candidate, taker: &Candidate, takers: usize, rate: f64) -> bool {
+    let lost = |candidate: &Candidate, utilization: f64| {
+        let requests = utilization * candidate.endpoint.slots as f64 / candidate.seconds;
+        requests * lost_share(utilization)
+    };
+    let hot = giver.utilization * (1.0 - giver.error);
+    let saved = lost(giver, hot) - lost(giver, hot - giver.load_of(rate));
+    let takers = takers.max(1) as f64;
+    let after = taker.utilization + taker.load_of(rate) / takers;
+    let added = takers * (lost(taker, after) - lost(taker, taker.utilization));
+    (saved - added) * PAYS_WITHIN_SECONDS > rate * MOVE_SECONDS
 }
 
 fn coolest_taker(candidates: &[Candidate], giver: usize) -> Option<usize> {
@@ -201,9 +257,9 @@
 }
 
 /// Buckets at one end of one of the giver's ranges that come closest to `surplus`, but never the whole range.
-fn edge(map: &ShardMap, load: &ServiceLoad, giver: &Candidate, surplus: f64) -> Option<KeyRange> {
-    let held = map.held_by(&giver.endpoint.id).map(|(range, _, _)| range);
-    let cuts = held.flat_map(|range| {
+fn edge(held: &[KeyRange], load: &ServiceLoad, giver: &Candidate, surplus: f64) -> Option<KeyRange> {
+    let cuts = held.iter().flat_map(|range| {
+        let range = *range;
         let buckets: Vec<KeyRange> = bucket_ranges(range).collect();
         let most = buckets.len().saturating_sub(1);
         let low = cut(buckets.iter().take(most), load, giver, surplus);
