--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,6 +25,9 @@
 /// The last requests have ended by then.
 const LAST_REQUESTS: Duration = Duration::from_millis(1700);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
+const METRICS_LIMIT: Duration = Duration::from_secs(1);
+/// What the names of counters of violated invariants end with.
+const VIOLATIONS: &str = "overdue_total";
 
 /// What to play.
 #[derive(Clone, Debug)]
@@ -186,6 +189,7 @@
     operator.stop();
     monoio::time::sleep(LAST_REQUESTS).await;
     operator.read_back().await;
+    violations.extend(violated_invariants(layout).await);
     for name in fleet.ended_by_themselves() {
         violations.push(format!("CRASH: {name} ended by itself"));
     }
@@ -222,6 +226,22 @@
     Ok(report)
 }
 
+/// What the processes themselves counted of violated invariants since they started.
+async fn violated_invariants(layout: Layout) -> Vec<String> {
+    let cores = (0..CORES).map(|index| layout.core(index));
+    let nodes = (0..NODES).map(|index| layout.readiness(index));
+    let mut found = Vec::new();
+    for address in cores.chain(nodes) {
+        let request = Request::own(Method::GET, trackbed::metrics::PATH.into(), &[], Default::default());
+        let Ok(answer) = Client::new(address).call(&request, METRICS_LIMIT).await else { continue };
+        let text = String::from_utf8_lossy(&answer.body);
+        let counted = text.lines().filter(|line| line.contains(VIOLATIONS) && !line.starts_with('#'));
+        let violated = counted.filter(|line| !line.ends_with(" 0"));
+        found.extend(violated.map(|line| format!("INVARIANT: {address} counted {line}")));
+    }
+    found
+}
+
 /// Writes what was not served beside the logs, one JSON line each.
 fn write_unserved(folder: &Path, records: &[Record]) -> Result<(), SoakError> {
     let unserved = records.iter().filter(|record| record.outcome != Outcome::Served);
