A grant that waited for others before it grants less

Cause (own review of the mend): grants to one endpoint go one after the other, each up to 0.5 s; a hold that was reckoned when the first was due and sent seconds later could outlive the time after which the core counts it as over. Change: a hold is shortened by what the call waited. Test: a_grant_that_waited_for_the_calls_before_it_grants_less.

--- a/crates/lineside/src/holds/calls.rs
+++ b/crates/lineside/src/holds/calls.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// The same call, made so much later than it was due: a hold is shorter by that. Nothing where no hold is left.
+    pub fn made_later(&self, by: Duration) -> Option<Self> {
+        let mut later = self.clone();
+        if let Self::Grant { hold, .. } = &mut later {
+            *hold = hold.checked_sub(by).filter(|hold| !hold.is_zero())?;
+        }
+        Some(later)
+    }
+
     /// How long its answer is waited for.
     pub fn limit(&self) -> Duration {
         match self {
@@ -200,7 +209,7 @@
         free.map(grant).collect()
     }
 
-    /// Takes in what came of a call that was made at `sent`. Gives what the endpoint has let go, for the core.
+    /// Takes in what came of a call that was due at `sent`. Gives what the endpoint has let go, for the core.
     pub fn answered(
         &mut self,
         call: &HoldCall,
--- a/crates/lineside/src/holds/driver.rs
+++ b/crates/lineside/src/holds/driver.rs
@@ -1,6 +1,6 @@
 //! Carries out the calls that one life of an endpoint is due.
 
-use super::calls::{EndpointRelease, HoldCall, HoldCalls, HoldTerms};
+use super::calls::{CallOutcome, EndpointRelease, HoldCall, HoldCalls, HoldTerms};
 use super::metrics::HoldMetrics;
 use super::wire::call_endpoint;
 use std::cell::{Cell, RefCell};
@@ -56,14 +56,15 @@
             return;
         }
         let assignment = source.assignment(&self.endpoint);
-        let due = self.calls.borrow_mut().due(&assignment, source.terms(), clock::now());
+        let now = clock::now();
+        let due = self.calls.borrow_mut().due(&assignment, source.terms(), now);
         let (grants, releases): (Vec<HoldCall>, Vec<HoldCall>) =
             due.into_iter().partition(|call| matches!(call, HoldCall::Grant { .. }));
         for release in releases {
             let (driver, source) = (self.clone(), source.clone());
             monoio::spawn(async move {
                 let mut client = Client::new(driver.address);
-                driver.make(&mut client, &release, &*source).await;
+                driver.make(&mut client, &release, now, &*source).await;
             });
         }
         if grants.is_empty() {
@@ -74,21 +75,24 @@
         monoio::spawn(async move {
             let mut client = driver.grants.borrow_mut().take().unwrap_or_else(|| Client::new(driver.address));
             for grant in grants {
-                driver.make(&mut client, &grant, &*source).await;
+                driver.make(&mut client, &grant, now, &*source).await;
             }
             *driver.grants.borrow_mut() = Some(client);
             driver.is_granting.set(false);
         });
     }
 
-    async fn make<S: HoldSource>(&self, client: &mut Client, call: &HoldCall, source: &S) {
-        let sent = clock::now();
-        let outcome = call_endpoint(client, &self.endpoint, call).await;
+    /// Makes a call that was due at a moment. Holds are reckoned from then, however long the calls before it took.
+    async fn make<S: HoldSource>(&self, client: &mut Client, call: &HoldCall, due: Moment, source: &S) {
+        let outcome = match call.made_later(clock::now().since(due)) {
+            Some(call) => call_endpoint(client, &self.endpoint, &call).await,
+            None => CallOutcome::NotSent,
+        };
         source.metrics().count(call, &outcome);
         let assignment = source.assignment(&self.endpoint);
         let hold_max = source.terms().hold_max;
         let now = clock::now();
-        let released = self.calls.borrow_mut().answered(call, &outcome, &assignment, hold_max, sent, now);
+        let released = self.calls.borrow_mut().answered(call, &outcome, &assignment, hold_max, due, now);
         if let Some(release) = released {
             source.released(&self.endpoint, release);
         }
--- a/crates/lineside/src/holds/tests.rs
+++ b/crates/lineside/src/holds/tests.rs
@@ -106,3 +106,13 @@
     granted_anew.held[0].fence = 7;
     assert_eq!(calls.due(&granted_anew, terms(5000), at(5000)).len(), 1);
 }
+
+#[test]
+fn a_grant_that_waited_for_the_calls_before_it_grants_less() {
+    let hold = Duration::from_secs(3);
+    let grant = |hold| HoldCall::Grant { range: range(0, 9), fence: 5, hold, handover: String::new() };
+    assert_eq!(grant(hold).made_later(Duration::from_secs(2)), Some(grant(Duration::from_secs(1))));
+    assert_eq!(grant(hold).made_later(hold), None);
+    let release = HoldCall::Release { range: range(0, 9), fence: 5, seen: Zxid::new(1, 1) };
+    assert_eq!(release.made_later(Duration::from_secs(60)), Some(release));
+}
