--- a/crates/gauge/src/ask.rs
+++ b/crates/gauge/src/ask.rs
@@ -6,11 +6,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use timetable::configuration::Configuration;
-use trackbed::http::{Line, Request, Return, write_request};
+use trackbed::http::{Client, Request, Return};
 use trackbed::ids::ConfigEpoch;
-use trackbed::net::connect;
 
-const LIMIT: Duration = Duration::from_secs(3);
+/// How long one answer may take, whole.
+const LIMIT: Duration = Duration::from_secs(10);
 
 #[derive(Debug, Display, Error)]
 pub enum AskError {
@@ -71,22 +71,9 @@
 }
 
 async fn get(address: SocketAddr, path: &str) -> Result<Return, AskError> {
-    let no_answer = || AskError::NoAnswer { address, path: path.to_owned() };
-    let mut line = Line::new(connect(address, LIMIT).await.map_err(|_| no_answer())?);
-    let request = Request {
-        method: http::Method::GET,
-        target: path.to_owned(),
-        headers: http::HeaderMap::new(),
-        body: Default::default(),
-        keeps: false,
-        from: None,
-        presence: Default::default(),
-    };
-    let host = address.to_string();
-    line.write(write_request(&request, &[("Host", &host), ("Connection", "close")], &[]))
-        .await
-        .map_err(|_| no_answer())?;
-    line.read_return(false, 64 << 20).await.map_err(|_| no_answer())
+    let request = Request::own(http::Method::GET, path.to_owned(), &[], Default::default());
+    let answer = Client::new(address).call(&request, LIMIT).await;
+    answer.map_err(|_| AskError::NoAnswer { address, path: path.to_owned() })
 }
 
 /// The body of one answer.
