Two needless pieces go: an always empty list in the soak, a contract listed apart

No behaviour changed: play_troubles returned violations that it never had, and the contract of key ranges stood beside the list of built contracts. Run on it: clippy and unit tests of trackbed and soak, the soak's two tests of troubles; not the whole suite.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -180,7 +180,7 @@
     if let Some(lost) = play.lost {
         fleet.lose(lost);
     }
-    let mut violations = play_troubles(&mut fleet, &troubles).await?;
+    play_troubles(&mut fleet, &troubles).await?;
     clients.spread_evenly();
     monoio::time::sleep(SETTLE).await;
     let quiet_from = shared_micros();
@@ -189,7 +189,7 @@
     operator.stop();
     monoio::time::sleep(LAST_REQUESTS).await;
     operator.read_back().await;
-    violations.extend(violated_invariants(layout).await);
+    let mut violations = violated_invariants(layout).await;
     for name in fleet.ended_by_themselves() {
         violations.push(format!("CRASH: {name} ended by itself"));
     }
@@ -271,8 +271,8 @@
     monoio::time::timeout(READY_LIMIT, ready).await.map_err(|_| not_ready())
 }
 
-/// Begins and ends troubles when they are due; gives what went wrong on the way.
-async fn play_troubles(fleet: &mut Fleet, troubles: &[Trouble]) -> Result<Vec<String>, SoakError> {
+/// Begins and ends troubles when they are due.
+async fn play_troubles(fleet: &mut Fleet, troubles: &[Trouble]) -> Result<(), SoakError> {
     let begun = Instant::now();
     let mut steps: Vec<(u64, bool, &Trouble)> =
         troubles.iter().flat_map(|trouble| [(trouble.from, true, trouble), (trouble.until, false, trouble)]).collect();
@@ -285,5 +285,5 @@
             false => fleet.end(trouble)?,
         }
     }
-    Ok(Vec::new())
+    Ok(())
 }
--- a/crates/trackbed/src/config/support.rs
+++ b/crates/trackbed/src/config/support.rs
@@ -5,9 +5,7 @@
 use derive_more::Display;
 
 /// Contracts of the users' pages that are built.
-const CONTRACTS: [&str; 9] = ["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "coord"];
-/// Built as well, for endpoints that are told their keys in either way, beside a node or not.
-const KEY_RANGES: &str = "own";
+const CONTRACTS: [&str; 10] = ["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "coord", "own"];
 /// Ways in which endpoints are told which keys they hold.
 const GRANTS: [&str; 2] = ["heartbeat", "invocation"];
 /// Where it is known from which endpoints there are.
@@ -30,7 +28,7 @@
 /// All that the settings ask for in vain. A field that is missing or empty asks for nothing.
 pub fn unsupported(config: &LocalConfig) -> Vec<Unsupported> {
     let mut found = Vec::new();
-    let is_built = |contract: &str| CONTRACTS.contains(&contract) || contract == KEY_RANGES;
+    let is_built = |contract: &str| CONTRACTS.contains(&contract);
     for contract in config.contracts.iter().filter(|contract| !is_built(contract)) {
         let consequence = match contract.as_str() {
             "rollout" => "calls to /v1/rollouts are answered 404",
