Review case 3: a request planned anew keeps the former route's right to repeat

Cause: a request that is declined as planned by a stale route is planned anew, but whether it may repeat stays as the first plan had it.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,7 +2,9 @@
 //! Standard library only. Usage: standin CASE FOLDER, from the repository's root, with TROUBLE=0 or 1 in the environment.
 
 mod deep_configuration;
+mod endpoint;
 mod owner;
+mod route_type;
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -38,6 +40,7 @@
         let verdict = match case {
             "owner" => owner::play(trouble, &record),
             "deep-configuration" => deep_configuration::play(trouble, &record),
+            "route-type" => route_type::play(trouble, &record),
             _ => Err(format!("no case {case}")),
         };
         let text = match &verdict {
