--- a/review/standin/owner.rs
+++ b/review/standin/owner.rs
@@ -5,7 +5,7 @@
 
 const SERVICE: &str = "fonts";
 /// Endpoints at first; those from `STAY` on leave in order before the freeze, so that the others hold several ranges each.
-const ENDPOINTS: usize = 6;
+const ENDPOINTS: usize = 8;
 const STAY: usize = 3;
 const FROZEN: usize = 1;
 const HEARTBEAT: f64 = 0.5;
@@ -145,12 +145,12 @@
             }
         }
         sent += 1;
-        // Clients on every machine, each key alike; every third request is for some keys of the endpoint that freezes.
+        // Clients on every machine, each key alike; every second request is for some keys of the endpoint that freezes.
         let spread = sent.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 16;
         let (first, last) = busy[spread as usize % busy.len()];
-        let key = if sent % 3 == 0 { first + spread % (last - first + 1) } else { spread % 65536 };
-        // Those wait as short as the users' calls do; the others 2 s.
-        let deadline = if sent % 3 == 0 { "220" } else { "2000" };
+        let key = if sent % 2 == 0 { first + spread % (last - first + 1) } else { spread % 65536 };
+        // Those wait as short as calls that endpoints make; the others 2 s.
+        let deadline = if sent % 2 == 0 { "150" } else { "2000" };
         let (node, record) = (sent as usize % STAY, record.clone());
         let (to, number) = (place.requests(node), sent);
         clients.push(std::thread::spawn(move || {
@@ -167,7 +167,7 @@
                 Err(reason) => record.line(&format!("client: answer {attempt} none ({reason})")),
             }
         }));
-        sleep(0.012);
+        sleep(0.01);
     }
     clients.into_iter().for_each(|client| drop(client.join()));
     let ended: Vec<String> =
