Sight on locks: decisions counted and told, stalls, promises that end early

Added: ferryhinge_lock_decisions by outcome with a debug line for each, ferryhinge_stalls and ferryhinge_stalled_milliseconds with a warning where a process's loop stood still for 0.5 s or more, a line for each promise of an epoch and for each that ends early, and how many holds a new primary counts anew.

--- a/crates/interlocking/src/zab/election.rs
+++ b/crates/interlocking/src/zab/election.rs
@@ -97,6 +97,7 @@
             self.lease_given.0 == heard.voter.id
         };
         if void {
+            log::info!("the promise to {} ends early: {} is {:?}", self.lease_given.0, heard.voter.id, heard.state);
             self.lease_given.1 = self.now;
         }
     }
--- a/crates/interlocking/src/zab/following.rs
+++ b/crates/interlocking/src/zab/following.rs
@@ -140,6 +140,7 @@
             following.promised = Some(epoch);
             self.promised = epoch;
             self.promised_to = from.id;
+            log::info!("promises epoch {epoch} to {}", from.id);
             let records = vec![Record::Promised(epoch, from.id)];
             self.persist(records, Then::Tell { to: from, message: answer });
         } else if epoch == promised && promised_to == from.id {
--- a/crates/signalbox/src/node/metrics.rs
+++ b/crates/signalbox/src/node/metrics.rs
@@ -1,5 +1,6 @@
 //! What this core node counts of itself, for `GET /v1/metrics` at its control-plane address.
 
+use crate::resources::LockMetrics;
 use lineside::holds::HoldMetrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -63,12 +64,17 @@
     pub shards: ShardMetrics,
     /// Calls to endpoints about their keys.
     pub holds: HoldMetrics,
+    /// Times for which this process stood still.
+    pub stalls: Counter,
+    /// How long in all, in milliseconds.
+    pub stalled_millis: Counter,
     /// All of them, for whoever asks.
     pub registry: Registry,
 }
 
-impl Default for NodeMetrics {
-    fn default() -> Self {
+impl NodeMetrics {
+    /// Figures that begin at zero, with those that the replica counts.
+    pub fn new(locks: &LockMetrics) -> Self {
         let shards = ShardMetrics::default();
         let mut registry = Registry::with_prefix(PREFIX);
         let keys = registry.sub_registry_with_prefix("shards");
@@ -81,6 +87,10 @@
         keys.register("overdue", help, shards.overdue.clone());
         let holds = HoldMetrics::default();
         holds.register(&mut registry);
-        Self { shards, holds, registry }
+        locks.register(&mut registry);
+        let (stalls, stalled_millis) = (Counter::default(), Counter::default());
+        registry.register("stalls", "Times for which this process stood still", stalls.clone());
+        registry.register("stalled_milliseconds", "How long this process stood still in all", stalled_millis.clone());
+        Self { shards, holds, stalls, stalled_millis, registry }
     }
 }
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -19,6 +19,7 @@
 mod primary;
 mod shard_invariant;
 mod shards;
+mod stall;
 mod start;
 mod turn;
 
@@ -30,6 +31,7 @@
 use crate::node::calls::OpenCalls;
 use crate::node::disk::Write;
 use crate::node::majority::Majority;
+use crate::node::stall::StallWatch;
 use crate::replica::Replica;
 use interlocking::zab::Zab;
 use lineside::call::{Caller, Complaints};
@@ -83,6 +85,8 @@
     pub next_members: Cell<Moment>,
     pub leaving: Cell<bool>,
     pub majority: RefCell<Majority>,
+    /// Whether this process stood still.
+    pub stall: RefCell<StallWatch>,
     /// Messages of members that can't be read.
     pub complaints: Complaints,
     /// What the primary knows of services divided by key, beyond the log.
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -6,6 +6,7 @@
 use super::fitness::Fitness;
 use super::majority::Majority;
 use super::metrics::NodeMetrics;
+use super::stall::StallWatch;
 use super::{NodeError, Signalbox, beats, councils, disk, forecast, inspection, listeners, peers, shards, turn};
 use crate::ledger::Ledger;
 use crate::replica::Replica;
@@ -80,6 +81,7 @@
     let me = Voter { id: image.member, address };
     let zab = Zab::start(image, me, Timing::default(), random.draw(), now);
     let replica = Replica::new(zab, committed, config.bounds.history());
+    let metrics = NodeMetrics::new(replica.lock_metrics());
     let peer = Peer {
         name: config.node_name.clone(),
         incarnation: Incarnation(1),
@@ -124,9 +126,10 @@
                 next_members: Cell::new(now),
                 leaving: Cell::new(false),
                 majority: RefCell::new(Majority::new(now)),
+                stall: RefCell::new(StallWatch::new(now)),
                 complaints: Complaints::default(),
                 sharding: shards::Sharding::default(),
-                metrics: NodeMetrics::default(),
+                metrics,
                 fitness: Fitness::default(),
                 endpoint_keys: EndpointKeys::default(),
                 assurance: Cell::new(None),
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -40,10 +40,19 @@
     }
 }
 
+/// Tells and counts how long this process stood still, where it did.
+fn note_stall(node: &Signalbox, now: Moment) {
+    let Some(pause) = node.stall.borrow_mut().note_turn(now) else { return };
+    node.metrics.stalls.inc();
+    node.metrics.stalled_millis.inc_by(pause.as_millis() as u64);
+    log::warn!("this process stood still for {:.3} s", pause.as_secs_f64());
+}
+
 pub async fn keep_time(node: Rc<Signalbox>) {
     let mut turns = 0u64;
     loop {
         let now = clock::now();
+        note_stall(&node, now);
         note_majority(&node, now);
         if turns.is_multiple_of(10) {
             refresh_contacts(&node);
--- a/crates/signalbox/src/replica/state.rs
+++ b/crates/signalbox/src/replica/state.rs
@@ -3,7 +3,7 @@
 use super::effect::{CallId, Effect, Outcome, Route};
 use super::membership::{Departing, Departure, next_voters};
 use crate::ledger::{Change, Ledger, group_of};
-use crate::resources::{self, Context, Decision};
+use crate::resources::{self, Context, Decision, LockMetrics};
 use interlocking::zab::{Action, Envelope, Ticket, Voter, Zab};
 use lineside::call::{ControlCall, ControlReturn};
 use std::cell::RefCell;
@@ -42,6 +42,7 @@
     proposed: Rc<RefCell<Option<Ledger>>>,
     /// Until when each lock's holder may count itself holder. Only while this member is the primary.
     holds: BTreeMap<String, Moment>,
+    lock_metrics: LockMetrics,
     waiting: BTreeMap<Zxid, Vec<WaitingCall>>,
     watches: BTreeMap<String, Vec<WaitingWatch>>,
     /// Members that asked this one to be released.
@@ -58,6 +59,7 @@
             committed: Rc::new(RefCell::new(committed)),
             proposed: Rc::default(),
             holds: BTreeMap::new(),
+            lock_metrics: LockMetrics::default(),
             waiting: BTreeMap::new(),
             watches: BTreeMap::new(),
             departing: Departing::default(),
@@ -80,6 +82,11 @@
         &self.proposed
     }
 
+    /// What this member decided of locks as the primary.
+    pub fn lock_metrics(&self) -> &LockMetrics {
+        &self.lock_metrics
+    }
+
     /// How long events of keys are kept from the next snapshot on.
     pub fn set_history(&mut self, history: Duration) {
         self.history = history;
@@ -235,6 +242,7 @@
             proposed: proposed.as_ref()?,
             committed: &self.committed.borrow(),
             holds: &mut self.holds,
+            lock_metrics: &self.lock_metrics,
             now,
             knows_region,
         };
@@ -326,6 +334,7 @@
             .iter()
             .map(|(lock, record)| (lock.clone(), resources::held_until(now, record.hold_millis)))
             .collect();
+        log::info!("counts the holds of {} locks from now on", self.holds.len());
         *self.proposed.borrow_mut() = Some(committed.for_proposals());
     }
 
--- a/crates/signalbox/src/resources/locks.rs
+++ b/crates/signalbox/src/resources/locks.rs
@@ -1,5 +1,6 @@
 //! Locks: one holder at a time, by fences that only rise.
 
+use super::lock_metrics::LockOutcome;
 use super::{Body, Context, Decision, Resource, ResourcePlug, bad, not_allowed};
 use crate::ledger::Change;
 use lineside::call::{ControlCall, ControlReturn};
@@ -68,15 +69,18 @@
             let fence = record.fence;
             let known = record.hold_millis;
             extend(name, hold_millis, &mut context);
+            context.lock_metrics.decided(LockOutcome::TakenAgain, name, holder, fence);
             return lengthened(name, holder, fence, known, hold_millis);
         }
         if context.holds.get(name).is_none_or(|until| context.now <= *until) {
+            context.lock_metrics.decided(LockOutcome::Refused, name, holder, record.fence);
             return Decision::Committed(held());
         }
     }
     let fence = context.proposed.last_fence + 1;
     // A new holder's time starts here; the last one's has run out.
     context.holds.insert(name.to_owned(), held_until(context.now, hold_millis));
+    context.lock_metrics.decided(LockOutcome::Taken, name, holder, fence);
     let change = Change::LockTaken { lock: name.to_owned(), holder: holder.to_owned(), fence, hold_millis };
     Decision::Propose(Box::new(change), granted(fence))
 }
@@ -95,9 +99,13 @@
         Some(record) if record.holder == holder && record.fence == fence => {
             let known = record.hold_millis;
             extend(name, hold_millis, &mut context);
+            context.lock_metrics.decided(LockOutcome::Renewed, name, holder, fence);
             lengthened(name, holder, fence, known, hold_millis)
         }
-        _ => Decision::Committed(ControlReturn::fault(409, "this lock is lost: take it anew")),
+        _ => {
+            context.lock_metrics.decided(LockOutcome::Refused, name, holder, fence);
+            Decision::Committed(ControlReturn::fault(409, "this lock is lost: take it anew"))
+        }
     }
 }
 
@@ -105,8 +113,12 @@
     let done = ControlReturn::new(200, "{}".into());
     match context.proposed.locks.get(name) {
         Some(record) if record.holder == holder && record.fence == fence => {
+            context.lock_metrics.decided(LockOutcome::Released, name, holder, fence);
             Decision::Propose(Box::new(Change::LockFreed { lock: name.to_owned(), fence }), done)
         }
-        _ => Decision::Committed(done),
+        _ => {
+            context.lock_metrics.decided(LockOutcome::ReleaseIgnored, name, holder, fence);
+            Decision::Committed(done)
+        }
     }
 }
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -2,12 +2,14 @@
 
 mod cells;
 mod configuration;
+mod lock_metrics;
 mod locks;
 mod numbers;
 #[cfg(test)]
 mod tests;
 mod watch;
 
+pub use lock_metrics::LockMetrics;
 pub use locks::held_until;
 pub use watch::look as watch_look;
 
@@ -27,6 +29,7 @@
     /// Invariant: never moves back for a holder.
     pub holds: &'a mut BTreeMap<String, Moment>,
     pub now: Moment,
+    pub lock_metrics: &'a LockMetrics,
     /// Whether a region is one of the fleet's.
     pub knows_region: &'a dyn Fn(&RegionName) -> bool,
 }
--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -42,6 +42,7 @@
             committed: &self.committed,
             holds: &mut self.holds,
             now: self.now,
+            lock_metrics: &LockMetrics::default(),
             knows_region: &|_| true,
         };
         match resource.decide(name, call, context) {
