Red tests: a release decided late frees a lock its holder took again; soak of locks

The soak so far takes no locks and troubles one core node at a time. soak locks runs 3 or 5 core processes, each with a series of troubles of its own (freezes, kills, SIGTERM, SIGHUP, quick restarts, lost disks, all at once, a busy machine), under callers that keep one name and their connections.

The unit test: 200 in place of 409.

--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -404,3 +404,23 @@
     assert!(core.call(3, &take("second")).is_none(), "it is proposed");
     assert_eq!(core.commit(1)[0].1.status, 200);
 }
+
+/// Decides a call and commits all that it proposed.
+fn answer_to(core: &mut Core, call: &ControlCall) -> ControlReturn {
+    let number = core.counter as usize;
+    core.call(number, call).unwrap_or_else(|| core.commit(core.open.len()).pop().expect("it is open").1)
+}
+
+#[test]
+fn a_release_that_comes_late_frees_no_lock_that_its_holder_took_again() {
+    let mut core = Core::new();
+    APPLIED.with(|applied| applied.set(Zxid::ZERO));
+    let take = |holder: &str| call("POST", "/v1/locks/l", format!("{{\"holder\":\"{holder}\",\"hold_s\":5}}"));
+    let release = |fence: u64| call("DELETE", "/v1/locks/l", format!("{{\"holder\":\"a\",\"fence_token\":{fence}}}"));
+    answer_to(&mut core, &take("a"));
+    let late = release(1);
+    let again = answer_to(&mut core, &take("a"));
+    assert_eq!(again.status, 200);
+    answer_to(&mut core, &late);
+    assert_eq!(answer_to(&mut core, &take("b")).status, 409, "the first holder still counts itself holder");
+}
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -122,8 +122,13 @@
     pub block: u8,
     /// The form that is played.
     pub form: Form,
+    /// Core nodes.
+    pub cores: usize,
 }
 
+/// Seeds that every settings file names at most.
+const MOST_SEEDS: usize = 3;
+
 impl Layout {
     fn ip(self, part: u8, index: usize) -> Ipv4Addr {
         Ipv4Addr::new(127, self.block, part, 10 + index as u8)
@@ -156,17 +161,19 @@
     pub fn heartbeats(self, endpoint: usize) -> Vec<SocketAddr> {
         match self.form.tier {
             Tier::Beside => vec![(self.ip(2, endpoint), CONTROL_PLANE).into()],
-            Tier::Gateway => (0..CORES).map(|index| self.core((endpoint + index) % CORES)).collect(),
+            Tier::Gateway => (0..self.cores).map(|index| self.core((endpoint + index) % self.cores)).collect(),
         }
     }
 
     fn settings(self, name: &str, ip: Ipv4Addr, zone: usize, rest: &str) -> String {
-        let seeds: Vec<String> = (0..CORES).map(|index| format!("\"{}\"", self.core(index))).collect();
+        let losses = (self.cores - 1) / 2;
+        let seeds: Vec<String> =
+            (0..self.cores.min(MOST_SEEDS)).map(|index| format!("\"{}\"", self.core(index))).collect();
         let zones: Vec<String> = (0..ZONES).map(|zone| format!("\"zone-{zone}\":\"region\"")).collect();
         format!(
             r#"{{"node_name":"{name}","ip_address":"{ip}","zone":"zone-{}","region":"region","zones":{{{}}},"seed_nodes":[{}],
 "internal_port_range":[7380,7395],"heartbeat_s":{HEARTBEAT_SECONDS},"initial_start":true,
-"limits":{{"memory_mb":256,"file_descriptors":4096}},"fault_tolerance":{{"machine_losses":1}},
+"limits":{{"memory_mb":256,"file_descriptors":4096}},"fault_tolerance":{{"machine_losses":{losses}}},
 "bounds":["config_apply_s=3","drain_s=1","grace_period_s=4","retry_budget_ratio=0.2","budget_window_s=10","retry_slack=100",
 "hold_max_s={HOLD_MAX_SECONDS}","history_s=20","address_reuse_s=2"],{rest}}}"#,
             zone % ZONES,
@@ -185,6 +192,11 @@
         self.settings(&format!("core-{index}"), ip, index, &rest)
     }
 
+    /// The settings of a core node whose disk was lost after the system's first start.
+    pub fn later_core_settings(self, index: usize, data: &Path) -> String {
+        self.core_settings(index, data).replace("\"initial_start\":true", "\"initial_start\":false")
+    }
+
     /// The settings of a node that carries requests.
     pub fn node_settings(self, index: usize) -> String {
         let ip = self.ip(2, index);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod coordination;
 pub mod endpoint;
 pub mod error;
 pub mod invariants;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,26 +1,36 @@
 //! The soak's command line. Every process of a run is this program too, told by its environment what to be.
 
-use getopts::Options;
+use getopts::{Matches, Options};
+use soak::coordination::run::{CoordinationPlay, run as run_locks};
+use soak::coordination::trouble::Mix;
 use soak::endpoint;
 use soak::error::SoakError;
 use soak::layout::{ENDPOINTS, Form};
 use soak::process::Program;
-use soak::report::Report;
 use soak::run::{Play, run};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use trackbed::kernel;
 
 const USAGE: &str = "Usage: soak run [options]
+       soak locks [options]
 
 Starts core nodes, nodes and endpoints as processes on this machine's loopback, kills, pauses and troubles them by a
-seed, and checks the safety rules from what the endpoints saw. Runs one seed of one form after the other.
+seed, and checks the safety rules: with `run` from what the endpoints saw, with `locks` from what callers of core nodes
+counted as theirs. Runs one seed of one form or mix after the other.
 Status: 0 all passed; 1 a rule was broken or too little was served at the end; 2 wrong usage, or it could not start.";
 const FORMS: &str = "beside-heartbeat, beside-calls, gateway-heartbeat, gateway-calls or all";
+const MIXES: &str = "freezes, restarts, all, together, busy or every";
 /// In every run of so many an endpoint is lost for good.
 const LOST_EVERY: u64 = 3;
+/// In every run of callers of so many there are five core nodes in place of three.
+const FIVE_CORES_EVERY: u64 = 3;
 
+/// What the options say.
 struct Plan {
     forms: Vec<Form>,
+    mixes: Vec<Mix>,
+    callers: u64,
+    locks: u64,
     first: u64,
     seeds: u64,
     seconds: u64,
@@ -28,6 +38,13 @@
     folder: PathBuf,
 }
 
+/// One run's outcome as the command line shows it.
+struct Shown {
+    passed: bool,
+    text: String,
+    json: String,
+}
+
 fn main() {
     let status = match Program::of_this_process() {
         Some(Program::Signalbox) => signalbox::main(),
@@ -41,15 +58,23 @@
     std::process::exit(status);
 }
 
-fn act(arguments: Vec<String>) -> i32 {
+fn options() -> Options {
     let mut options = Options::new();
     options.optflag("h", "help", "print this text");
-    options.optopt("f", "form", FORMS, "FORM");
+    options.optopt("f", "form", &format!("with run: {FORMS}"), "FORM");
+    options.optopt("m", "mix", &format!("with locks: {MIXES}"), "MIX");
+    options.optopt("", "callers", "with locks: how many callers (default: 24)", "N");
+    options.optopt("", "locks", "with locks: how many locks they share (default: 12)", "N");
     options.optopt("", "first", "the first seed (default: 1)", "SEED");
-    options.optopt("n", "seeds", "how many seeds of each form (default: 1)", "N");
+    options.optopt("n", "seeds", "how many seeds of each form or mix (default: 1)", "N");
     options.optopt("s", "seconds", "seconds of troubles (default: 20)", "N");
     options.optopt("o", "out", "folder for settings, state and logs (default: a new one)", "FOLDER");
     options.optflag("j", "json", "print a JSON line for each run");
+    options
+}
+
+fn act(arguments: Vec<String>) -> i32 {
+    let options = options();
     let matches = match options.parse(&arguments) {
         Ok(matches) => matches,
         Err(error) => return usage(&error.to_string()),
@@ -58,12 +83,23 @@
         println!("{}", options.usage(USAGE));
         return 0;
     }
-    if matches.free != ["run"] {
-        return usage("say run");
-    }
-    match Plan::read(&matches) {
-        Ok(plan) => play_all(&plan),
-        Err(error) => usage(&error.to_string()),
+    let plan = match Plan::read(&matches) {
+        Ok(plan) => plan,
+        Err(error) => return usage(&error.to_string()),
+    };
+    let Ok(executable) = std::env::current_exe() else { return 2 };
+    let outcome = match matches.free.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        ["run"] => play_forms(&plan, &executable),
+        ["locks"] => play_locks(&plan, &executable),
+        _ => return usage("say run or locks"),
+    };
+    match outcome {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            2
+        }
     }
 }
 
@@ -72,76 +108,103 @@
     2
 }
 
+/// A whole number that an option gives.
+fn number(matches: &Matches, option: &'static str, otherwise: u64, most: u64) -> Result<u64, SoakError> {
+    let Some(text) = matches.opt_str(option) else { return Ok(otherwise) };
+    let number = text.parse().ok().filter(|number| *number <= most);
+    number.ok_or(SoakError::Option { option, wanted: "a whole number that is not too large" })
+}
+
 impl Plan {
-    fn read(matches: &getopts::Matches) -> Result<Self, SoakError> {
-        let number = |option: &'static str, otherwise: u64, most: u64| match matches.opt_str(option) {
-            None => Ok(otherwise),
-            Some(text) => text
-                .parse()
-                .ok()
-                .filter(|number| *number <= most)
-                .ok_or(SoakError::Option { option, wanted: "a whole number that is not too large" }),
-        };
+    fn read(matches: &Matches) -> Result<Self, SoakError> {
         let forms = match matches.opt_str("form").as_deref() {
             None | Some("all") => Form::ALL.to_vec(),
             Some(name) => vec![Form::named(name).ok_or(SoakError::Option { option: "form", wanted: FORMS })?],
         };
+        let mixes = match matches.opt_str("mix").as_deref() {
+            None | Some("every") => Mix::ALL.to_vec(),
+            Some(name) => vec![Mix::named(name).ok_or(SoakError::Option { option: "mix", wanted: MIXES })?],
+        };
         let folder = match matches.opt_str("out") {
             Some(folder) => PathBuf::from(folder),
             None => std::env::temp_dir().join(format!("ferryhinge-soak-{}", std::process::id())),
         };
         Ok(Self {
             forms,
-            first: number("first", 1, u64::MAX / 2)?,
-            seeds: number("seeds", 1, 100_000)?,
-            seconds: number("seconds", 20, 3600)?,
+            mixes,
+            callers: number(matches, "callers", 24, 1000)?,
+            locks: number(matches, "locks", 12, 10_000)?,
+            first: number(matches, "first", 1, u64::MAX / 2)?,
+            seeds: number(matches, "seeds", 1, 100_000)?,
+            seconds: number(matches, "seconds", 20, 3600)?,
             json: matches.opt_present("json"),
             folder,
         })
     }
+
+    fn all_seeds(&self) -> std::ops::Range<u64> {
+        self.first..self.first + self.seeds
+    }
+
+    /// Prints a run's outcome and removes the folder of one that passed. Gives whether it passed.
+    fn show(&self, shown: &Shown, folder: &Path) -> bool {
+        println!("{}", if self.json { &shown.json } else { &shown.text });
+        if shown.passed {
+            let _ = std::fs::remove_dir_all(folder);
+        }
+        shown.passed
+    }
 }
 
-fn play_all(plan: &Plan) -> i32 {
-    let Ok(executable) = std::env::current_exe() else { return 2 };
-    let mut status = 0;
-    for seed in plan.first..plan.first + plan.seeds {
+/// Plays every form with every seed. Gives whether all passed.
+fn play_forms(plan: &Plan, executable: &Path) -> Result<bool, SoakError> {
+    let mut all_passed = true;
+    for seed in plan.all_seeds() {
         for form in &plan.forms {
             let play = Play {
                 form: *form,
                 seed,
                 seconds: plan.seconds,
-                lost: (seed % LOST_EVERY == 0).then_some((seed / LOST_EVERY) as usize % ENDPOINTS),
-                executable: executable.clone(),
+                lost: seed.is_multiple_of(LOST_EVERY).then_some((seed / LOST_EVERY) as usize % ENDPOINTS),
+                executable: executable.to_owned(),
                 folder: plan.folder.join(format!("{}-{seed}", form.name())),
             };
-            match play_one(&play) {
-                Ok(report) => {
-                    println!("{}", shown(&report, plan.json));
-                    if report.passed() {
-                        let _ = std::fs::remove_dir_all(&play.folder);
-                    } else {
-                        status = 1;
-                    }
-                }
-                Err(error) => {
-                    eprintln!("soak: {error}");
-                    return 2;
-                }
-            }
+            let report = complete(run(&play))?;
+            let json = sonic_rs::to_string(&report).unwrap_or_default();
+            let shown = Shown { passed: report.passed(), text: report.text(), json };
+            all_passed &= plan.show(&shown, &play.folder);
         }
     }
-    status
+    Ok(all_passed)
 }
 
-fn play_one(play: &Play) -> Result<Report, SoakError> {
-    let mut outcome = None;
-    kernel::run(async { outcome = Some(run(play).await) }).map_err(|error| SoakError::io("the runtime", &error))?;
-    outcome.unwrap_or(Err(SoakError::NotReady { seconds: 0, logs: play.folder.display().to_string() }))
+/// Plays every mix with every seed. Gives whether all passed.
+fn play_locks(plan: &Plan, executable: &Path) -> Result<bool, SoakError> {
+    let mut all_passed = true;
+    for seed in plan.all_seeds() {
+        for mix in &plan.mixes {
+            let play = CoordinationPlay {
+                mix: *mix,
+                seed,
+                cores: if seed.is_multiple_of(FIVE_CORES_EVERY) { 5 } else { 3 },
+                callers: plan.callers,
+                locks: plan.locks,
+                seconds: plan.seconds,
+                executable: executable.to_owned(),
+                folder: plan.folder.join(format!("locks-{}-{seed}", mix.name())),
+            };
+            let report = complete(run_locks(&play))?;
+            let json = sonic_rs::to_string(&report).unwrap_or_default();
+            let shown = Shown { passed: report.passed(), text: report.text(), json };
+            all_passed &= plan.show(&shown, &play.folder);
+        }
+    }
+    Ok(all_passed)
 }
 
-fn shown(report: &Report, json: bool) -> String {
-    match json {
-        true => sonic_rs::to_string(report).unwrap_or_default(),
-        false => report.text(),
-    }
+/// What comes of a run on a runtime of its own.
+fn complete<T>(work: impl Future<Output = Result<T, SoakError>>) -> Result<T, SoakError> {
+    let mut outcome = None;
+    kernel::run(async { outcome = Some(work.await) }).map_err(|error| SoakError::io("the runtime", &error))?;
+    outcome.unwrap_or_else(|| Err(SoakError::io("the runtime", &std::io::ErrorKind::UnexpectedEof.into())))
 }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -1,7 +1,7 @@
 //! The operator: configurations one after the other, and numbers drawn by an application. Whatever was acknowledged
 //! must be there later.
 
-use crate::layout::{CORES, Layout};
+use crate::layout::Layout;
 use http::Method;
 use sonic_rs::{JsonValueTrait, Value};
 use std::cell::{Cell, RefCell};
@@ -52,7 +52,7 @@
     /// Asks core nodes in turn until one answers for sure.
     async fn ask(&self, request: &Request) -> Return {
         loop {
-            let core: SocketAddr = self.layout.core(self.core.get() % CORES);
+            let core: SocketAddr = self.layout.core(self.core.get() % self.layout.cores);
             match Client::new(core).call(request, LIMIT).await {
                 Ok(answer) if answer.status < 500 && answer.status != 429 => return answer,
                 _ => self.core.set(self.core.get() + 1),
@@ -106,7 +106,7 @@
 
     /// Reads the configuration back from every core node: none that answers may show an older one.
     pub async fn read_back(&self) {
-        for core in 0..CORES {
+        for core in 0..self.layout.cores {
             let request = Request::own(Method::GET, "/v1/configuration".into(), &[], Default::default());
             let Ok(answer) = Client::new(self.layout.core(core)).call(&request, LIMIT).await else { continue };
             if answer.status != 200 {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -81,14 +81,25 @@
         self.reap();
         let mut command = Command::new(&self.executable);
         command.arg(&self.settings).env(PROGRAM, self.program.name()).stdin(Stdio::null());
-        if self.program != Program::Endpoint {
-            command.args(["--log-level", "info"]);
-        }
+        match self.program {
+            Program::Signalbox => command.args(["--log-level", "debug"]),
+            Program::Pointsman => command.args(["--log-level", "info"]),
+            Program::Endpoint => &mut command,
+        };
         command.stdout(append(&self.output)?).stderr(append(&self.log)?);
         self.child = Some(command.spawn().map_err(|error| SoakError::io(&self.name, &error))?);
         Ok(())
     }
 
+    /// Replaces the settings, for the next start.
+    ///
+    /// # Errors
+    ///
+    /// [`SoakError::Io`] where the file can't be written.
+    pub fn write_settings(&self, settings: &str) -> Result<(), SoakError> {
+        std::fs::write(&self.settings, settings).map_err(|error| SoakError::io(self.settings.display(), &error))
+    }
+
     /// The name that stands in logs.
     pub fn name(&self) -> &str {
         &self.name
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -162,7 +162,7 @@
 /// [`SoakError`] where the system could not be started; a rule that was broken stands in the report.
 pub async fn run(play: &Play) -> Result<Report, SoakError> {
     let block = Block::take()?;
-    let layout = Layout { block: block.number(), form: play.form };
+    let layout = Layout { block: block.number(), form: play.form, cores: CORES };
     std::fs::create_dir_all(&play.folder).map_err(|error| SoakError::io(play.folder.display(), &error))?;
     let mut fleet = Fleet::start(play, layout)?;
     let operator = Operator::new(layout);
