--- a/crates/soak/src/coordination/run.rs
+++ b/crates/soak/src/coordination/run.rs
@@ -6,10 +6,10 @@
 use super::trouble::{self, Due, Mix, Step};
 use crate::endpoint::events::shared_micros;
 use crate::error::SoakError;
-use crate::layout::{Block, Form, Layout};
+use crate::layout::{Block, Form, Layout, empty_folder};
 use crate::process::{Process, Program};
 use nix::sys::signal::Signal;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -57,7 +57,7 @@
         let mut cores = Self { processes: Vec::new(), layout, folder: play.folder.clone() };
         for index in 0..play.cores {
             let data = cores.data(index);
-            create(&data)?;
+            empty_folder(&data)?;
             let settings = layout.core_settings(index, &data);
             let name = format!("core-{index}");
             let process = Process::start(&play.executable, Program::Signalbox, name, &settings, &play.folder)?;
@@ -89,8 +89,7 @@
         let settings = self.layout.later_core_settings(index, &data);
         let process = &mut self.processes[index];
         process.kill();
-        std::fs::remove_dir_all(&data).map_err(|error| SoakError::io(data.display(), &error))?;
-        create(&data)?;
+        empty_folder(&data)?;
         process.write_settings(&settings)?;
         process.restart()
     }
@@ -113,10 +112,6 @@
     }
 }
 
-fn create(folder: &Path) -> Result<(), SoakError> {
-    std::fs::create_dir_all(folder).map_err(|error| SoakError::io(folder.display(), &error))
-}
-
 /// Threads that use all processors until this is dropped.
 struct Load(Arc<AtomicBool>);
 
@@ -150,7 +145,7 @@
 pub async fn run(play: &CoordinationPlay) -> Result<CoordinationReport, SoakError> {
     let block = Block::take()?;
     let layout = Layout { block: block.number(), form: Form::ALL[0], cores: play.cores };
-    create(&play.folder)?;
+    empty_folder(&play.folder)?;
     let mut cores = Cores::start(play, layout)?;
     monoio::time::sleep(BEFORE).await;
     let addresses = (0..play.cores).map(|index| layout.core(index)).collect();
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -115,6 +115,19 @@
     }
 }
 
+/// An empty folder for a run. What an earlier run left there is removed: its state names members at addresses that
+/// another run may have now.
+///
+/// # Errors
+///
+/// [`SoakError::Io`] where it can't be made.
+pub fn empty_folder(folder: &Path) -> Result<(), SoakError> {
+    if folder.exists() {
+        std::fs::remove_dir_all(folder).map_err(|error| SoakError::io(folder.display(), &error))?;
+    }
+    std::fs::create_dir_all(folder).map_err(|error| SoakError::io(folder.display(), &error))
+}
+
 /// The addresses of one run. Two runs with different blocks may go on side by side.
 #[derive(Clone, Copy, Debug)]
 pub struct Layout {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
 use crate::endpoint::events::{Event, shared_micros};
 use crate::error::SoakError;
 use crate::invariants::{self, Witness};
-use crate::layout::{Block, CORES, ENDPOINTS, Form, Layout, NODES};
+use crate::layout::{Block, CORES, ENDPOINTS, Form, Layout, NODES, empty_folder};
 use crate::operator::Operator;
 use crate::process::{Process, Program};
 use crate::report::Report;
@@ -163,7 +163,7 @@
 pub async fn run(play: &Play) -> Result<Report, SoakError> {
     let block = Block::take()?;
     let layout = Layout { block: block.number(), form: play.form, cores: CORES };
-    std::fs::create_dir_all(&play.folder).map_err(|error| SoakError::io(play.folder.display(), &error))?;
+    empty_folder(&play.folder)?;
     let mut fleet = Fleet::start(play, layout)?;
     let operator = Operator::new(layout);
     wait_until_ready(&operator, layout, play).await?;
