Locks: each take gives a higher fence, so a release decided late frees nothing new

Callers saw two holders of one lock: a holder's DELETE got no answer (a core process stood still), the holder took the lock again, was given its old fence again, and the DELETE, decided late, named exactly that holder and fence: the lock was freed under its holder, and the next caller got it.

Cause: a call is acted on after its caller gave it up, and nothing in the lock's record tells the hold that it was meant for from the one that followed.

Now every take, also of the present holder, is ordered with a fence above all before. A release frees only the newest fence; its holder stopped counting itself holder before it sent it, so no later hold can be meant. A renewal is taken under any fence of the present hold, so that a take decided late loses its holder nothing; the answer tells the newest. A shorter hold taken later shortens no longer one, also at the next primary.

Cost: a take by the present holder is one more record of the log.

--- a/crates/signalbox/src/ledger/mod.rs
+++ b/crates/signalbox/src/ledger/mod.rs
@@ -11,4 +11,4 @@
 pub use changes::Change;
 pub use history::{History, MOST_SERIES, Plan, PlannedService, SlotLine, SlotRecord};
 pub use snapshot::LogGrowth;
-pub use state::{Ledger, group_of};
+pub use state::{Ledger, LockRecord, group_of};
--- a/crates/signalbox/src/replica/state.rs
+++ b/crates/signalbox/src/replica/state.rs
@@ -3,7 +3,7 @@
 use super::effect::{CallId, Effect, Outcome, Route};
 use super::membership::{Departing, Departure, next_voters};
 use crate::ledger::{Change, Ledger, group_of};
-use crate::resources::{self, Context, Decision, LockMetrics};
+use crate::resources::{self, Context, Decision, Hold, LockMetrics};
 use interlocking::zab::{Action, Envelope, Ticket, Voter, Zab};
 use lineside::call::{ControlCall, ControlReturn};
 use std::cell::RefCell;
@@ -40,8 +40,8 @@
     committed: Rc<RefCell<Ledger>>,
     /// Invariant: only while this member is the primary; `committed` and all that was proposed since.
     proposed: Rc<RefCell<Option<Ledger>>>,
-    /// Until when each lock's holder may count itself holder. Only while this member is the primary.
-    holds: BTreeMap<String, Moment>,
+    /// The hold of each lock that is taken. Only while this member is the primary.
+    holds: BTreeMap<String, Hold>,
     lock_metrics: LockMetrics,
     waiting: BTreeMap<Zxid, Vec<WaitingCall>>,
     watches: BTreeMap<String, Vec<WaitingWatch>>,
@@ -329,11 +329,8 @@
     /// Every hold is counted anew: what the last primary granted without an order ends before this does.
     fn take_over(&mut self, now: Moment) {
         let committed = self.committed.borrow();
-        self.holds = committed
-            .locks
-            .iter()
-            .map(|(lock, record)| (lock.clone(), resources::held_until(now, record.hold_millis)))
-            .collect();
+        self.holds =
+            committed.locks.iter().map(|(lock, record)| (lock.clone(), Hold::counted_from(now, record))).collect();
         log::info!("counts the holds of {} locks from now on", self.holds.len());
         *self.proposed.borrow_mut() = Some(committed.for_proposals());
     }
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -10,7 +10,7 @@
 mod watch;
 
 pub use lock_metrics::LockMetrics;
-pub use locks::held_until;
+pub use locks::Hold;
 pub use watch::look as watch_look;
 
 use crate::ledger::{Change, Ledger};
@@ -25,9 +25,8 @@
     pub proposed: &'a Ledger,
     /// All that was committed: reads are answered from it.
     pub committed: &'a Ledger,
-    /// Until when each lock's holder may count itself holder, on this primary's steady clock.
-    /// Invariant: never moves back for a holder.
-    pub holds: &'a mut BTreeMap<String, Moment>,
+    /// The hold of each lock that is taken, on this primary's steady clock.
+    pub holds: &'a mut BTreeMap<String, Hold>,
     pub now: Moment,
     pub lock_metrics: &'a LockMetrics,
     /// Whether a region is one of the fleet's.
--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -12,7 +12,7 @@
 struct Core {
     committed: Ledger,
     proposed: Ledger,
-    holds: BTreeMap<String, Moment>,
+    holds: BTreeMap<String, Hold>,
     /// Proposed and not yet committed, with what is to be answered then.
     open: Vec<(Zxid, Change, usize, ControlReturn)>,
     epoch: u64,
@@ -93,7 +93,7 @@
             .committed
             .locks
             .iter()
-            .map(|(lock, record)| (lock.clone(), self.now + Duration::from_millis(record.hold_millis)))
+            .map(|(lock, record)| (lock.clone(), Hold::counted_from(self.now, record)))
             .collect();
     }
 }
@@ -411,16 +411,92 @@
     core.call(number, call).unwrap_or_else(|| core.commit(core.open.len()).pop().expect("it is open").1)
 }
 
+/// A core with one lock, and calls about it.
+struct LockCase {
+    core: Core,
+}
+
+impl LockCase {
+    fn new() -> Self {
+        APPLIED.with(|applied| applied.set(Zxid::ZERO));
+        Self { core: Core::new() }
+    }
+
+    /// Decides a call and commits all that it proposed.
+    fn answer_to(&mut self, method: &str, body: String) -> ControlReturn {
+        let number = self.core.counter as usize;
+        let answer = self.core.call(number, &call(method, "/v1/locks/l", body));
+        answer.unwrap_or_else(|| self.core.commit(self.core.open.len()).pop().expect("it is open").1)
+    }
+
+    fn take(&mut self, holder: &str, hold_seconds: u64) -> ControlReturn {
+        self.answer_to("POST", format!("{{\"holder\":\"{holder}\",\"hold_s\":{hold_seconds}}}"))
+    }
+
+    fn renew(&mut self, holder: &str, fence: u64, hold_seconds: u64) -> ControlReturn {
+        let body = format!("{{\"holder\":\"{holder}\",\"fence_token\":{fence},\"hold_s\":{hold_seconds}}}");
+        self.answer_to("PUT", body)
+    }
+
+    fn release(&mut self, holder: &str, fence: u64) -> ControlReturn {
+        self.answer_to("DELETE", format!("{{\"holder\":\"{holder}\",\"fence_token\":{fence}}}"))
+    }
+
+    fn fence(answer: &ControlReturn) -> u64 {
+        assert_eq!(answer.status, 200);
+        number_in(&answer.body, "fence_token")
+    }
+
+    fn let_pass(&mut self, millis: u64) {
+        self.core.now = self.core.now + Duration::from_millis(millis);
+    }
+}
+
 #[test]
 fn a_release_that_comes_late_frees_no_lock_that_its_holder_took_again() {
-    let mut core = Core::new();
-    APPLIED.with(|applied| applied.set(Zxid::ZERO));
-    let take = |holder: &str| call("POST", "/v1/locks/l", format!("{{\"holder\":\"{holder}\",\"hold_s\":5}}"));
-    let release = |fence: u64| call("DELETE", "/v1/locks/l", format!("{{\"holder\":\"a\",\"fence_token\":{fence}}}"));
-    answer_to(&mut core, &take("a"));
-    let late = release(1);
-    let again = answer_to(&mut core, &take("a"));
-    assert_eq!(again.status, 200);
-    answer_to(&mut core, &late);
-    assert_eq!(answer_to(&mut core, &take("b")).status, 409, "the first holder still counts itself holder");
+    let mut lock = LockCase::new();
+    let first = LockCase::fence(&lock.take("a", 5));
+    let again = LockCase::fence(&lock.take("a", 5));
+    assert!(again > first);
+    assert_eq!(lock.release("a", first).status, 200);
+    assert_eq!(lock.take("b", 5).status, 409, "the first holder still counts itself holder");
+    assert_eq!(lock.release("a", again).status, 200);
+    assert!(LockCase::fence(&lock.take("b", 5)) > again);
+}
+
+#[test]
+fn a_take_that_comes_late_loses_its_holder_nothing() {
+    let mut lock = LockCase::new();
+    let known = LockCase::fence(&lock.take("a", 5));
+    let late = LockCase::fence(&lock.take("a", 1));
+    lock.let_pass(3000);
+    assert_eq!(lock.take("b", 5).status, 409, "a shorter hold ends no longer one");
+    assert_eq!(LockCase::fence(&lock.renew("a", known, 5)), late, "the holder is told its newest fence");
+    lock.let_pass(4000);
+    assert_eq!(lock.take("b", 5).status, 409);
+}
+
+#[test]
+fn a_fence_of_an_earlier_hold_renews_nothing() {
+    let mut lock = LockCase::new();
+    let first = LockCase::fence(&lock.take("a", 1));
+    lock.let_pass(2000);
+    let other = LockCase::fence(&lock.take("b", 1));
+    lock.release("b", other);
+    let again = LockCase::fence(&lock.take("a", 5));
+    assert!(first < other && other < again);
+    assert_eq!(lock.renew("a", first, 5).status, 409);
+    assert_eq!(lock.renew("b", other, 5).status, 409);
+    assert_eq!(lock.renew("a", again, 5).status, 200);
+}
+
+#[test]
+fn a_new_primary_counts_the_longest_hold_given_under_any_of_its_fences() {
+    let mut lock = LockCase::new();
+    lock.take("a", 8);
+    lock.take("a", 1);
+    let mut random = Random::seeded(1);
+    lock.core.change_primary(&mut random);
+    lock.let_pass(6000);
+    assert_eq!(lock.take("b", 1).status, 409);
 }
