A control call whose caller has left is not carried out

Seen with real processes: a take that waited in the socket of a stopped process was decided when the process went on, seconds after its caller had gone elsewhere; nobody knew of the hold, and the lock was refused (409) to all others until its time ran out. With the higher fence of each take that is safe, but it serves nobody.

A member looks whether the caller's connection has ended before it decides or passes on a call about locks, numbers, keys or the configuration; then it does nothing and breaks off. Heartbeats and sign-offs are taken as before: an endpoint that ends may not wait. ferryhinge_abandoned_calls counts them.

--- a/crates/signalbox/src/node/listeners.rs
+++ b/crates/signalbox/src/node/listeners.rs
@@ -61,6 +61,11 @@
         if request.path().starts_with(beats::PREFIX) {
             return Some(beats::answer(&self.0, &request).await);
         }
+        if request.presence.has_left() {
+            // As after a stall: the caller has gone elsewhere, and may have gone on to something that this would undo.
+            self.0.metrics.abandoned.inc();
+            return None;
+        }
         let call = ControlCall {
             method: request.method.as_str().to_owned(),
             path: request.path().to_owned(),
--- a/crates/signalbox/src/node/metrics.rs
+++ b/crates/signalbox/src/node/metrics.rs
@@ -68,6 +68,8 @@
     pub stalls: Counter,
     /// How long in all, in milliseconds.
     pub stalled_millis: Counter,
+    /// Calls that were not carried out, as their caller had left.
+    pub abandoned: Counter,
     /// All of them, for whoever asks.
     pub registry: Registry,
 }
@@ -88,9 +90,11 @@
         let holds = HoldMetrics::default();
         holds.register(&mut registry);
         locks.register(&mut registry);
-        let (stalls, stalled_millis) = (Counter::default(), Counter::default());
+        let (stalls, stalled_millis, abandoned) = (Counter::default(), Counter::default(), Counter::default());
         registry.register("stalls", "Times for which this process stood still", stalls.clone());
         registry.register("stalled_milliseconds", "How long this process stood still in all", stalled_millis.clone());
-        Self { shards, holds, stalls, stalled_millis, registry }
+        let help = "Calls that were not carried out, as their caller had left";
+        registry.register("abandoned_calls", help, abandoned.clone());
+        Self { shards, holds, stalls, stalled_millis, abandoned, registry }
     }
 }
