A core process locks its data folder before it reads it, and waits for its predecessor

A process that was started while another of the same member still ran (a restart that overlaps the end, a frozen process that is replaced) read the log, cut off what it took for a torn end, and only then failed to bind its addresses.

The folder is locked (flock on the file 'lock') before anything is read. A second process waits, for grace_period_s and 2 s at most, until the first has ended, and ends with StorageError::InUse otherwise, having changed nothing.

--- a/crates/interlocking/src/storage/disk.rs
+++ b/crates/interlocking/src/storage/disk.rs
@@ -1,5 +1,7 @@
 //! The few things that storage asks of a disk, so that tests can bring their own.
 
+use super::error::StorageError;
+use super::folder_lock::FolderLock;
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
@@ -23,9 +25,10 @@
     fn sync_folder(&mut self) -> io::Result<()>;
 }
 
-/// Files under the data directory, kept open.
+/// Files under the data directory, kept open. Invariant: no other process has one of the same directory.
 pub struct FileDisk {
     directory: PathBuf,
+    _lock: FolderLock,
     open: Vec<(String, File)>,
 }
 
@@ -34,10 +37,11 @@
     ///
     /// # Errors
     ///
-    /// The error of the operating system when the folder can't be made.
-    pub fn open(directory: &Path) -> io::Result<Self> {
+    /// [`StorageError::Io`] when the folder can't be made, [`StorageError::InUse`] while another process has it.
+    pub fn open(directory: &Path) -> Result<Self, StorageError> {
         make_folder(directory)?;
-        Ok(Self { directory: directory.to_owned(), open: Vec::new() })
+        let lock = FolderLock::take(directory)?;
+        Ok(Self { directory: directory.to_owned(), _lock: lock, open: Vec::new() })
     }
 
     fn file(&mut self, name: &str) -> io::Result<&File> {
--- a/crates/interlocking/src/storage/error.rs
+++ b/crates/interlocking/src/storage/error.rs
@@ -10,6 +10,10 @@
     #[display("the disk refused ({_0}): it is tried again; free space or replace the disk")]
     Io(io::Error),
     /// Nothing on the disk was changed.
+    #[display("another process uses the data folder: end it before this one is started")]
+    #[from(ignore)]
+    InUse,
+    /// Nothing on the disk was changed.
     #[display(
         "the data folder was written by a later version (format {version}): run the newer version here, \
          or give this node an empty data folder and let it join as a new member"
--- a/crates/interlocking/src/storage/mod.rs
+++ b/crates/interlocking/src/storage/mod.rs
@@ -2,6 +2,7 @@
 
 mod disk;
 mod error;
+mod folder_lock;
 mod layout;
 mod records;
 mod slot;
--- a/crates/interlocking/src/storage/tests.rs
+++ b/crates/interlocking/src/storage/tests.rs
@@ -325,6 +325,7 @@
     assert_matches!(found, Recovered::Nothing);
     storage.write_image(&Image::empty(MemberId(7), Vec::new())).unwrap();
     storage.append(&[encoded(&entry(1))]).unwrap();
+    drop(storage);
     let (_, found) = Storage::recover(FileDisk::open(&folder).unwrap()).unwrap();
     assert_matches!(found, Recovered::Whole(image) if image.entries.len() == 1);
     std::fs::remove_dir_all(top).unwrap();
@@ -391,3 +392,12 @@
     disk.now.get_mut("slot.0").unwrap()[30] ^= 1;
     assert_matches!(Storage::recover(disk).unwrap().1, Recovered::Damaged { .. });
 }
+
+#[test]
+fn a_data_folder_that_another_process_uses_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = FileDisk::open(folder.path()).unwrap();
+    assert_matches!(FileDisk::open(folder.path()).map(drop), Err(StorageError::InUse));
+    drop(first);
+    assert_matches!(FileDisk::open(folder.path()).map(drop), Ok(()));
+}
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -11,13 +11,14 @@
 use crate::ledger::Ledger;
 use crate::replica::Replica;
 use futures_channel::mpsc::unbounded;
-use interlocking::storage::{FileDisk, Recovered, Storage};
+use interlocking::storage::{FileDisk, Recovered, Storage, StorageError};
 use interlocking::zab::{Image, Timing, Voter, Zab};
 use lineside::call::{Caller, Complaints, serve_peers};
 use lineside::gossip::{Peer, Role, Roster, RosterTiming};
 use lineside::inspection::{Inspector, InspectorTiming};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock;
@@ -27,6 +28,10 @@
 use trackbed::net::{Datagrams, bind_tcp};
 use trackbed::random::{Random, stable_hash};
 
+/// Longer than a process may take to leave: what the platform needs to end it.
+const PREDECESSOR_MARGIN: Duration = Duration::from_secs(2);
+const PREDECESSOR_PAUSE: Duration = Duration::from_millis(20);
+
 /// The core address beside a control-plane address, on the same machine.
 pub(super) fn core_address(config: &LocalConfig, control_plane: SocketAddr) -> SocketAddr {
     SocketAddr::new(control_plane.ip(), config.core_port())
@@ -52,6 +57,23 @@
     Image::empty(MemberId(random.draw() | 1), Vec::new())
 }
 
+/// Opens the data folder. A process that is still leaving may have it for a while.
+fn open_disk(folder: &Path, config: &LocalConfig, signals: &Signals) -> Result<FileDisk, StorageError> {
+    let given_up = clock::now() + config.bounds.grace_period() + PREDECESSOR_MARGIN;
+    let mut has_told = false;
+    loop {
+        match FileDisk::open(folder) {
+            Err(StorageError::InUse) if clock::now() < given_up && !signals.terminated() => {}
+            outcome => return outcome,
+        }
+        if !has_told {
+            log::warn!("another process uses the data folder: this one waits for its end");
+            has_told = true;
+        }
+        std::thread::sleep(PREDECESSOR_PAUSE);
+    }
+}
+
 pub fn run(command: Command) -> Result<(), NodeError> {
     let signals = Signals::register()?;
     let config = command.config.clone();
@@ -59,7 +81,7 @@
     let control_plane =
         LocalConfig::require("listen_addresses.control_plane", config.listen.control_plane, "an address to serve at")?;
     let mut random = Random::from_system();
-    let (mut storage, recovered) = Storage::recover(FileDisk::open(&data)?)?;
+    let (mut storage, recovered) = Storage::recover(open_disk(&data, &config, &signals)?)?;
     let image = match recovered {
         Recovered::Whole(image) => *image,
         Recovered::Nothing => {
