--- a/crates/soak/src/coordination/run.rs
+++ b/crates/soak/src/coordination/run.rs
@@ -79,6 +79,9 @@
             Step::Terminate => process.signal(Signal::SIGTERM),
             Step::HangUp => process.signal(Signal::SIGHUP),
             Step::Start => process.restart()?,
+            Step::StartBeside => process.start_beside()?,
+            Step::Ensure if process.has_ended() => process.restart()?,
+            Step::Ensure => {}
             Step::StartEmpty => self.start_empty(due.core)?,
         }
         Ok(())
--- a/crates/soak/src/coordination/trouble.rs
+++ b/crates/soak/src/coordination/trouble.rs
@@ -18,6 +18,10 @@
     HangUp,
     /// Started anew; it is killed first where it still runs.
     Start,
+    /// Started once more, whether or not it still runs, as a supervisor does that doesn't wait for the end.
+    StartBeside,
+    /// Started anew where it has ended.
+    Ensure,
     /// Killed, and started anew with an empty disk.
     StartEmpty,
 }
@@ -124,8 +128,8 @@
 fn draw(mix: Mix, random: &mut Random) -> Vec<(u64, Step)> {
     let kind = match mix {
         Mix::Freezes => 0,
-        Mix::Restarts => 3 + random.below(5),
-        _ => random.below(9),
+        Mix::Restarts => 3 + random.below(7),
+        _ => random.below(11),
     };
     match kind {
         0..=2 => vec![(0, Step::Freeze), (freeze_time(random), Step::Thaw)],
@@ -137,6 +141,13 @@
             (random.below(QUICK_MILLIS), Step::Thaw),
             (LEAVE_MILLIS, Step::Start),
         ],
+        8 => vec![
+            (0, Step::Terminate),
+            (random.below(QUICK_MILLIS), Step::StartBeside),
+            (QUICK_MILLIS, Step::Ensure),
+            (LEAVE_MILLIS, Step::Ensure),
+        ],
+        9 => vec![(0, Step::StartBeside), (QUICK_MILLIS, Step::Terminate), (LEAVE_MILLIS, Step::Start)],
         _ => vec![(0, Step::HangUp), (random.below(QUICK_MILLIS), Step::HangUp)],
     }
 }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -48,6 +48,8 @@
     /// Standard output of all its lives.
     output: PathBuf,
     child: Option<Child>,
+    /// Processes beside which the present one was started, and which may still be leaving.
+    former: Vec<Child>,
 }
 
 impl Process {
@@ -67,7 +69,8 @@
         std::fs::write(&path, settings).map_err(|error| SoakError::io(path.display(), &error))?;
         let (log, output) = (folder.join(format!("{name}.log")), folder.join(format!("{name}.out")));
         let executable = executable.to_owned();
-        let mut process = Self { executable, program, name, settings: path, log, output, child: None };
+        let mut process =
+            Self { executable, program, name, settings: path, log, output, child: None, former: Vec::new() };
         process.restart()?;
         Ok(process)
     }
@@ -79,6 +82,20 @@
     /// [`SoakError::Io`] where it can't be started.
     pub fn restart(&mut self) -> Result<(), SoakError> {
         self.reap();
+        self.spawn()
+    }
+
+    /// Starts the process once more, whether or not it still runs. Signals go to the new one.
+    ///
+    /// # Errors
+    ///
+    /// [`SoakError::Io`] where it can't be started.
+    pub fn start_beside(&mut self) -> Result<(), SoakError> {
+        self.former.extend(self.child.take());
+        self.spawn()
+    }
+
+    fn spawn(&mut self) -> Result<(), SoakError> {
         let mut command = Command::new(&self.executable);
         command.arg(&self.settings).env(PROGRAM, self.program.name()).stdin(Stdio::null());
         match self.program {
@@ -131,7 +148,7 @@
     }
 
     fn reap(&mut self) {
-        if let Some(mut child) = self.child.take() {
+        for mut child in self.former.drain(..).chain(self.child.take()) {
             if matches!(child.try_wait(), Ok(None)) {
                 let _ = child.kill();
             }
