Simulation: members stand still, and callers go on with a lock they gave back in vain

Why the simulation never saw two holders: its clients repeated a release until it was answered, so none took the same lock again while a release was under way; stalls met the primary only, whose late decisions can't be committed; and a client forgot its hold with whatever call it began next, so it hardly ever renewed or released.

Now a release without an answer is given up in 60 of 100 cases and the same lock taken again, stalls meet any member, a hold ends with its release only, and a run of its own has lock users alone.

--- a/crates/signalbox/tests/simulation/clients.rs
+++ b/crates/signalbox/tests/simulation/clients.rs
@@ -18,6 +18,10 @@
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 const KEYS: u64 = 3;
 const LOCKS: u64 = 2;
+/// Share of releases without an answer after which the client takes the same lock again at once.
+const RELEASE_GIVEN_UP_SHARE: f64 = 0.6;
+/// Share of a lock user's calls, while it holds a lock, that renew it.
+const RENEWAL_SHARE: f64 = 0.3;
 const MOST_SCRIPTED_ATTEMPTS: usize = 100;
 /// Stands for a scenario's own calls in place of a client.
 const SCRIPT: ClientId = usize::MAX;
@@ -32,6 +36,8 @@
     Reader,
     /// Takes locks and numbers, and puts and reads keys.
     Application,
+    /// Only takes, renews and gives back locks.
+    LockUser,
     /// Follows a group of keys.
     Watcher,
 }
@@ -43,7 +49,7 @@
     Order { base: u64, version: u64, order: u64 },
     Take { lock: u64, hold: Duration },
     Renew { lock: u64, hold: Duration },
-    Release,
+    Release { lock: u64 },
     Number,
     Put { key: u64, value: u64, enabled: Option<u64> },
     ReadKey { key: u64 },
@@ -81,6 +87,8 @@
     /// Of an application: the last revision it saw of each key.
     known_revisions: Vec<u64>,
     hold: Option<Hold>,
+    /// Of an application: the lock that it takes next.
+    next_lock: Option<u64>,
     watched: u64,
     is_stopped: bool,
     /// Operations that got a clear answer.
@@ -111,6 +119,7 @@
             known_version: None,
             known_revisions: vec![0; KEYS as usize],
             hold: None,
+            next_lock: None,
             watched: 0,
             is_stopped: false,
             clear_answers: 0,
@@ -184,7 +193,9 @@
         let asked = self.choose(client);
         let call = call_of(client, asked, self.clients[client].hold);
         let (called, now) = (self.next_place(), self.now);
-        if let (Asked::Release, Some(hold)) = (asked, self.clients[client].hold.take()) {
+        if let Asked::Release { .. } = asked
+            && let Some(hold) = self.clients[client].hold.take()
+        {
             let released = LockEvent::Released { holder: client as u64 };
             self.histories.locks.entry(hold.lock).or_default().push(released);
         }
@@ -212,8 +223,18 @@
     }
 
     pub fn client_waited_enough(&mut self, client: ClientId, attempt: u64) {
-        if self.clients[client].attempt == attempt && self.clients[client].operation.is_some() {
-            self.send_attempt(client);
+        if self.clients[client].attempt != attempt {
+            return;
+        }
+        match self.clients[client].operation.as_ref().map(|operation| operation.asked) {
+            Some(Asked::Release { lock }) if self.random.chance(RELEASE_GIVEN_UP_SHARE) => {
+                self.clients[client].attempt += 1;
+                self.clients[client].operation = None;
+                self.clients[client].next_lock = Some(lock);
+                self.wake_client(client, FIRST_PAUSE);
+            }
+            Some(_) => self.send_attempt(client),
+            None => {}
         }
     }
 
@@ -251,6 +272,7 @@
             Role::Operator => self.choose_order(client),
             Role::Reader => Asked::ReadConfiguration,
             Role::Application => self.choose_for_application(client),
+            Role::LockUser => self.choose_for_lock_user(client),
             Role::Watcher => Asked::Watch { after: self.clients[client].watched },
         }
     }
@@ -265,16 +287,39 @@
         }
     }
 
-    fn choose_for_application(&mut self, client: ClientId) -> Asked {
-        let key = self.random.below(KEYS);
-        let hold = Duration::from_millis(200 + self.random.below(1500));
+    /// What a client holds; nothing once its time has run out.
+    fn present_hold(&mut self, client: ClientId) -> Option<Hold> {
         let held = self.clients[client].hold.filter(|held| held.until > self.now);
         self.clients[client].hold = held;
+        held
+    }
+
+    fn draw_hold_time(&mut self) -> Duration {
+        Duration::from_millis(200 + self.random.below(1500))
+    }
+
+    fn choose_for_lock_user(&mut self, client: ClientId) -> Asked {
+        let hold = self.draw_hold_time();
+        let lock = self.clients[client].next_lock.take().unwrap_or(self.random.below(LOCKS));
+        match self.present_hold(client) {
+            None => Asked::Take { lock, hold },
+            Some(held) if self.random.chance(RENEWAL_SHARE) => Asked::Renew { lock: held.lock, hold },
+            Some(held) => Asked::Release { lock: held.lock },
+        }
+    }
+
+    fn choose_for_application(&mut self, client: ClientId) -> Asked {
+        let key = self.random.below(KEYS);
+        let hold = self.draw_hold_time();
+        let held = self.present_hold(client);
+        if let Some(lock) = self.clients[client].next_lock.take() {
+            return Asked::Take { lock, hold };
+        }
         match (self.random.below(10), held) {
             (0, _) => Asked::Number,
             (1..=3, None) => Asked::Take { lock: self.random.below(LOCKS), hold },
             (1, Some(held)) => Asked::Renew { lock: held.lock, hold },
-            (2 | 3, Some(_)) => Asked::Release,
+            (2 | 3, Some(held)) => Asked::Release { lock: held.lock },
             (4..=6, _) => {
                 let known = self.clients[client].known_revisions[key as usize];
                 let enabled = self.random.chance(0.6).then_some(known);
@@ -302,7 +347,7 @@
             Asked::Take { lock, hold } | Asked::Renew { lock, hold } => {
                 self.record_hold(client, lock, operation.sent + hold, answer);
             }
-            Asked::Release => {}
+            Asked::Release { .. } => {}
             Asked::Number => {
                 let operation = NumberGiven { value: number_in(&answer.body, "value") };
                 self.histories.numbers.push(Recorded { called, returned: Some(returned), operation });
@@ -413,8 +458,8 @@
             let body = format!("{{\"holder\":\"h{client}\",\"fence_token\":{fence},\"hold_s\":{length}}}");
             control_call("PUT", &format!("/v1/locks/l{lock}"), None, body)
         }
-        Asked::Release => {
-            let (lock, fence) = hold.map(|hold| (hold.lock, hold.fence)).unwrap_or_default();
+        Asked::Release { lock } => {
+            let fence = hold.map(|hold| hold.fence).unwrap_or_default();
             let body = format!("{{\"holder\":\"h{client}\",\"fence_token\":{fence}}}");
             control_call("DELETE", &format!("/v1/locks/l{lock}"), None, body)
         }
--- a/crates/signalbox/tests/simulation/random_runs.rs
+++ b/crates/signalbox/tests/simulation/random_runs.rs
@@ -1,6 +1,7 @@
 //! Runs with random faults. Each is repeated by its seed alone.
 
 use crate::checks::check;
+use crate::clients::Role;
 use crate::world::{Host, World};
 use std::time::Duration;
 
@@ -14,6 +15,9 @@
 /// Names a seed to be run alone.
 const SEED_VARIABLE: &str = "FERRYHINGE_SEED";
 const LEAST_CLEAR_ANSWERS: usize = 100;
+const LOCK_USERS: usize = 6;
+const LOCK_USER_THINKS: Duration = Duration::from_millis(120);
+const STALLS: usize = 30;
 
 /// Says how a failed run is repeated.
 pub struct SeedReport(pub u64);
@@ -50,7 +54,8 @@
 fn disturb(world: &mut World, may_wipe: &mut bool) {
     let host = random_host(world);
     let (one, other) = two_hosts(world);
-    match world.random.below(14) {
+    let kind = world.random.below(14);
+    match kind {
         0 => world.cut_off(host),
         1 => {
             world.cut_one_way(one, other);
@@ -65,8 +70,8 @@
         10 => (0..world.member_count()).filter(|other| *other != host).for_each(|other| world.reset(host, other)),
         11 | 12 => {
             let span = Duration::from_millis(300 + world.random.below(MOST_STALL_MILLIS));
-            let host = world.primary().unwrap_or(host);
-            world.stall(host, span);
+            let primary = world.primary().filter(|_| kind == 11);
+            world.stall(primary.unwrap_or(host), span);
         }
         _ if std::mem::take(may_wipe) => world.wipe(host),
         _ => world.loss = [0.0, 0.02, 0.1][world.random.below(3) as usize],
@@ -123,6 +128,32 @@
     seeds().into_iter().for_each(|seed| check_run(seed, 5));
 }
 
+/// Members stand still, each by itself, while callers use few locks and go on with the same one.
+fn check_stalls(seed: u64, members: usize) {
+    let _report = SeedReport(seed);
+    let mut world = World::new(seed, members);
+    let all: Vec<Host> = (0..members).collect();
+    for _ in 0..LOCK_USERS {
+        world.add_client(Role::LockUser, all.clone(), LOCK_USER_THINKS);
+    }
+    world.run(Duration::from_secs(2));
+    for _ in 0..STALLS {
+        let (host, span) = (random_host(&mut world), 1000 + world.random.below(MOST_STALL_MILLIS));
+        world.stall(host, Duration::from_millis(span));
+        let calm = Duration::from_millis(world.random.below(MOST_CALM_MILLIS));
+        world.run(calm);
+    }
+    world.stop_clients();
+    world.run(AFTERMATH);
+    assert_eq!(check(&world.histories), Ok(()), "seed {seed} with {members} members");
+}
+
+#[test]
+fn no_lock_has_two_holders_after_members_stood_still() {
+    seeds().into_iter().for_each(|seed| check_stalls(seed, 3));
+    seeds().into_iter().for_each(|seed| check_stalls(seed, 5));
+}
+
 #[test]
 fn a_seed_repeats_its_run() {
     let (first, second) = (run(7, 3), run(7, 3));
