A request planned anew goes by its new plan alone

Callers saw a request that may run once run twice: planned by a table in which its route could repeat, declined as stale, planned anew by one in which it could not, it kept the former route's right to repeat (and rank, target and place for its figures); after a lost answer it was sent to a second endpoint.

An errand is now made of a plan as a whole, and replaced as a whole: type, rank, service, key, deadline, target, regions. Times count from the request's arrival. A request is planned anew as long as no endpoint can have begun it; after that, it is not sent again where the route in force here now lets it run only once, also where nobody declined it as stale. A changed service counts the request for its budget.

--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -11,10 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::configuration::Route;
-use trackbed::clock;
+use trackbed::clock::{self, Moment};
 use trackbed::http::{Request, Return};
 use trackbed::ids::InstanceId;
-use trackbed::random::stable_hash;
 
 /// Nodes asked in vain before a request is given up.
 const ASKED_IN_VAIN: u32 = 5;
@@ -152,28 +151,30 @@
     }
 }
 
+/// The plan by the table that is in force here now, for a request that arrived then, and where it may be handled.
+fn plan_anew(node: &Pointsman, request: &Request, arrived: Moment) -> Result<(Plan, Binding), Box<Return>> {
+    let routes = node.fleet.borrow().routes().cloned();
+    let plan = Plan::make(request, routes.as_ref(), arrived);
+    let plan = plan.map_err(|_| Box::new(Return::text(404, "no route leads there")))?;
+    let binding = tenancy::bind(node, request, routes.as_deref())?;
+    Ok((plan, binding))
+}
+
+/// Whether the table that is in force here now lets the request run more than once.
+fn repeats_now(node: &Pointsman, request: &Request) -> bool {
+    let host = request.header("host").unwrap_or("");
+    let fleet = node.fleet.borrow();
+    fleet.routes().and_then(|routes| routes.find(host, request.path())).is_some_and(|route| route.kind.repeats())
+}
+
 /// Sees a request through to its answer.
 pub async fn carry_out(node: &Rc<Pointsman>, mut plan: Plan, request: Request, binding: Binding) -> Return {
-    let now = clock::now();
-    let repeats = plan.route.kind.repeats();
+    let arrived = clock::now();
+    let now = arrived;
     let bounds = budget(node);
     let own_service = node.live.get().service_name.clone();
-    let mut errand = Errand {
-        request,
-        attempt: plan.attempt.clone(),
-        instance: InstanceId::new(""),
-        caller: own_service.map(|service| service.as_str().to_owned()).unwrap_or_default(),
-        priority: plan.route.priority,
-        repeats,
-        planned: plan.planned.clone(),
-        sort: stable_hash(&plan.route.name),
-        horizon: plan.horizon,
-        binding,
-        target: plan.target,
-        patience: Duration::ZERO,
-        key: plan.key,
-        permit: None,
-    };
+    let caller = own_service.map(|service| service.as_str().to_owned()).unwrap_or_default();
+    let mut errand = Errand::by(&plan, request, caller, binding);
     errand.request.headers.remove(CALLER);
     let mut left = candidates(node, &plan, &errand.binding, now);
     if let Some(key) = plan.key.filter(|_| node.mode == Mode::Gateway) {
@@ -192,7 +193,7 @@
     let mut free_in = Duration::from_millis(60);
     node.budgets.borrow_mut().first_go(&plan.service, now, bounds.window);
     let bytes = HEAD_BYTES + errand.request.body.len() as f64 + node.sizes.borrow().get(&errand.sort).unwrap_or(&0.0);
-    let span = now.until(plan.target);
+    let mut span = now.until(plan.target);
     // At a gateway, and for what is long, a look is a few bytes; elsewhere the whole request goes along.
     let mut looks = match node.mode {
         Mode::Gateway => LOOKS_OF_A_GATEWAY,
@@ -242,7 +243,7 @@
         let presence = errand.request.presence.clone();
         let going = go(node, &candidate, &plan.route, &errand);
         // What may not run twice is seen through once it is on its way: it may be at work.
-        let result = presence.unless_left_where(repeats, going).await;
+        let result = presence.unless_left_where(errand.repeats, going).await;
         let Some(GoResult { outcome, .. }) = result else { return client_left() };
         if looks_for_free && !candidate.is_local {
             let free = !matches!(outcome, Outcome::NotTaken { why: Passed::Busy, .. });
@@ -252,7 +253,7 @@
         match outcome {
             Outcome::Answered(answer) => {
                 // An endpoint's own failure of a repeatable request may go better elsewhere.
-                let failed = answer.status >= 500 && repeats;
+                let failed = answer.status >= 500 && errand.repeats && repeats_now(node, &errand.request);
                 let length = answer.length() as f64;
                 let mut sizes = node.sizes.borrow_mut();
                 let size = sizes.entry(errand.sort).or_insert(length);
@@ -273,17 +274,23 @@
                 if let Some(peer) = peer_of(node, &candidate) {
                     learn::catch_up(node, peer).await;
                 }
-                let routes = node.fleet.borrow().routes().cloned();
-                match Plan::make(&errand.request, routes.as_ref(), now) {
-                    Ok(next) if next.planned == plan.planned => node.routes_check.doubt(),
-                    Ok(next) if offered == 0 => {
-                        plan = Plan { horizon: plan.horizon, target: plan.target, ..next };
-                        errand.planned = plan.planned.clone();
+                let may_have_begun = may_have_run.is_some() || endpoint_said.is_some();
+                match plan_anew(node, &errand.request, arrived) {
+                    Ok((next, _)) if next.planned == plan.planned => node.routes_check.doubt(),
+                    Ok((next, binding)) if !may_have_begun => {
+                        if next.service != plan.service {
+                            node.budgets.borrow_mut().first_go(&next.service, now, bounds.window);
+                        }
+                        plan = next;
+                        errand = errand.by_another(&plan, binding);
+                        span = arrived.until(plan.target);
                         left = candidates(node, &plan, &errand.binding, now);
                         full.clear();
                     }
+                    // By the route in force now, the one run that it may have had is all it may have.
+                    Ok((next, _)) if !next.route.kind.repeats() => break,
                     Ok(_) => {}
-                    Err(_) if offered == 0 => return Return::text(404, "no route leads there"),
+                    Err(answer) if offered == 0 => return *answer,
                     Err(_) => break,
                 }
             }
@@ -311,7 +318,7 @@
             Outcome::Failed(reason) => {
                 offered += 1;
                 may_have_run = Some(reason);
-                if !repeats || offered >= plan.goes {
+                if !errand.repeats || !repeats_now(node, &errand.request) || offered >= plan.goes {
                     break;
                 }
             }
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -1,6 +1,7 @@
 //! One request on its way, and what may come of one go.
 
 use super::binding::Binding;
+use super::plan::Plan;
 use crate::platform::Claim;
 use lineside::gossip::Occupancy;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use trackbed::clock::Moment;
 use trackbed::http::{Request, Return};
 use trackbed::ids::InstanceId;
+use trackbed::random::stable_hash;
 
 const LONG_BODY: usize = 8 << 10;
 
@@ -43,6 +45,31 @@
 }
 
 impl Errand {
+    /// A request that goes out by a plan.
+    pub fn by(plan: &Plan, request: Request, caller: String, binding: Binding) -> Self {
+        Self {
+            request,
+            attempt: plan.attempt.clone(),
+            instance: InstanceId::new(""),
+            caller,
+            priority: plan.route.priority,
+            repeats: plan.route.kind.repeats(),
+            planned: plan.planned.clone(),
+            sort: stable_hash(&plan.route.name),
+            horizon: plan.horizon,
+            binding,
+            target: plan.target,
+            patience: Duration::ZERO,
+            key: plan.key,
+            permit: None,
+        }
+    }
+
+    /// The same request by another plan: nothing that the last one allowed is left.
+    pub fn by_another(self, plan: &Plan, binding: Binding) -> Self {
+        Self::by(plan, self.request, self.caller, binding)
+    }
+
     pub fn claim(&self) -> Claim {
         let Self { priority, sort, horizon, target, patience, .. } = *self;
         Claim { priority, sort, horizon, target, patience }
