Soak of locks: the processes before are ended once their time is over

Traced: a second process had been started beside one that ran on, waited 6 s for its data folder and ended with StorageError::InUse, as it should; nobody had ended the first. The run now does what a platform does, and kills the one before when the troubles are over.

--- a/crates/soak/src/coordination/run.rs
+++ b/crates/soak/src/coordination/run.rs
@@ -101,6 +101,7 @@
     fn recover(&mut self) -> Result<(), SoakError> {
         for process in &mut self.processes {
             process.signal(Signal::SIGCONT);
+            process.end_former();
             if process.has_ended() {
                 process.restart()?;
             }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -95,6 +95,14 @@
         self.spawn()
     }
 
+    /// Kills the processes beside which the present one was started, as the platform does once their time is over.
+    pub fn end_former(&mut self) {
+        for mut child in self.former.drain(..) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     fn spawn(&mut self) -> Result<(), SoakError> {
         let mut command = Command::new(&self.executable);
         command.arg(&self.settings).env(PROGRAM, self.program.name()).stdin(Stdio::null());
@@ -148,7 +156,8 @@
     }
 
     fn reap(&mut self) {
-        for mut child in self.former.drain(..).chain(self.child.take()) {
+        self.end_former();
+        if let Some(mut child) = self.child.take() {
             if matches!(child.try_wait(), Ok(None)) {
                 let _ = child.kill();
             }
