JSON from outside is read with a bound on its depth

One configuration of 100,000 nested lists ended each primary that read it (stack overflow in the parser), one after the other, five times and more in 40 s: an operator's order passes from node to node.

trackbed::json looks for more than 32 levels before anything is parsed (brackets in strings don't count) and says the place: 400 for a call, a typed error for a settings file.

--- a/crates/gauge/src/ask.rs
+++ b/crates/gauge/src/ask.rs
@@ -47,7 +47,7 @@
 
 impl FleetNow {
     pub fn read(fleet: &[u8], configuration: Option<Configuration>) -> Option<Self> {
-        let value: Value = sonic_rs::from_slice(fleet).ok()?;
+        let value: Value = trackbed::json::parse(fleet).ok()?;
         let epoch = ConfigEpoch::parse(value.pointer(["configuration"].iter())?.as_str()?)?;
         let mut endpoints = Vec::new();
         for item in value.pointer(["endpoints"].iter())?.as_array()?.iter() {
--- a/crates/gauge/src/clients.rs
+++ b/crates/gauge/src/clients.rs
@@ -25,7 +25,7 @@
 
 impl Shown {
     pub fn read(body: &[u8]) -> Result<Self, AskError> {
-        let value: Value = sonic_rs::from_slice(body).map_err(|_| AskError::Unreadable)?;
+        let value: Value = trackbed::json::parse(body).map_err(|_| AskError::Unreadable)?;
         let field = |name: &str| value.pointer([name].iter());
         let flag = |name: &str| field(name).and_then(|flag| flag.as_bool()).ok_or(AskError::TellsNoClients);
         let (stale, sealing) = (flag("stale")?, flag("sealing")?);
--- a/crates/gauge/src/forecast.rs
+++ b/crates/gauge/src/forecast.rs
@@ -27,7 +27,7 @@
 }
 
 pub fn read(body: &[u8]) -> Result<Told, AskError> {
-    let value: Value = sonic_rs::from_slice(body).map_err(|_| AskError::Unreadable)?;
+    let value: Value = trackbed::json::parse(body).map_err(|_| AskError::Unreadable)?;
     let enough = value.pointer(["enough"].iter()).and_then(|enough| enough.as_bool());
     let slots = value.pointer(["history_slots"].iter()).and_then(|slots| slots.as_u64());
     let (Some(enough), Some(slots)) = (enough, slots) else { return Err(AskError::TellsNoForecast) };
--- a/crates/gauge/src/main.rs
+++ b/crates/gauge/src/main.rs
@@ -131,7 +131,7 @@
 
 fn is_patch(body: &[u8]) -> bool {
     use sonic_rs::JsonValueTrait;
-    sonic_rs::from_slice::<sonic_rs::Value>(body)
+    trackbed::json::parse(body)
         .is_ok_and(|value| value.pointer(["upserts"].iter()).is_some() || value.pointer(["removals"].iter()).is_some())
 }
 
--- a/crates/gauge/src/routes.rs
+++ b/crates/gauge/src/routes.rs
@@ -13,7 +13,7 @@
 
 /// Reads the primary's verdicts out of a fleet's answer.
 pub fn read(fleet: &[u8]) -> Result<Verdicts, AskError> {
-    let value: Value = sonic_rs::from_slice(fleet).map_err(|_| AskError::Unreadable)?;
+    let value: Value = trackbed::json::parse(fleet).map_err(|_| AskError::Unreadable)?;
     let proxies = value.pointer(["proxies"].iter()).ok_or(AskError::TellsNoDigest)?;
     if proxies.is_null() {
         return Err(AskError::NoMajority);
@@ -80,7 +80,7 @@
 }
 
 fn proxies_text(body: &[u8]) -> String {
-    let value: Option<Value> = sonic_rs::from_slice(body).ok();
+    let value: Option<Value> = trackbed::json::parse(body).ok();
     let proxies = value.as_ref().and_then(|value| value.pointer(["proxies"].iter()));
     proxies.and_then(|proxies| sonic_rs::to_string(proxies).ok()).unwrap_or_else(|| "null".into())
 }
@@ -101,7 +101,7 @@
 }
 
 fn region_lines(body: &[u8]) -> Result<Vec<String>, AskError> {
-    let value: Value = sonic_rs::from_slice(body).map_err(|_| AskError::Unreadable)?;
+    let value: Value = trackbed::json::parse(body).map_err(|_| AskError::Unreadable)?;
     let text = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_str()).unwrap_or("none");
     let in_touch = value.pointer(["in_touch"].iter()).and_then(|value| value.as_bool()).ok_or(AskError::NotAProxy)?;
     let heard = value.pointer(["core_heard_s_ago"].iter()).and_then(|value| value.as_f64()).unwrap_or(0.0);
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -18,6 +18,7 @@
 use std::collections::BTreeMap;
 use trackbed::clock::Moment;
 use trackbed::ids::RegionName;
+use trackbed::json;
 
 /// What a primary has at hand to decide a call.
 pub struct Context<'a> {
@@ -76,7 +77,7 @@
 
 impl Body {
     fn read(body: &[u8]) -> Option<Self> {
-        sonic_rs::from_slice(body).ok().map(Self)
+        json::parse(body).ok().map(Self)
     }
     fn text(&self, field: &str) -> Option<&str> {
         use sonic_rs::JsonValueTrait;
--- a/crates/timetable/src/configuration/document.rs
+++ b/crates/timetable/src/configuration/document.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use trackbed::ids::{ConfigEpoch, RegionName};
+use trackbed::json;
 use trackbed::logs::escape;
 
 /// Items by name, each as its JSON text.
@@ -55,9 +56,7 @@
 }
 
 fn read(body: &[u8]) -> Result<Value, Fault> {
-    let value: Value = sonic_rs::from_slice(body).map_err(|error| Fault::Unreadable {
-        reason: error.to_string().lines().next().unwrap_or_default().to_owned(),
-    })?;
+    let value = json::parse(body).map_err(|error| Fault::Unreadable { reason: error.to_string() })?;
     if !value.is_object() {
         return Err(Fault::Unreadable { reason: "it is not a table".into() });
     }
--- a/crates/timetable/src/configuration/items.rs
+++ b/crates/timetable/src/configuration/items.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::rc::Rc;
+use trackbed::json;
 
 /// Texts to put in by name; `None` removes the item.
 pub(super) type Edits = BTreeMap<String, Option<Rc<str>>>;
@@ -196,5 +197,5 @@
 /// Reads an item's text as JSON.
 pub(super) fn parse_text(text: &str) -> Result<Value, Fault> {
     Work::record(|work| work.items_parsed += 1);
-    sonic_rs::from_str(text).map_err(|error| Fault::Unreadable { reason: error.to_string() })
+    json::parse(text.as_bytes()).map_err(|error| Fault::Unreadable { reason: error.to_string() })
 }
--- a/crates/timetable/src/fleet/beat.rs
+++ b/crates/timetable/src/fleet/beat.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use trackbed::ids::{InstanceId, NodeName, ServiceName, ZoneName};
+use trackbed::json;
 
 /// What one beat says, as it was heard.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,7 +37,7 @@
 impl Beat {
     /// Reads a beat. `zone` stands in where it names none.
     pub fn read(id: InstanceId, body: &[u8], post: Option<Post>, zone: &ZoneName) -> Result<Self, &'static str> {
-        let value: Value = sonic_rs::from_slice(body).map_err(|_| "the body is not JSON")?;
+        let value = json::parse(body).map_err(|_| "the body is not JSON, or nested too deep")?;
         let text = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_str());
         let number = |field: &str| value.pointer([field].iter()).and_then(|value| value.as_f64());
         let address: SocketAddr =
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -2,6 +2,7 @@
 
 use super::bounds::Bounds;
 use crate::ids::{NodeName, RegionName, ServiceName, ZoneName};
+use crate::json;
 use derive_more::{Display, Error};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::collections::BTreeMap;
@@ -170,10 +171,8 @@
 
     /// Reads settings from their text. `shown` names the file in errors.
     pub fn parse(text: &[u8], shown: &str) -> Result<Self, ConfigError> {
-        let value: Value = sonic_rs::from_slice(text).map_err(|error| ConfigError::NotJson {
-            path: shown.to_owned(),
-            reason: error.to_string().lines().next().unwrap_or_default().to_owned(),
-        })?;
+        let value = json::parse(text)
+            .map_err(|error| ConfigError::NotJson { path: shown.to_owned(), reason: error.to_string() })?;
         let fields = Fields(&value);
         let zone = ZoneName::new(fields.text(&["zone"], "the machine's zone")?);
         let region = RegionName::new(fields.text(&["region"], "the machine's region")?);
--- a/crates/trackbed/src/lib.rs
+++ b/crates/trackbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod http;
 pub mod ids;
+pub mod json;
 pub mod kernel;
 pub mod logs;
 pub mod metrics;
