--- a/crates/soak/src/endpoint/mod.rs
+++ b/crates/soak/src/endpoint/mod.rs
@@ -58,6 +58,13 @@
     heartbeat_s: f64,
     /// Heartbeats bear lists of what is held and was let go.
     lists: bool,
+    /// Whether the service is divided by key. One that isn't runs any request.
+    #[serde(default = "is_divided")]
+    is_divided: bool,
+}
+
+fn is_divided() -> bool {
+    true
 }
 
 #[derive(Deserialize)]
@@ -209,6 +216,18 @@
         Ok(())
     }
 
+    /// The key of a request; zero for all where the service isn't divided.
+    fn key_of(&self, request: &Request) -> Option<u16> {
+        match self.settings.is_divided {
+            true => request.header(SHARD_KEY).and_then(|key| key.parse().ok()),
+            false => Some(0),
+        }
+    }
+
+    fn holds_key(&self, key: u16, now: u64) -> bool {
+        !self.settings.is_divided || self.holds.borrow().holds(key, now)
+    }
+
     fn let_go(&self, first: u16, last: u16) {
         Event::LetGo { at: shared_micros(), life: self.life.clone(), first, last }.tell();
     }
@@ -370,11 +389,11 @@
 
 async fn serve(endpoint: &Rc<Endpoint>, request: &Request) -> Option<Return> {
     let attempt = request.header(ATTEMPT).unwrap_or("").to_owned();
-    let Some(key) = request.header(SHARD_KEY).and_then(|key| key.parse::<u16>().ok()) else {
+    let Some(key) = endpoint.key_of(request) else {
         return Some(Return::text(400, "no key"));
     };
     let now = shared_micros();
-    if is_for_another(endpoint, request) || !endpoint.holds.borrow().holds(key, now) {
+    if is_for_another(endpoint, request) || !endpoint.holds_key(key, now) {
         Event::Misdirected { at: now, life: endpoint.life.clone(), key }.tell();
         return Some(misdirected(endpoint, &attempt));
     }
@@ -394,7 +413,7 @@
     if now < endpoint.loses_answers_until.get() && endpoint.random.borrow_mut().chance(LOST_SHARE) {
         return None;
     }
-    let status = if endpoint.holds.borrow().holds(key, now) { 200 } else { 500 };
+    let status = if endpoint.holds_key(key, now) { 200 } else { 500 };
     let mut answer = Return::new(status).with_header(ATTEMPT, &attempt).with_header(STAMP, &endpoint.life);
     answer.body = Bytes::from(attempt.into_bytes());
     Some(answer)
--- a/crates/soak/tests/locks.rs
+++ b/crates/soak/tests/locks.rs
@@ -1,14 +1,16 @@
 //! Locks of real core processes under freezes, kills, orderly ends and restarts that overlap: never two holders.
 
+mod support;
+
 use http::Method;
 use nix::sys::signal::Signal;
 use soak::coordination::run::{CoordinationPlay, run};
 use soak::coordination::trouble::Mix;
 use soak::layout::{Block, CORES, Form, Layout};
-use soak::process::{Process, Program};
+use soak::process::Process;
 use sonic_rs::JsonValueTrait;
-use std::path::{Path, PathBuf};
 use std::time::Duration;
+use support::{executable, start_cores};
 use trackbed::http::{Client, Request};
 
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -16,20 +18,6 @@
 const MOST_TRIES: usize = 60;
 const PAUSE: Duration = Duration::from_millis(100);
 
-fn executable() -> PathBuf {
-    PathBuf::from(env!("CARGO_BIN_EXE_soak"))
-}
-
-fn start_cores(layout: Layout, folder: &Path) -> Vec<Process> {
-    let start = |index: usize| {
-        let data = folder.join(format!("data-{index}"));
-        std::fs::create_dir_all(&data).unwrap();
-        let settings = layout.core_settings(index, &data);
-        Process::start(&executable(), Program::Signalbox, format!("core-{index}"), &settings, folder).unwrap()
-    };
-    (0..CORES).map(start).collect()
-}
-
 /// The status and fence of one call about a lock.
 async fn call(layout: Layout, core: usize, method: Method, lock: &str, body: String) -> Option<(u16, Option<u64>)> {
     let request = Request::json(method, format!("/v1/locks/{lock}"), body);
--- a/crates/soak/tests/second_process.rs
+++ b/crates/soak/tests/second_process.rs
@@ -1,14 +1,17 @@
 //! A second process is started on a core node's settings and data folder while the first still runs, as a supervisor does
 //! that doesn't wait for the end. Nothing acknowledged is lost.
 
+mod support;
+
 use http::Method;
-use soak::layout::{Block, CORES, Form, Layout, empty_folder};
-use soak::process::{Process, Program};
+use soak::layout::{Block, CORES, Form, Layout};
+use soak::process::Process;
 use sonic_rs::JsonValueTrait;
 use std::cell::Cell;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use support::{start_core, start_cores};
 use trackbed::http::{Client, Request};
 
 const LIMIT: Duration = Duration::from_secs(1);
@@ -18,12 +21,6 @@
 /// Second processes of each core node that are started at once.
 const AT_ONCE: usize = 4;
 
-fn start(layout: Layout, index: usize, name: &str, folder: &Path) -> Process {
-    let executable = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
-    let settings = layout.core_settings(index, &folder.join(format!("data-{index}")));
-    Process::start(&executable, Program::Signalbox, name.to_owned(), &settings, folder).unwrap()
-}
-
 async fn draw(client: &mut Client) -> Option<u64> {
     let request = Request::json(Method::POST, "/v1/numbers/n".into(), "{}".into());
     let answer = client.call(&request, LIMIT).await.ok().filter(|answer| answer.status == 200)?;
@@ -56,11 +53,7 @@
     trackbed::kernel::run(async {
         let block = Block::take().unwrap();
         let layout = Layout { block: block.number(), form: Form::ALL[0], cores: CORES };
-        let mut first: Vec<Process> = Vec::new();
-        for index in 0..CORES {
-            empty_folder(&folder.path().join(format!("data-{index}"))).unwrap();
-            first.push(start(layout, index, &format!("core-{index}"), folder.path()));
-        }
+        let mut first = start_cores(layout, folder.path());
         let stopped = Rc::new(Cell::new(false));
         let callers = (0..CALLERS).map(|number| draw_until(layout, number % CORES, told.clone(), stopped.clone()));
         let callers: Vec<_> = callers.map(monoio::spawn).collect();
@@ -71,7 +64,7 @@
         let begun = Instant::now();
         while begun.elapsed() < SPAN {
             let mut seconds: Vec<Process> = (0..CORES * AT_ONCE)
-                .map(|number| start(layout, number % CORES, &format!("second-{number}"), folder.path()))
+                .map(|number| start_core(layout, number % CORES, &format!("second-{number}"), folder.path()))
                 .collect();
             let started = Instant::now();
             while started.elapsed() < LIMIT && !seconds.iter_mut().all(Process::has_ended) {
