--- /dev/null
+++ b/crates/soak/src/endpoint/messages.rs
@@ -0,0 +1,61 @@
+//! An emulated endpoint's settings, its heartbeats and the calls that it takes.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+pub(super) struct Settings {
+    pub(super) index: usize,
+    pub(super) service: String,
+    pub(super) address: SocketAddr,
+    pub(super) zone: String,
+    pub(super) slots: u32,
+    pub(super) heartbeats: Vec<SocketAddr>,
+    pub(super) heartbeat_s: f64,
+    /// Heartbeats bear lists of what is held and was let go.
+    pub(super) lists: bool,
+    /// Whether the service is divided by key. One that isn't runs any request.
+    #[serde(default = "is_divided")]
+    pub(super) is_divided: bool,
+}
+
+fn is_divided() -> bool {
+    true
+}
+
+#[derive(Deserialize)]
+pub(super) struct GrantCall {
+    pub(super) source_version: u16,
+    pub(super) target_version: u16,
+    pub(super) fence_token: u64,
+    pub(super) hold_s: f64,
+}
+
+#[derive(Deserialize)]
+pub(super) struct ReleaseCall {
+    pub(super) source_version: u16,
+    pub(super) target_version: u16,
+}
+
+#[derive(Deserialize)]
+pub(super) struct HeartbeatAnswer {
+    pub(super) heartbeat_target: Option<SocketAddr>,
+    pub(super) holds: Option<Vec<(u16, u16, u64, String)>>,
+    pub(super) hold_s: Option<f64>,
+}
+
+#[derive(Serialize)]
+pub(super) struct Heartbeat<'a> {
+    pub(super) service_name: &'a str,
+    pub(super) address: SocketAddr,
+    pub(super) zone: &'a str,
+    pub(super) version: &'a str,
+    pub(super) capacity_slots: u32,
+    pub(super) lifecycle_state: &'a str,
+    pub(super) cold_remaining_s: f64,
+    pub(super) sequence: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) holds: Option<Vec<(u16, u16, u64)>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) released: Option<Vec<(u16, u16, String)>>,
+}
