--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,7 @@
 use soak::endpoint;
 use soak::error::SoakError;
 use soak::layout::{ENDPOINTS, Form};
-use soak::process::Program;
+use soak::process::{Program, end_with_parent};
 use soak::run::{Play, run};
 use std::path::{Path, PathBuf};
 use trackbed::kernel;
@@ -46,7 +46,11 @@
 }
 
 fn main() {
-    let status = match Program::of_this_process() {
+    let program = Program::of_this_process();
+    if program.is_some() {
+        end_with_parent();
+    }
+    let status = match program {
         Some(Program::Signalbox) => signalbox::main(),
         Some(Program::Pointsman) => pointsman::main(),
         Some(Program::Endpoint) => match std::env::args_os().nth(1) {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -37,6 +37,13 @@
     }
 }
 
+/// Has the system kill this process with the one that started it, so that a run that is killed leaves none behind.
+pub fn end_with_parent() {
+    if let Err(error) = nix::sys::prctl::set_pdeathsig(Signal::SIGKILL) {
+        eprintln!("this process would outlive its run: {error}");
+    }
+}
+
 /// A process with its settings. Invariant: it is killed when this is dropped.
 pub struct Process {
     executable: PathBuf,
