--- a/crates/soak/src/coordination/report.rs
+++ b/crates/soak/src/coordination/report.rs
@@ -1,5 +1,6 @@
 //! What a run of callers comes to.
 
+use crate::report::{RunReport, with_findings};
 use serde::Serialize;
 
 /// One run's result, as text and as a JSON line.
@@ -31,17 +32,14 @@
     pub logs: Option<String>,
 }
 
-impl CoordinationReport {
-    /// Whether no rule was broken, and locks were given in the calm time at the end.
-    pub fn passed(&self) -> bool {
+impl RunReport for CoordinationReport {
+    fn passed(&self) -> bool {
         self.violations.is_empty() && self.holds_at_end > 0
     }
 
-    /// One line for a person, and one for each broken rule.
-    pub fn text(&self) -> String {
-        let mut text = format!(
-            "{} locks {} seed {}: {} cores, {} callers, {} steps; {} calls, {} unanswered; {} holds, {} at the end",
-            if self.passed() { "passed" } else { "FAILED" },
+    fn text(&self) -> String {
+        let summary = format!(
+            "locks {} seed {}: {} cores, {} callers, {} steps; {} calls, {} unanswered; {} holds, {} at the end",
             self.mix,
             self.seed,
             self.cores,
@@ -52,12 +50,6 @@
             self.holds,
             self.holds_at_end,
         );
-        for violation in &self.violations {
-            text.push_str(&format!("\n  {violation}"));
-        }
-        if let Some(logs) = &self.logs {
-            text.push_str(&format!("\n  logs: {logs}"));
-        }
-        text
+        with_findings(self.passed(), &summary, &self.violations, self.logs.as_deref())
     }
 }
--- a/crates/soak/src/coordination/run.rs
+++ b/crates/soak/src/coordination/run.rs
@@ -8,6 +8,7 @@
 use crate::error::SoakError;
 use crate::layout::{Block, Form, Layout, empty_folder};
 use crate::process::{Process, Program};
+use crate::report::RunReport;
 use nix::sys::signal::Signal;
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 use soak::error::SoakError;
 use soak::layout::{ENDPOINTS, Form};
 use soak::process::{Program, end_with_parent};
+use soak::report::RunReport;
 use soak::run::{Play, run};
 use std::path::{Path, PathBuf};
 use trackbed::kernel;
@@ -38,13 +39,6 @@
     folder: PathBuf,
 }
 
-/// One run's outcome as the command line shows it.
-struct Shown {
-    passed: bool,
-    text: String,
-    json: String,
-}
-
 fn main() {
     let program = Program::of_this_process();
     if program.is_some() {
@@ -150,13 +144,16 @@
         self.first..self.first + self.seeds
     }
 
-    /// Prints a run's outcome and removes the folder of one that passed. Gives whether it passed.
-    fn show(&self, shown: &Shown, folder: &Path) -> bool {
-        println!("{}", if self.json { &shown.json } else { &shown.text });
-        if shown.passed {
+    /// Prints a run's report and removes the folder of one that passed. Gives whether it passed.
+    fn show(&self, report: &impl RunReport, folder: &Path) -> bool {
+        match self.json {
+            true => println!("{}", sonic_rs::to_string(report).unwrap_or_default()),
+            false => println!("{}", report.text()),
+        }
+        if report.passed() {
             let _ = std::fs::remove_dir_all(folder);
         }
-        shown.passed
+        report.passed()
     }
 }
 
@@ -173,10 +170,7 @@
                 executable: executable.to_owned(),
                 folder: plan.folder.join(format!("{}-{seed}", form.name())),
             };
-            let report = complete(run(&play))?;
-            let json = sonic_rs::to_string(&report).unwrap_or_default();
-            let shown = Shown { passed: report.passed(), text: report.text(), json };
-            all_passed &= plan.show(&shown, &play.folder);
+            all_passed &= plan.show(&complete(run(&play))?, &play.folder);
         }
     }
     Ok(all_passed)
@@ -197,10 +191,7 @@
                 executable: executable.to_owned(),
                 folder: plan.folder.join(format!("locks-{}-{seed}", mix.name())),
             };
-            let report = complete(run_locks(&play))?;
-            let json = sonic_rs::to_string(&report).unwrap_or_default();
-            let shown = Shown { passed: report.passed(), text: report.text(), json };
-            all_passed &= plan.show(&shown, &play.folder);
+            all_passed &= plan.show(&complete(run_locks(&play))?, &play.folder);
         }
     }
     Ok(all_passed)
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -5,6 +5,26 @@
 /// Share of the requests of the last, quiet span that must be served.
 pub const LEAST_SERVED: f64 = 0.97;
 
+/// The result of a run of any kind, as the command line shows it.
+pub trait RunReport: Serialize {
+    /// Whether no rule was broken, and enough was served at the end.
+    fn passed(&self) -> bool;
+    /// One line for a person, and one for each broken rule.
+    fn text(&self) -> String;
+}
+
+/// A summary with a line for each broken rule and one for the folder of logs.
+pub fn with_findings(passed: bool, summary: &str, violations: &[String], logs: Option<&str>) -> String {
+    let mut text = format!("{} {summary}", if passed { "passed" } else { "FAILED" });
+    for violation in violations {
+        text.push_str(&format!("\n  {violation}"));
+    }
+    if let Some(logs) = logs {
+        text.push_str(&format!("\n  logs: {logs}"));
+    }
+    text
+}
+
 /// One run's result, as text and as a JSON line.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -39,17 +59,16 @@
     pub fn quiet_share(&self) -> f64 {
         self.quiet_served as f64 / self.quiet_asked.max(1) as f64
     }
+}
 
-    /// Whether no rule was broken and the quiet span was served.
-    pub fn passed(&self) -> bool {
+impl RunReport for Report {
+    fn passed(&self) -> bool {
         self.violations.is_empty() && self.quiet_asked > 0 && self.quiet_share() >= LEAST_SERVED
     }
 
-    /// One line for a person, and one for each broken rule.
-    pub fn text(&self) -> String {
-        let mut text = format!(
-            "{} {} seed {}: {} troubles, keys let go {} times, {} of {} served; at the end {} of {} ({:.3}), {} misdirected",
-            if self.passed() { "passed" } else { "FAILED" },
+    fn text(&self) -> String {
+        let summary = format!(
+            "{} seed {}: {} troubles, keys let go {} times, {} of {} served; at the end {} of {} ({:.3}), {} misdirected",
             self.form,
             self.seed,
             self.troubles,
@@ -61,12 +80,6 @@
             self.quiet_share(),
             self.quiet_misdirected,
         );
-        for violation in &self.violations {
-            text.push_str(&format!("\n  {violation}"));
-        }
-        if let Some(logs) = &self.logs {
-            text.push_str(&format!("\n  logs: {logs}"));
-        }
-        text
+        with_findings(self.passed(), &summary, &self.violations, self.logs.as_deref())
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use crate::layout::{Block, CORES, ENDPOINTS, Form, Layout, NODES, empty_folder};
 use crate::operator::Operator;
 use crate::process::{Process, Program};
-use crate::report::Report;
+use crate::report::{Report, RunReport};
 use crate::trouble::{self, Kind, Target, Trouble};
 use http::Method;
 use nix::sys::signal::Signal;
--- a/crates/soak/tests/forms.rs
+++ b/crates/soak/tests/forms.rs
@@ -1,6 +1,7 @@
 //! Every form of the contract on keys is served: real processes, no troubles.
 
 use soak::layout::{Form, Grants, Tier};
+use soak::report::RunReport;
 use soak::run::{Play, run};
 use std::path::PathBuf;
 
--- a/crates/soak/tests/locks.rs
+++ b/crates/soak/tests/locks.rs
@@ -8,6 +8,7 @@
 use soak::coordination::trouble::Mix;
 use soak::layout::{Block, CORES, Form, Layout};
 use soak::process::Process;
+use soak::report::RunReport;
 use sonic_rs::JsonValueTrait;
 use std::time::Duration;
 use support::{executable, start_cores};
--- a/crates/soak/tests/troubles.rs
+++ b/crates/soak/tests/troubles.rs
@@ -2,6 +2,7 @@
 //! is violated. How much is served depends on the machine, and is for the whole soak to say.
 
 use soak::layout::{Form, Grants, Tier};
+use soak::report::RunReport;
 use soak::run::{Play, run};
 use std::path::PathBuf;
 
