Bodies reserve memory before they are read; long configurations are decided one by one

Causes, each with what was changed: - The control listener took 32 MB whatever memory there is. Bounds follow from `memory_mb` now (node/memory.rs): a configuration of 1/128 (2 MB at 256), 64 KB for every other call; 413 states the bound. - No body was counted before it was whole, chunked ones not against any room, here and at the proxy's listeners. A body reserves its length before it is read, a chunked one as it comes; without room it is turned away with 503 and Retry-After. A client that was turned away may go on sending for 2 s, so that the answer isn't lost to a reset. - A parsed body takes many times its length. JSON of more than 131,072 values is refused before it is parsed, with the place. - Bodies were copied four times on their way and held until the quorum had answered. They are shared (`Bytes`) and dropped once decided. - 20 configurations were decided within one turn of the loop. Each has its turn, and the loop as much time after it as it took; who waits for 0.8 s is told 503. At most 8 reads of the configuration are on their way at a node. - Frames of up to 96 MB were gathered from whoever dials the inner port: 5 MB at a core node of 256 MB, 4 MB at a proxy.

--- a/crates/lineside/src/call/answering.rs
+++ b/crates/lineside/src/call/answering.rs
@@ -10,6 +10,8 @@
 use trackbed::net::{FrameError, FrameReader, SocketExt, StreamHandle, encode_frame};
 
 pub trait Answering: 'static {
+    /// The longest message that is taken, in bytes.
+    fn longest_frame(&self) -> usize;
     /// A message of Zab, in order with those before it on the same stream.
     fn on_zab(&self, bytes: &[u8]);
     /// A slot given out comes back.
@@ -48,7 +50,7 @@
     let (read, write) = stream.into_split();
     let handle = StreamHandle::of(&write);
     let outbox = Rc::new(Outbox { write: RefCell::new(Some(write)), ..Outbox::default() });
-    let mut reader = FrameReader::new(read);
+    let mut reader = FrameReader::new(read).with_longest(answering.longest_frame());
     loop {
         match reader.next::<PeerMessage>().await {
             Ok(PeerMessage::Reply { .. }) => break,
--- a/crates/lineside/src/call/messages.rs
+++ b/crates/lineside/src/call/messages.rs
@@ -5,6 +5,7 @@
 use crate::gossip::Occupancy;
 use crate::inspection::{DriftRecord, RoutesReport};
 use borsh::{BorshDeserialize, BorshSerialize};
+use bytes::Bytes;
 use std::net::SocketAddr;
 use timetable::configuration::{Entry, PlannedBy};
 use timetable::fleet::{FleetNews, Instance};
@@ -18,7 +19,7 @@
     pub path: String,
     pub query: String,
     pub if_match: Option<String>,
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/lineside/src/call/tests.rs
+++ b/crates/lineside/src/call/tests.rs
@@ -12,6 +12,7 @@
 use trackbed::net::{FrameError, FrameReader, encode_frame};
 
 const LIMIT: Duration = Duration::from_secs(2);
+const LONGEST_FRAME: usize = 1 << 20;
 const SHORT: Duration = Duration::from_millis(60);
 /// The kind's byte of an ask that only a later version knows.
 const LATER_ASK: u8 = 250;
@@ -207,6 +208,10 @@
 }
 
 impl Answering for Silent {
+    fn longest_frame(&self) -> usize {
+        LONGEST_FRAME
+    }
+
     fn on_zab(&self, _: &[u8]) {}
     fn on_release(&self, _: u64, _: u8, _: Duration) {}
     async fn answer(self: Rc<Self>, ask: Ask) -> Reply {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 use timetable::configuration::{PlannedBy, Route, Routes};
 use trackbed::clock;
-use trackbed::http::{DoorLimits, Handler, JsonReturn, Pacer, Request, Return};
+use trackbed::http::{BodyLimits, DoorLimits, Handler, JsonReturn, Pacer, Request, Return};
 use trackbed::metrics;
 use trackbed::random::stable_hash;
 
+/// The longest body of a probe, and what all that are read at once may take, in bytes.
+const PROBE_BODY: u64 = 4 << 10;
+const PROBES_ROOM: u64 = 256 << 10;
+
 /// Requests begin here.
 pub struct OutboundDoor(pub Rc<Pointsman>);
 /// Peer nodes pass requests on here.
@@ -27,12 +31,12 @@
     fn limits(&self) -> DoorLimits {
         let fleet = self.0.fleet.borrow();
         let Some(routes) = fleet.routes() else {
-            return DoorLimits::default();
+            let body = BodyLimits { room: self.0.body_room(), ..BodyLimits::default() };
+            return DoorLimits { body, ..DoorLimits::default() };
         };
         DoorLimits {
             header_bytes: routes.limits.header_bytes as usize,
-            body_bytes: routes.limits.body_bytes,
-            room: self.0.body_room(),
+            body: BodyLimits { longest: routes.limits.body_bytes, room: self.0.body_room() },
             header_time: routes.limits.header_time,
             idle_time: routes.limits.idle_time,
             ..DoorLimits::default()
@@ -43,7 +47,7 @@
         Some(&self.0.pacer)
     }
 
-    fn turned_away(&self, status: u16, reason: &'static str) -> Return {
+    fn turned_away(&self, status: u16, reason: &str) -> Return {
         match status {
             503 => dispatch::come_back(&self.0, Duration::from_millis(200), reason),
             status => Return::text(status, reason),
@@ -87,7 +91,7 @@
     fn limits(&self) -> DoorLimits {
         DoorLimits {
             header_bytes: 128 << 10,
-            room: self.0.body_room(),
+            body: BodyLimits { room: self.0.body_room(), ..BodyLimits::default() },
             idle_time: Duration::from_secs(30),
             ..DoorLimits::default()
         }
@@ -142,7 +146,7 @@
 
 impl Handler for ReadinessDoor {
     fn limits(&self) -> DoorLimits {
-        DoorLimits::default()
+        DoorLimits { body: BodyLimits { longest: PROBE_BODY, room: PROBES_ROOM }, ..DoorLimits::default() }
     }
 
     async fn handle(self: Rc<Self>, request: Request) -> Option<Return> {
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -16,9 +16,15 @@
 /// A full link holds answers up for half a second and more: whoever gives up sooner never hears any news.
 const FETCH_SILENCE: Duration = Duration::from_millis(1100);
 const CATCH_UP: Duration = Duration::from_millis(250);
+/// The longest ask that is taken, in bytes: an order about every endpoint of a region is the longest that there is.
+const LONGEST_ASK: usize = 4 << 20;
 const KNOCK_LIMIT: Duration = Duration::from_millis(900);
 
 impl Answering for Pointsman {
+    fn longest_frame(&self) -> usize {
+        LONGEST_ASK
+    }
+
     fn on_zab(&self, _: &[u8]) {}
 
     fn on_release(&self, number: u64, sign: u8, span: Duration) {
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -8,18 +8,21 @@
 use std::time::Duration;
 use timetable::fleet::{Beat, Post};
 use trackbed::clock;
-use trackbed::http::{DoorLimits, Handler, JsonReturn, Request, Return};
+use trackbed::http::{BodyLimits, DoorLimits, Handler, JsonReturn, Request, Return};
 use trackbed::ids::InstanceId;
 
 pub struct BeatsDoor(pub Rc<Pointsman>);
 
+/// The longest heartbeat, and what all that are read at once may take, in bytes.
+const LONGEST_BEAT: u64 = 64 << 10;
+const BEATS_ROOM: u64 = 1 << 20;
 const PREFIX: &str = "/v1/instances/";
 /// The endpoint moves on after a second.
 const ACKNOWLEDGE_LIMIT: Duration = Duration::from_millis(900);
 
 impl Handler for BeatsDoor {
     fn limits(&self) -> DoorLimits {
-        DoorLimits { body_bytes: 64 << 10, ..DoorLimits::default() }
+        DoorLimits { body: BodyLimits { longest: LONGEST_BEAT, room: BEATS_ROOM }, ..DoorLimits::default() }
     }
 
     async fn handle(self: Rc<Self>, request: Request) -> Option<Return> {
@@ -34,7 +37,7 @@
         })
     }
 
-    fn turned_away(&self, status: u16, reason: &'static str) -> Return {
+    fn turned_away(&self, status: u16, reason: &str) -> Return {
         Return::fault(status, reason)
     }
 }
--- a/crates/signalbox/src/node/listeners.rs
+++ b/crates/signalbox/src/node/listeners.rs
@@ -1,11 +1,13 @@
 //! The HTTP listener of the control API, for operators and applications.
 
+use super::memory::MemoryShares;
 use super::{Signalbox, aggregation, beats, fleet_view, forecast, inspection, primary};
+use crate::resources;
 use lineside::call::ControlCall;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use trackbed::http::{DoorLimits, Handler, JsonReturn, Request, Return, Serving, serve_listener};
+use trackbed::http::{BodyLimits, DoorLimits, Handler, JsonReturn, Request, Return, Serving, serve_listener};
 use trackbed::metrics;
 use trackbed::net::bind_tcp;
 
@@ -24,13 +26,19 @@
     Ok(serving)
 }
 
+/// When a call that was turned away for lack of room may be sent again.
+const RETRY_AFTER_SECONDS: &str = "0.5";
+
 impl Handler for ControlListener {
     fn limits(&self) -> DoorLimits {
-        DoorLimits {
-            header_bytes: 32 << 10,
-            body_bytes: 32 << 20,
-            idle_time: Duration::from_secs(60),
-            ..DoorLimits::default()
+        DoorLimits { header_bytes: 32 << 10, idle_time: Duration::from_secs(60), ..DoorLimits::default() }
+    }
+
+    fn body_limits(&self, request: &Request, _: &DoorLimits) -> BodyLimits {
+        let shares = MemoryShares::of(self.0.live.get().limits.memory_mb);
+        match request.path() == resources::CONFIGURATION_PATH {
+            true => shares.configuration(),
+            false => shares.call(),
         }
     }
 
@@ -71,17 +79,27 @@
             path: request.path().to_owned(),
             query: request.query().to_owned(),
             if_match: request.header("if-match").map(str::to_owned),
-            body: request.body.to_vec(),
+            body: request.body,
         };
+        let is_long_read = call.path == resources::CONFIGURATION_PATH && call.method == "GET";
+        let read = is_long_read.then(|| self.0.configuration_turns.begin_read());
+        if let Some(None) = read {
+            return Some(self.turned_away(503, "too many reads of the configuration are under way"));
+        }
         let answer = primary::answer_anywhere(&self.0, call).await;
         let mut back = Return::json(answer.status, answer.body);
+        back.guard = read.flatten();
         if let Some(millis) = answer.retry_after_millis {
             back = back.with_header("retry-after", &format!("{:.3}", millis as f64 / 1000.0));
         }
         Some(back)
     }
 
-    fn turned_away(&self, status: u16, reason: &'static str) -> Return {
-        Return::fault(status, reason)
+    fn turned_away(&self, status: u16, reason: &str) -> Return {
+        let answer = Return::fault(status, reason);
+        match status {
+            503 => answer.with_header("retry-after", RETRY_AFTER_SECONDS),
+            _ => answer,
+        }
     }
 }
--- a/crates/signalbox/src/node/mod.rs
+++ b/crates/signalbox/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod aggregation;
 mod beats;
 mod calls;
+mod configuration_turns;
 mod councils;
 mod disk;
 mod endpoint_keys;
@@ -14,6 +15,7 @@
 mod listeners;
 mod majority;
 mod members;
+mod memory;
 mod metrics;
 mod peers;
 mod primary;
@@ -29,6 +31,7 @@
 use crate::forecast::Forecaster;
 use crate::ledger::Ledger;
 use crate::node::calls::OpenCalls;
+use crate::node::configuration_turns::ConfigurationTurns;
 use crate::node::disk::Write;
 use crate::node::majority::Majority;
 use crate::node::stall::StallWatch;
@@ -66,6 +69,8 @@
     pub proposed: Rc<RefCell<Option<Ledger>>>,
     /// Calls that the replica has not finished yet.
     pub calls: OpenCalls,
+    /// Calls about the configuration, of which one is decided at a time.
+    pub configuration_turns: ConfigurationTurns,
     /// Heartbeats of endpoints: those received here and, at the primary, those of all core nodes.
     pub heartbeats: RefCell<beats::EndpointHeartbeats>,
     /// Where peers call this node.
--- a/crates/signalbox/src/node/peers.rs
+++ b/crates/signalbox/src/node/peers.rs
@@ -1,5 +1,6 @@
 //! What other nodes send: Zab's messages, calls, and gossip.
 
+use super::memory::MemoryShares;
 use super::{Signalbox, aggregation, forecast, inspection, members, primary, shards, turn};
 use borsh::BorshDeserialize;
 use interlocking::zab::Envelope;
@@ -10,6 +11,10 @@
 use trackbed::clock;
 
 impl Answering for Signalbox {
+    fn longest_frame(&self) -> usize {
+        MemoryShares::of(self.live.get().limits.memory_mb).longest_frame()
+    }
+
     fn on_zab(&self, bytes: &[u8]) {
         match Envelope::decode(bytes) {
             Ok(envelope) => {
@@ -51,7 +56,7 @@
             },
             Ask::Permit(_) => Reply::NotNow("no endpoint is at home at a core node".into()),
             Ask::Assure => primary::assure(&self),
-            Ask::Control(call) => primary::run_if_primary(&self, &call).await,
+            Ask::Control(call) => primary::run_if_primary(&self, call).await,
             Ask::Register(instance) => primary::register(&self, instance).await,
             Ask::SignOff(id) => primary::sign_off(&self, id).await,
             Ask::HandOver { member, limit } => {
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -3,6 +3,8 @@
 use super::{Signalbox, turn};
 use crate::ledger::Change;
 use crate::replica::{CALL_LIMIT, ForwardReply, Forwarding, Outcome, Step};
+use crate::resources::CONFIGURATION_PATH;
+use futures_channel::oneshot;
 use interlocking::zab::Voter;
 use lineside::call::{Ask, CallError, ControlCall, ControlReturn, Reply};
 use std::time::Duration;
@@ -21,7 +23,7 @@
             step = forwarding.after(reply, clock::now());
         }
         match step {
-            Step::DecideHere => return run(node, &call).await,
+            Step::DecideHere => return run(node, call).await,
             Step::Answer(answer) => return answer,
             Step::Pause(pause) => monoio::time::sleep(pause).await,
             Step::Ask { .. } => {}
@@ -37,25 +39,37 @@
     }
 }
 
-pub async fn run_if_primary(node: &Signalbox, call: &ControlCall) -> Reply {
+pub async fn run_if_primary(node: &Signalbox, call: ControlCall) -> Reply {
     if !node.zab.borrow().is_primary() {
         return Reply::NotNow("this node is not the primary".into());
     }
     Reply::Control(run(node, call).await)
 }
 
-async fn run(node: &Signalbox, call: &ControlCall) -> ControlReturn {
-    let (id, outcome) = node.calls.open();
-    let config = node.live.get();
-    let knows_region = |region: &RegionName| config.zones.values().any(|known| known == region);
-    let effects = node.replica.borrow_mut().call(id, call, &knows_region, clock::now());
-    turn::carry_out(node, effects);
+async fn run(node: &Signalbox, call: ControlCall) -> ControlReturn {
+    let decided = match call.path == CONFIGURATION_PATH {
+        true => node.configuration_turns.run(|| decide(node, call)).await,
+        false => Some(decide(node, call)),
+    };
+    let Some(outcome) = decided else {
+        return ControlReturn::not_now("other configurations are being decided: it has not run, ask again");
+    };
     match outcome.await {
         Ok(Outcome::Answered(answer)) => answer,
         _ => ControlReturn::unknown(),
     }
 }
 
+/// The call ends here: its body may be long, and nobody needs it while the answer waits for a quorum.
+fn decide(node: &Signalbox, call: ControlCall) -> oneshot::Receiver<Outcome> {
+    let (id, outcome) = node.calls.open();
+    let config = node.live.get();
+    let knows_region = |region: &RegionName| config.zones.values().any(|known| known == region);
+    let effects = node.replica.borrow_mut().call(id, &call, &knows_region, clock::now());
+    turn::carry_out(node, effects);
+    outcome
+}
+
 /// Whether a majority stands behind this node as the primary.
 pub fn lease_holds(node: &Signalbox) -> bool {
     node.zab.borrow().lease_holds(clock::now())
--- a/crates/signalbox/src/node/start.rs
+++ b/crates/signalbox/src/node/start.rs
@@ -2,6 +2,7 @@
 
 use super::aggregation::{self, Aggregation};
 use super::calls::OpenCalls;
+use super::configuration_turns::ConfigurationTurns;
 use super::endpoint_keys::{self, EndpointKeys};
 use super::fitness::Fitness;
 use super::majority::Majority;
@@ -133,6 +134,7 @@
                 replica: RefCell::new(replica),
                 calls: OpenCalls::default(),
                 disk,
+                configuration_turns: ConfigurationTurns::default(),
                 caller: Caller::default(),
                 replication: Caller::default(),
                 roster: RefCell::new(roster),
--- a/crates/signalbox/src/resources/configuration.rs
+++ b/crates/signalbox/src/resources/configuration.rs
@@ -8,12 +8,15 @@
 use timetable::fleet::{ConfigChange, FleetChange};
 use trackbed::ids::ConfigEpoch;
 
+/// Where the configuration is put, changed and read.
+pub const CONFIGURATION_PATH: &str = "/v1/configuration";
+
 struct Configuration;
 inventory::submit! { ResourcePlug(&Configuration) }
 
 impl Resource for Configuration {
     fn prefix(&self) -> &'static str {
-        "/v1/configuration"
+        CONFIGURATION_PATH
     }
 
     fn decide(&self, _: &str, call: &ControlCall, context: Context<'_>) -> Decision {
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -9,6 +9,7 @@
 mod tests;
 mod watch;
 
+pub use configuration::CONFIGURATION_PATH;
 pub use lock_metrics::LockMetrics;
 pub use locks::Hold;
 pub use watch::look as watch_look;
--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -109,13 +109,7 @@
 
 fn call(method: &str, path: &str, body: String) -> ControlCall {
     let (path, query) = path.split_once('?').unwrap_or((path, ""));
-    ControlCall {
-        method: method.into(),
-        path: path.into(),
-        query: query.into(),
-        if_match: None,
-        body: body.into_bytes(),
-    }
+    ControlCall { method: method.into(), path: path.into(), query: query.into(), if_match: None, body: body.into() }
 }
 
 fn number_in(body: &str, field: &str) -> u64 {
@@ -368,12 +362,12 @@
 
 #[test]
 fn orders_that_differ_in_bytes_that_are_no_text_are_two() {
-    let order = |byte: u8| ControlCall { body: vec![byte], ..configuration("0", 1, "/a/") };
+    let order = |byte: u8| ControlCall { body: vec![byte].into(), ..configuration("0", 1, "/a/") };
     assert_ne!(configuration::digest(&order(0xfe)), configuration::digest(&order(0xff)));
     // What belongs to the number and what to the body is told apart.
     let split = |base: &str, body: &str| ControlCall {
         if_match: Some(base.into()),
-        body: body.into(),
+        body: body.to_owned().into(),
         ..configuration("0", 1, "/a/")
     };
     assert_ne!(configuration::digest(&split("1\n2", "3")), configuration::digest(&split("1", "2\n3")));
--- a/crates/signalbox/tests/simulation/clients.rs
+++ b/crates/signalbox/tests/simulation/clients.rs
@@ -481,7 +481,7 @@
 
 pub fn control_call(method: &str, path: &str, if_match: Option<String>, body: String) -> ControlCall {
     let (method, path) = (method.into(), path.into());
-    ControlCall { method, path, query: String::new(), if_match, body: body.into_bytes() }
+    ControlCall { method, path, query: String::new(), if_match, body: body.into() }
 }
 
 /// An order that names itself in the route it sets. Every other one is a patch.
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -24,6 +24,8 @@
 pub const HOLD_MAX_SECONDS: f64 = 4.0;
 /// How often endpoints send heartbeats.
 pub const HEARTBEAT_SECONDS: f64 = 0.5;
+/// Memory of a machine, in MB.
+pub const MACHINE_MEMORY_MB: u64 = 256;
 
 const CONTROL_PLANE: u16 = 8144;
 const READINESS: u16 = 8141;
@@ -186,7 +188,7 @@
         format!(
             r#"{{"node_name":"{name}","ip_address":"{ip}","zone":"zone-{}","region":"region","zones":{{{}}},"seed_nodes":[{}],
 "internal_port_range":[7380,7395],"heartbeat_s":{HEARTBEAT_SECONDS},"initial_start":true,
-"limits":{{"memory_mb":256,"file_descriptors":4096}},"fault_tolerance":{{"machine_losses":{losses}}},
+"limits":{{"memory_mb":{MACHINE_MEMORY_MB},"file_descriptors":4096}},"fault_tolerance":{{"machine_losses":{losses}}},
 "bounds":["config_apply_s=3","drain_s=1","grace_period_s=4","retry_budget_ratio=0.2","budget_window_s=10","retry_slack=100",
 "hold_max_s={HOLD_MAX_SECONDS}","history_s=20","address_reuse_s=2"],{rest}}}"#,
             zone % ZONES,
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -10,6 +10,8 @@
 /// Names the program that a child of the soak runs as.
 pub const PROGRAM: &str = "FERRYHINGE_SOAK_PROGRAM";
 
+const KILOBYTES_IN_MB: u64 = 1024;
+
 /// What a process of a run is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Program {
@@ -162,6 +164,14 @@
         self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
     }
 
+    /// The most memory that the process had resident so far, in MB; nothing where it doesn't run.
+    pub fn peak_memory_mb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.as_ref()?.id())).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = peak.split_whitespace().next()?.parse().ok()?;
+        Some(kilobytes.div_ceil(KILOBYTES_IN_MB))
+    }
+
     fn reap(&mut self) {
         self.end_former();
         if let Some(mut child) = self.child.take() {
--- a/crates/timetable/src/packed.rs
+++ b/crates/timetable/src/packed.rs
@@ -10,8 +10,8 @@
 
 /// What is shorter is left as it is.
 const WORTH_PACKING: usize = 1 << 10;
-/// Longest value unpacked.
-const LONGEST: u64 = 96 << 20;
+/// Longest value unpacked, in bytes: a few hundred bytes for each of 16,000 endpoints, and the longest configuration.
+const LONGEST: u64 = 32 << 20;
 /// Neither begins a value of the kinds that are packed, so that what was written before there was
 /// packing can still be read.
 const PLAIN: u8 = 0xf0;
--- a/crates/trackbed/src/http/line.rs
+++ b/crates/trackbed/src/http/line.rs
@@ -1,6 +1,7 @@
 //! One connection, and the bytes read ahead from it.
 
 use super::body::{Framing, chunk_size};
+use super::reservation::{NoRoom, Reservation};
 use crate::net::SocketExt;
 use bytes::{Buf, Bytes, BytesMut};
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
@@ -21,6 +22,40 @@
     Cut,
     Malformed(&'static str),
     TooLong,
+    /// Other bodies hold the memory that this one would take.
+    NoRoom,
+}
+
+impl From<NoRoom> for BodyError {
+    fn from(_: NoRoom) -> Self {
+        Self::NoRoom
+    }
+}
+
+/// How much of a body is taken.
+pub(super) struct BodyBounds<'a, 'b> {
+    /// The longest body, in bytes.
+    pub limit: u64,
+    /// Where the body's memory is reserved before it is read.
+    pub reservation: Option<&'a mut Reservation<'b>>,
+}
+
+impl BodyBounds<'_, '_> {
+    /// Bounds without a reservation.
+    pub fn up_to(limit: u64) -> Self {
+        Self { limit, reservation: None }
+    }
+
+    /// Whether a body of so many bytes may be held.
+    fn allow(&mut self, length: u64) -> Result<(), BodyError> {
+        if length > self.limit {
+            return Err(BodyError::TooLong);
+        }
+        match &mut self.reservation {
+            Some(reservation) => Ok(reservation.grow_to(length as usize)?),
+            None => Ok(()),
+        }
+    }
 }
 
 impl Line {
@@ -70,11 +105,15 @@
         self.stream.write_all(bytes).await.0.map(|_| ())
     }
 
-    pub(super) async fn read_body(&mut self, framing: Framing, limit: u64) -> Result<Bytes, BodyError> {
+    pub(super) async fn read_body(
+        &mut self,
+        framing: Framing,
+        mut bounds: BodyBounds<'_, '_>,
+    ) -> Result<Bytes, BodyError> {
         match framing {
             Framing::Nothing => Ok(Bytes::new()),
-            Framing::Length(length) if length > limit => Err(BodyError::TooLong),
             Framing::Length(length) => {
+                bounds.allow(length)?;
                 let length = length as usize;
                 while self.held.len() < length {
                     let room = (length - self.held.len()).clamp(2 << 10, 64 << 10);
@@ -84,19 +123,17 @@
                 }
                 Ok(self.held.split_to(length).freeze())
             }
-            Framing::Chunked => self.read_chunks(limit).await,
+            Framing::Chunked => self.read_chunks(bounds).await,
             Framing::UntilClose => {
                 while self.fill(16 << 10).await.map_err(BodyError::Io)? > 0 {
-                    if self.held.len() as u64 > limit {
-                        return Err(BodyError::TooLong);
-                    }
+                    bounds.allow(self.held.len() as u64)?;
                 }
                 Ok(self.held.split().freeze())
             }
         }
     }
 
-    async fn read_chunks(&mut self, limit: u64) -> Result<Bytes, BodyError> {
+    async fn read_chunks(&mut self, mut bounds: BodyBounds<'_, '_>) -> Result<Bytes, BodyError> {
         let mut body = BytesMut::new();
         loop {
             let line = self.read_text_line(256).await?;
@@ -104,21 +141,10 @@
             if size == 0 {
                 break;
             }
-            if body.len() as u64 + size > limit {
+            if (body.len() as u64).saturating_add(size) > bounds.limit {
                 return Err(BodyError::TooLong);
             }
-            let size = size as usize;
-            while self.held.len() < size + 2 {
-                if self.fill(16 << 10).await.map_err(BodyError::Io)? == 0 {
-                    return Err(BodyError::Cut);
-                }
-            }
-            body.extend_from_slice(&self.held[..size]);
-            self.held.advance(size);
-            if &self.held[..2] != b"\r\n" {
-                return Err(BodyError::Malformed("a chunk does not end where it said"));
-            }
-            self.held.advance(2);
+            self.read_chunk(size as usize, &mut body, &mut bounds).await?;
         }
         // Trailers concern nobody here and are left out.
         for _ in 0..64 {
@@ -129,6 +155,36 @@
         Err(BodyError::Malformed("too many trailers"))
     }
 
+    /// Moves the bytes of one chunk to the body as they come, and reads the end of the chunk.
+    async fn read_chunk(
+        &mut self,
+        size: usize,
+        body: &mut BytesMut,
+        bounds: &mut BodyBounds<'_, '_>,
+    ) -> Result<(), BodyError> {
+        let mut left = size;
+        while left > 0 {
+            if self.held.is_empty() && self.fill(16 << 10).await.map_err(BodyError::Io)? == 0 {
+                return Err(BodyError::Cut);
+            }
+            let count = left.min(self.held.len());
+            bounds.allow((body.len() + count) as u64)?;
+            body.extend_from_slice(&self.held[..count]);
+            self.held.advance(count);
+            left -= count;
+        }
+        while self.held.len() < 2 {
+            if self.fill(4 << 10).await.map_err(BodyError::Io)? == 0 {
+                return Err(BodyError::Cut);
+            }
+        }
+        if &self.held[..2] != b"\r\n" {
+            return Err(BodyError::Malformed("a chunk does not end where it said"));
+        }
+        self.held.advance(2);
+        Ok(())
+    }
+
     async fn read_text_line(&mut self, limit: usize) -> Result<Bytes, BodyError> {
         loop {
             if let Some(end) = self.held.iter().position(|byte| *byte == b'\n') {
--- a/crates/trackbed/src/http/mod.rs
+++ b/crates/trackbed/src/http/mod.rs
@@ -10,6 +10,7 @@
 mod line;
 mod pace;
 mod presence;
+mod reservation;
 mod returns;
 mod serve;
 #[cfg(test)]
@@ -17,12 +18,13 @@
 
 pub use body::Framing;
 pub use client::{CallFault, Client};
-pub use door::{DoorError, DoorLimits};
+pub use door::{BodyLimits, DoorError, DoorLimits};
 pub use flow::{Flow, HELD_WHOLE};
 pub use head::{Request, connection_closes, is_hop_header, single};
 pub use json::JsonReturn;
 pub use line::Line;
 pub use pace::Pacer;
 pub use presence::Presence;
+pub use reservation::{NoRoom, Reservation};
 pub use returns::{Guard, Return, ReturnError, write_request};
 pub use serve::{Handler, Serving, serve_listener};
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -3,7 +3,7 @@
 use super::body::Framing;
 use super::flow::{Flow, HELD_WHOLE};
 use super::head::{HeadError, Request, head_length, take_return_head};
-use super::line::{BodyError, Line};
+use super::line::{BodyBounds, BodyError, Line};
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -181,10 +181,10 @@
     }
 
     async fn read_return_body(&mut self, framing: Framing, limit: u64) -> Result<Bytes, ReturnError> {
-        self.read_body(framing, limit).await.map_err(|error| match error {
+        self.read_body(framing, BodyBounds::up_to(limit)).await.map_err(|error| match error {
             BodyError::Cut | BodyError::Io(_) => ReturnError::Cut,
             BodyError::Malformed(reason) => ReturnError::Malformed(reason),
-            BodyError::TooLong => ReturnError::TooLong,
+            BodyError::TooLong | BodyError::NoRoom => ReturnError::TooLong,
         })
     }
 
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -1,10 +1,11 @@
 //! A door: accepts connections and has a handler answer what comes in on them.
 
-use super::door::{DoorError, DoorLimits};
+use super::door::{BodyLimits, DoorError, DoorLimits};
 use super::flow::Flow;
 use super::head::Request;
 use super::line::Line;
 use super::pace::Pacer;
+use super::reservation::Reservation;
 use super::returns::Return;
 use crate::net::SocketExt;
 use http::Method;
@@ -18,10 +19,19 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
+/// How long a client that was turned away may go on sending, and how long it may pause meanwhile.
+const LINGER_LIMIT: Duration = Duration::from_secs(2);
+const LINGER_IDLE: Duration = Duration::from_millis(200);
+const LINGER_READ_BYTES: usize = 64 << 10;
+
 /// What stands behind a door.
 pub trait Handler: 'static {
     /// What the door takes of the next request.
     fn limits(&self) -> DoorLimits;
+    /// What the door takes of the body that belongs to a head. The request has no body yet.
+    fn body_limits(&self, _: &Request, limits: &DoorLimits) -> BodyLimits {
+        limits.body
+    }
     /// `None` breaks the connection off: no answer can be given that says what happened.
     fn handle(self: Rc<Self>, request: Request) -> impl Future<Output = Option<Return>>;
     /// How long answers go out.
@@ -33,7 +43,7 @@
         Return::text(504, "this process ends before the request did: whether it ran is not known here")
     }
     /// What to say of a request that could not be read.
-    fn turned_away(&self, status: u16, reason: &'static str) -> Return {
+    fn turned_away(&self, status: u16, reason: &str) -> Return {
         Return::text(status, reason)
     }
 }
@@ -45,7 +55,7 @@
     pub open: Cell<usize>,
     /// Requests read and not yet answered.
     pub under_way: Cell<usize>,
-    /// Bytes of bodies read and not yet answered.
+    /// Bytes reserved for bodies that are read, or were read and not yet answered.
     pub held_bytes: Cell<usize>,
     /// Most connections taken at once.
     pub most_open: Cell<usize>,
@@ -88,18 +98,19 @@
     }
 }
 
-struct Count<'a>(&'a Cell<usize>, usize);
+/// One of those that a cell counts, until it is dropped.
+struct Counted<'a>(&'a Cell<usize>);
 
-impl<'a> Count<'a> {
-    fn up(cell: &'a Cell<usize>, amount: usize) -> Self {
-        cell.set(cell.get() + amount);
-        Self(cell, amount)
+impl<'a> Counted<'a> {
+    fn new(cell: &'a Cell<usize>) -> Self {
+        cell.set(cell.get() + 1);
+        Self(cell)
     }
 }
 
-impl Drop for Count<'_> {
+impl Drop for Counted<'_> {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - self.1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -142,29 +153,47 @@
     }
 }
 
+/// Reads the next request whole, with the memory that its body takes.
+async fn read_request<'a, H: Handler>(
+    line: &mut Line,
+    serving: &'a Serving,
+    handler: &H,
+) -> Result<(Request, Reservation<'a>), DoorError> {
+    let limits = handler.limits();
+    let head = line.read_request_head(&limits).await?;
+    let body_limits = handler.body_limits(&head.request, &limits);
+    let mut reservation = Reservation::new(&serving.held_bytes, body_limits.room);
+    let request = line.read_request_body(head, &body_limits, limits.body_time, &mut reservation).await?;
+    Ok((request, reservation))
+}
+
+/// Reads and drops what a client still sends after it was turned away: closing at once would reset the connection,
+/// and the answer might be lost with it.
+async fn linger(mut line: Line, serving: &Serving) {
+    let drop_rest = async {
+        while !serving.leaving.get() {
+            line.held.clear();
+            match monoio::time::timeout(LINGER_IDLE, line.fill(LINGER_READ_BYTES)).await {
+                Ok(Ok(1..)) => {}
+                _ => return,
+            }
+        }
+    };
+    let _ = monoio::time::timeout(LINGER_LIMIT, drop_rest).await;
+}
+
 async fn serve_line<H: Handler>(stream: TcpStream, from: IpAddr, serving: &Serving, handler: Rc<H>) {
-    let _open = Count::up(&serving.open, 1);
+    let _open = Counted::new(&serving.open);
     let connection = serving.next_connection.get();
     serving.next_connection.set(connection + 1);
     let mut line = Line::new(stream);
     loop {
-        let mut limits = handler.limits();
-        limits.room = limits.room.saturating_sub(serving.held_bytes.get() as u64);
-        let request = match line.read_request(&limits).await {
-            Ok(request) => Request { from: Some(from), ..request },
+        let (request, _reserved) = match read_request(&mut line, serving, &*handler).await {
+            Ok((request, reserved)) => (Request { from: Some(from), ..request }, reserved),
             Err(DoorError::Declined { status, reason }) => {
-                let answer = handler.turned_away(status, reason).closing();
+                let answer = handler.turned_away(status, &reason).closing();
                 if line.write(answer.encode(false)).await.is_ok() {
-                    // What the requester still sends is read for a moment, so that the answer isn't lost to a reset.
-                    let _ = monoio::time::timeout(Duration::from_millis(200), async {
-                        for _ in 0..64 {
-                            line.held.clear();
-                            if !matches!(line.fill(16 << 10).await, Ok(count) if count > 0) {
-                                break;
-                            }
-                        }
-                    })
-                    .await;
+                    linger(line, serving).await;
                 }
                 return;
             }
@@ -175,8 +204,7 @@
             let _ = write(handler.pacer(), &mut line, answer.encode(request.method == Method::HEAD)).await;
             return;
         }
-        let _under_way = Count::up(&serving.under_way, 1);
-        let _held = Count::up(&serving.held_bytes, request.body.len());
+        let _under_way = Counted::new(&serving.under_way);
         let (keeps, bodyless) = (request.keeps, request.method == Method::HEAD);
         let presence = request.presence.clone();
         let work = presence.watch_while(line.closed(), handler.clone().handle(request));
--- a/crates/trackbed/src/json.rs
+++ b/crates/trackbed/src/json.rs
@@ -1,10 +1,13 @@
-//! JSON as it comes from outside: read with a bound on its depth, as the parser takes stack for each level.
+//! JSON as it comes from outside: read with bounds on its depth, as the parser takes stack for each level, and on the
+//! number of its values, as each takes many times the memory of the bytes that it is written in.
 
 use derive_more::{Display, Error};
 use sonic_rs::Value;
 
 /// Lists and tables within one another, at most. What is read here needs a handful.
 pub const MOST_LEVELS: usize = 32;
+/// Values in one text, at most: several times those of the largest configuration that `docs/CAPACITY.md` states.
+pub const MOST_VALUES: usize = 1 << 17;
 
 /// Why a text is not taken.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -15,6 +18,12 @@
         /// The place of the first bracket that is too deep.
         at: usize,
     },
+    /// It was not parsed at all.
+    #[display("at byte {at} it has more than {MOST_VALUES} values")]
+    TooManyValues {
+        /// The place at which the first value too many begins, or the place before it.
+        at: usize,
+    },
     /// The parser's own words.
     #[display("{reason}")]
     Malformed {
@@ -27,20 +36,20 @@
 ///
 /// # Errors
 ///
-/// [`JsonError`] where it is no JSON, or nested too deep to be read.
+/// [`JsonError`] where it is no JSON, nested too deep, or has too many values to be read.
 pub fn parse(text: &[u8]) -> Result<Value, JsonError> {
-    if let Some(at) = first_too_deep(text) {
-        return Err(JsonError::TooDeep { at });
-    }
+    check_bounds(text)?;
     sonic_rs::from_slice(text).map_err(|error| {
         let reason = error.to_string().lines().next().unwrap_or_default().to_owned();
         JsonError::Malformed { reason }
     })
 }
 
-/// Where a text first goes deeper than [`MOST_LEVELS`]. Brackets within strings don't count.
-fn first_too_deep(text: &[u8]) -> Option<usize> {
+/// Looks for more than [`MOST_LEVELS`] levels and [`MOST_VALUES`] values. What stands within strings doesn't count.
+/// Every list or table holds at most one value more than it has commas, so that brackets and commas bound the values.
+fn check_bounds(text: &[u8]) -> Result<(), JsonError> {
     let mut level = 0usize;
+    let mut values = 1usize;
     let mut is_string = false;
     let mut is_escaped = false;
     for (at, byte) in text.iter().enumerate() {
@@ -51,13 +60,20 @@
         }
         match byte {
             b'"' => is_string = true,
-            b'[' | b'{' if level == MOST_LEVELS => return Some(at),
-            b'[' | b'{' => level += 1,
+            b'[' | b'{' if level == MOST_LEVELS => return Err(JsonError::TooDeep { at }),
+            b'[' | b'{' => {
+                level += 1;
+                values += 1;
+            }
             b']' | b'}' => level = level.saturating_sub(1),
+            b',' => values += 1,
             _ => {}
         }
+        if values > MOST_VALUES {
+            return Err(JsonError::TooManyValues { at });
+        }
     }
-    None
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/trackbed/src/json_tests.rs
+++ b/crates/trackbed/src/json_tests.rs
@@ -29,3 +29,14 @@
         assert!(matches!(parse(text), Err(JsonError::Malformed { reason }) if !reason.is_empty()));
     }
 }
+
+#[test]
+fn a_text_of_too_many_values_is_refused_before_it_is_parsed() {
+    let list = |items: usize| format!("[{}1]", "1,".repeat(items - 1));
+    assert!(parse(list(MOST_VALUES - 1).as_bytes()).is_ok());
+    let refused = |text: &str| matches!(parse(text.as_bytes()), Err(JsonError::TooManyValues { .. }));
+    assert!(refused(&list(MOST_VALUES)));
+    assert!(refused(&format!("[{}[]]", "{},".repeat(MOST_VALUES))));
+    let text = format!("[\"{}\"]", ",".repeat(MOST_VALUES * 2));
+    assert!(parse(text.as_bytes()).is_ok(), "commas in strings are no values");
+}
--- a/crates/trackbed/src/net/frames.rs
+++ b/crates/trackbed/src/net/frames.rs
@@ -8,8 +8,8 @@
 use std::ops::Range;
 use std::rc::Rc;
 
-/// Longest frame taken from a peer.
-const MAX_FRAME: usize = 96 << 20;
+/// Longest frame taken from a peer that this process called, in bytes.
+const LONGEST_REPLY: usize = 96 << 20;
 /// In the length: a checksum stands between it and the message. Frames of earlier versions have neither.
 const CHECKED: u32 = 1 << 31;
 const LENGTH_BYTES: usize = 4;
@@ -73,7 +73,7 @@
 }
 
 /// Where a frame's message stands in the bytes held; nothing while more have to come.
-fn find_body(bytes: &[u8]) -> Result<Option<Range<usize>>, FrameError> {
+fn find_body(bytes: &[u8], longest: usize) -> Result<Option<Range<usize>>, FrameError> {
     let Some(length) = read_number(bytes) else {
         return Ok(None);
     };
@@ -81,7 +81,7 @@
         return Err(FrameError::Unchecked);
     }
     let count = (length & !CHECKED) as usize;
-    if count > MAX_FRAME {
+    if count > longest {
         return Err(FrameError::TooLong(count));
     }
     let start = LENGTH_BYTES + CHECKSUM_BYTES;
@@ -102,12 +102,20 @@
     taken: usize,
     /// Bytes read so far, for whoever waits for a long frame.
     received: Rc<Cell<u64>>,
+    /// The longest frame taken, in bytes.
+    longest: usize,
 }
 
 impl<S: AsyncReadRent> FrameReader<S> {
     /// Takes a stream over.
     pub fn new(stream: S) -> Self {
-        Self { stream, held: Vec::new(), taken: 0, received: Rc::default() }
+        Self { stream, held: Vec::new(), taken: 0, received: Rc::default(), longest: LONGEST_REPLY }
+    }
+
+    /// The same, but longer frames are refused before they are read.
+    pub fn with_longest(mut self, bytes: usize) -> Self {
+        self.longest = bytes;
+        self
     }
 
     /// Bytes received so far, counted on as more come.
@@ -119,7 +127,7 @@
     pub async fn next<T: BorshDeserialize>(&mut self) -> Result<T, FrameError> {
         loop {
             let waiting = &self.held[self.taken..];
-            if let Some(place) = find_body(waiting)? {
+            if let Some(place) = find_body(waiting, self.longest)? {
                 let body = &waiting[place.clone()];
                 let message = T::try_from_slice(body).map_err(|_| FrameError::Unknown { body: body.to_vec() });
                 self.taken += place.end;
--- a/crates/trackbed/src/net/frames_tests.rs
+++ b/crates/trackbed/src/net/frames_tests.rs
@@ -64,3 +64,17 @@
     });
     ended.unwrap();
 }
+
+#[test]
+fn a_frame_over_the_readers_limit_is_refused_before_it_is_read() {
+    let ended = crate::kernel::run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let whole = encode_frame(&vec![7u8; 100]);
+        let longest = whole.len() - 8;
+        let mut reader = reader_of(&listener, whole.clone()).await.with_longest(longest);
+        assert_matches!(reader.next::<Vec<u8>>().await, Ok(read) if read.len() == 100);
+        let mut reader = reader_of(&listener, whole[..8].to_vec()).await.with_longest(longest - 1);
+        assert_matches!(reader.next::<Vec<u8>>().await, Err(FrameError::TooLong(length)) if length == longest);
+    });
+    ended.unwrap();
+}
