An order that can't be applied is refused by all members alike, and ends none

A fence that isn't new, a number that doesn't rise, a revision with a gap, an hour out of turn or a place in the past would have ended every member that applies it, and again at each start.

- Ledger::check says whether a change fits, from the ledger alone; the primary asks before it proposes, each member before it applies.
What doesn't fit is told in the log and left out.
- A configuration in the log that fails its checks is told in the log in release builds too, and ends no debug build.
- Proposals and transfers whose entries don't rise are typed errors; before, History::append ended the process.
- News whose changes don't rise are taken up to there; a range of keys whose first is above its last, and a map that leaves keys out, can't be decoded.

Tests: a_change_that_does_not_fit_is_refused_and_changes_nothing, proposals_in_no_order_are_refused_before_a_member_takes_them.

--- a/crates/interlocking/src/zab/history.rs
+++ b/crates/interlocking/src/zab/history.rs
@@ -41,6 +41,12 @@
     pub payload: Payload,
 }
 
+/// Whether entries follow on a place in the order of their zxids.
+pub fn rise_after(previous: Zxid, entries: &[Entry]) -> bool {
+    let mut last = previous;
+    entries.iter().all(|entry| std::mem::replace(&mut last, entry.zxid) < entry.zxid)
+}
+
 /// A snapshot of the state, which stands for all transactions up to a place.
 #[derive(Clone, Debug, PartialEq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct Snapshot {
@@ -52,6 +58,15 @@
     pub state: Vec<u8>,
 }
 
+/// What is kept of the transactions that a snapshot stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TailLimits {
+    /// The newest entries, at most.
+    pub entries: usize,
+    /// Their size in bytes, at most.
+    pub bytes: usize,
+}
+
 /// The transactions that a member holds: a snapshot, and the entries after it.
 ///
 /// Invariants: entries rise by zxid; the first comes right after `base`; `base` ≤ the snapshot's zxid;
@@ -164,16 +179,22 @@
     }
 
     /// Takes a new snapshot, and keeps a short tail before it for those a little behind.
-    pub fn compact(&mut self, zxid: Zxid, state: Vec<u8>, keep: usize) {
+    ///
+    /// # Panics
+    ///
+    /// When the snapshot is older than the present one.
+    pub fn compact(&mut self, zxid: Zxid, state: Vec<u8>, tail: TailLimits) {
         assert!(zxid >= self.snapshot.zxid, "snapshots only move on");
         let voters = self.voters_at(zxid).clone();
         self.snapshot = Snapshot { zxid, voters, state };
-        let mut spare = self.index_after(zxid).saturating_sub(keep);
-        while spare > 0 {
-            let entry = self.entries.pop_front().expect("counted just now");
+        let mut folded = self.index_after(zxid);
+        let mut folded_bytes: usize = self.entries.iter().take(folded).map(|entry| entry.payload.weight()).sum();
+        while folded > tail.entries || folded_bytes > tail.bytes {
+            let Some(entry) = self.entries.pop_front() else { return };
             self.base = entry.zxid;
             self.weight -= entry.payload.weight() + 32;
-            spare -= 1;
+            folded_bytes -= entry.payload.weight();
+            folded -= 1;
         }
     }
 }
--- a/crates/interlocking/src/zab/messages.rs
+++ b/crates/interlocking/src/zab/messages.rs
@@ -1,6 +1,6 @@
 //! What members say to one another.
 
-use super::history::{Entry, Voter};
+use super::history::{Entry, Voter, rise_after};
 use super::transfer::{Held, Part};
 use borsh::{BorshDeserialize, BorshSerialize};
 use derive_more::{Display, Error};
@@ -29,6 +29,9 @@
     /// The message can't be decoded, for the reason given.
     #[display("a member's message is spoilt ({_0}): it is left out, and will be asked for again")]
     Unreadable(#[error(not(source))] String),
+    /// Proposals that don't rise from one to the next.
+    #[display("a member's proposals are in no order: they are left out, and will be asked for again")]
+    OutOfOrder,
 }
 
 impl Envelope {
@@ -44,11 +47,16 @@
     /// # Errors
     ///
     /// [`EnvelopeError::Version`] for another version of the encoding, [`EnvelopeError::Unreadable`] for anything
-    /// else that [`Envelope::encode`] does not write.
+    /// else that [`Envelope::encode`] does not write, [`EnvelopeError::OutOfOrder`] for proposals that are in no order.
     pub fn decode(bytes: &[u8]) -> Result<Self, EnvelopeError> {
         match bytes.split_first() {
             Some((&WIRE_VERSION, body)) => {
-                Self::try_from_slice(body).map_err(|error| EnvelopeError::Unreadable(error.to_string()))
+                let envelope =
+                    Self::try_from_slice(body).map_err(|error| EnvelopeError::Unreadable(error.to_string()))?;
+                match envelope.message.is_in_order() {
+                    true => Ok(envelope),
+                    false => Err(EnvelopeError::OutOfOrder),
+                }
             }
             Some((version, _)) => Err(EnvelopeError::Version(*version)),
             None => Err(EnvelopeError::Unreadable("it is empty".into())),
@@ -238,3 +246,13 @@
         durable: Option<Zxid>,
     },
 }
+
+impl Message {
+    /// Whether the entries that it brings, if any, follow on one another.
+    fn is_in_order(&self) -> bool {
+        match self {
+            Self::Propose { previous, entries, .. } => rise_after(*previous, entries),
+            _ => true,
+        }
+    }
+}
--- a/crates/interlocking/src/zab/mod.rs
+++ b/crates/interlocking/src/zab/mod.rs
@@ -12,7 +12,7 @@
 mod transfer;
 
 pub use actions::{Action, Record, Ticket};
-pub use history::{Entry, History, Payload, Snapshot, Voter};
+pub use history::{Entry, History, Payload, Snapshot, TailLimits, Voter};
 pub use messages::{Attempt, Envelope, EnvelopeError, Message, PollState};
 pub use node::{Image, Timing, Zab};
 pub use transfer::{Held, Part};
--- a/crates/interlocking/src/zab/node.rs
+++ b/crates/interlocking/src/zab/node.rs
@@ -2,7 +2,7 @@
 
 use super::actions::{Action, Record, Ticket};
 use super::following::Following;
-use super::history::{Entry, History, Payload, Snapshot, Voter};
+use super::history::{Entry, History, Payload, Snapshot, TailLimits, Voter};
 use super::leading::Leading;
 use super::messages::{Attempt, Envelope, Message, PollState};
 use super::transfer::Incoming;
@@ -239,8 +239,8 @@
     }
 
     /// The state delivered so far becomes the snapshot.
-    pub fn compact(&mut self, state: Vec<u8>, keep: usize) {
-        self.history.compact(self.delivered, state, keep);
+    pub fn compact(&mut self, state: Vec<u8>, tail: TailLimits) {
+        self.history.compact(self.delivered, state, tail);
     }
 
     /// True when this node is an established primary.
--- a/crates/interlocking/src/zab/tests/sessions.rs
+++ b/crates/interlocking/src/zab/tests/sessions.rs
@@ -218,3 +218,23 @@
         let _ = Envelope::decode(&flipped);
     }
 }
+
+#[test]
+fn proposals_in_no_order_are_refused_before_a_member_takes_them() {
+    let entry = |counter| Entry { zxid: Zxid::new(1, counter), payload: Payload::Change(vec![1]) };
+    for (counters, is_in_order) in
+        [(vec![], true), (vec![5, 6], true), (vec![4], false), (vec![6, 5], false), (vec![5, 5], false)]
+    {
+        let message = Message::Propose {
+            attempt: Attempt::default(),
+            epoch: ZabEpoch(1),
+            previous: Zxid::new(1, 4),
+            entries: counters.iter().map(|counter| entry(*counter)).collect(),
+            upto: Zxid::ZERO,
+        };
+        let envelope = Envelope { from: voter(1), to: MemberId(2), message };
+        let decoded = Envelope::decode(&envelope.encode());
+        assert_eq!(decoded.is_ok(), is_in_order, "{counters:?}");
+        assert!(is_in_order || decoded == Err(EnvelopeError::OutOfOrder));
+    }
+}
--- a/crates/interlocking/src/zab/tests/world.rs
+++ b/crates/interlocking/src/zab/tests/world.rs
@@ -393,7 +393,7 @@
         }
         let mut state = encode(&member.state);
         state.resize(state.len() + self.ballast, 0);
-        zab.compact(state, 5);
+        zab.compact(state, TailLimits { entries: 5, bytes: usize::MAX });
         member.image = zab.image();
     }
 
--- a/crates/interlocking/src/zab/transfer.rs
+++ b/crates/interlocking/src/zab/transfer.rs
@@ -1,6 +1,6 @@
 //! A history on its way to a follower: parts that go on after a break, so that heartbeats are never held up.
 
-use super::history::{Entry, Snapshot};
+use super::history::{Entry, Snapshot, rise_after};
 use borsh::{BorshDeserialize, BorshSerialize};
 use derive_more::{Display, Error};
 use std::sync::Arc;
@@ -117,6 +117,10 @@
         if crc32fast::hash(&whole) != part.checksum {
             return Err(TransferError::Checksum);
         }
-        Missed::try_from_slice(&whole).map(Some).map_err(|_| TransferError::Unreadable)
+        let missed = Missed::try_from_slice(&whole).map_err(|_| TransferError::Unreadable)?;
+        match rise_after(missed.previous, &missed.entries) {
+            true => Ok(Some(missed)),
+            false => Err(TransferError::Unreadable),
+        }
     }
 }
--- a/crates/signalbox/src/forecast/tests.rs
+++ b/crates/signalbox/src/forecast/tests.rs
@@ -189,12 +189,12 @@
             lines: (0..300).map(|index| line(index % 3)).collect(),
             driver: None,
         };
-        ledger.apply(Zxid::new(1, hour + 1), Change::Slot(record), now);
+        ledger.apply(Zxid::new(1, hour + 1), Change::Slot(record), now).unwrap();
     }
     assert_eq!(ledger.history.slot_count(), 6 * WEEK);
     assert!(ledger.history.names().len() <= 4096, "{}", ledger.history.names().len());
     for hour in [1, 2, 3] {
-        ledger.apply(Zxid::new(2, hour), Change::Plan(Plan { hour, services: Vec::new() }), now);
+        ledger.apply(Zxid::new(2, hour), Change::Plan(Plan { hour, services: Vec::new() }), now).unwrap();
     }
     let bytes = ledger.encode();
     let again = Ledger::decode(&bytes, Duration::from_secs(20), now).unwrap();
--- a/crates/signalbox/src/ledger/mod.rs
+++ b/crates/signalbox/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 mod cells;
 mod changes;
 mod history;
+mod refusal;
 mod snapshot;
 mod state;
 #[cfg(test)]
@@ -10,5 +11,6 @@
 
 pub use changes::Change;
 pub use history::{History, MOST_SERIES, Plan, PlannedService, SlotLine, SlotRecord};
+pub use refusal::Refusal;
 pub use snapshot::LogGrowth;
 pub use state::{Ledger, LockRecord, group_of};
--- a/crates/signalbox/src/ledger/state.rs
+++ b/crates/signalbox/src/ledger/state.rs
@@ -3,6 +3,7 @@
 use super::cells::CellGroup;
 use super::changes::{Change, FLEET_HEAD};
 use super::history::{History, Plan};
+use super::refusal::Refusal;
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::rc::Rc;
 use std::time::Duration;
@@ -139,24 +140,67 @@
         Self { fleet: self.fleet.without_news(), ..self.clone() }
     }
 
+    /// Whether a change fits the ledger as it is.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] where it doesn't.
+    pub fn check(&self, change: &Change) -> Result<(), Refusal> {
+        let (fits, refusal) = match change {
+            Change::LockTaken { lock, holder, fence, .. } => {
+                let is_own = |known: &LockRecord| known.holder == *holder && known.fence == *fence;
+                (*fence > self.last_fence || self.locks.get(lock).is_some_and(is_own), Refusal::Fence)
+            }
+            Change::Number { name, value } => {
+                (*value > self.numbers.get(name).copied().unwrap_or_default(), Refusal::Number)
+            }
+            Change::CellPut { name, revision, .. } => {
+                let last = self.groups.get(group_of(name)).map(|group| group.revision).unwrap_or_default();
+                (last.checked_add(1) == Some(*revision), Refusal::Revision)
+            }
+            Change::Slot(record) => (self.history.follows(record), Refusal::Slot),
+            Change::Fleet(_) | Change::LockFreed { .. } | Change::Plan(_) => return Ok(()),
+        };
+        if fits { Ok(()) } else { Err(refusal) }
+    }
+
+    /// The same of a change that was ordered at a place.
+    fn check_at(&self, zxid: Zxid, change: &Change) -> Result<(), Refusal> {
+        match change {
+            Change::Fleet(_) if zxid <= self.fleet.zxid() => Err(Refusal::Place),
+            change => self.check(change),
+        }
+    }
+
     /// Applies a change as it was delivered: the payload is kept for the fleet's news, and not packed anew.
-    pub fn apply_delivered(&mut self, zxid: Zxid, change: Change, payload: Packed, now: Moment) {
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] where the change doesn't fit; the ledger stays as it was.
+    pub fn apply_delivered(&mut self, zxid: Zxid, change: Change, payload: Packed, now: Moment) -> Result<(), Refusal> {
+        self.check_at(zxid, &change)?;
         match change {
             Change::Fleet(change) => self.fleet.apply_delivered(zxid, change, payload, FLEET_HEAD),
-            change => self.apply(zxid, change, now),
+            change => self.apply_checked(zxid, change, now),
         }
+        Ok(())
     }
 
-    pub fn apply(&mut self, zxid: Zxid, change: Change, now: Moment) {
+    /// Applies a change.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] where the change doesn't fit; the ledger stays as it was.
+    pub fn apply(&mut self, zxid: Zxid, change: Change, now: Moment) -> Result<(), Refusal> {
+        self.check_at(zxid, &change)?;
+        self.apply_checked(zxid, change, now);
+        Ok(())
+    }
+
+    fn apply_checked(&mut self, zxid: Zxid, change: Change, now: Moment) {
         match change {
             Change::Fleet(change) => self.fleet.apply(zxid, change),
             Change::LockTaken { lock, holder, fence, hold_millis } => {
-                let known = self.locks.get(&lock);
-                assert!(
-                    fence > self.last_fence
-                        || known.is_some_and(|known| known.holder == holder && known.fence == fence),
-                    "a fence is new, or its holder's own"
-                );
                 self.last_fence = self.last_fence.max(fence);
                 self.locks.insert(lock, LockRecord { holder, fence, hold_millis });
             }
@@ -165,11 +209,7 @@
                     self.locks.remove(&lock);
                 }
             }
-            Change::Number { name, value } => {
-                let known = self.numbers.get(&name).copied().unwrap_or(0);
-                assert!(value > known, "numbers only rise");
-                self.numbers.insert(name, value);
-            }
+            Change::Number { name, value } => self.numbers.insert(name, value),
             Change::CellPut { name, value, revision } => {
                 let group_name = group_of(&name).to_owned();
                 let mut group = self.groups.get(&group_name).cloned().unwrap_or_default();
--- a/crates/signalbox/src/ledger/tests.rs
+++ b/crates/signalbox/src/ledger/tests.rs
@@ -1,9 +1,9 @@
 //! The cost of copies, deliveries and restarts, counted and not timed; and the encoding on disk.
 
 use super::state::LockRecord;
-use super::{Change, History, Ledger, LogGrowth, Plan};
+use super::{Change, History, Ledger, LogGrowth, Plan, Refusal, SlotRecord};
 use borsh::{BorshDeserialize, BorshSerialize};
-use interlocking::zab::{Entry, History as Log, Payload, Snapshot};
+use interlocking::zab::{Entry, History as Log, Payload, Snapshot, TailLimits};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 use std::time::Duration;
@@ -58,7 +58,7 @@
 
 fn deliver(ledger: &mut Ledger, zxid: Zxid, payload: &[u8]) {
     let change = Packed::read::<Change>(payload).unwrap();
-    ledger.apply_delivered(zxid, change, Packed::from_bytes(payload.to_vec()), now());
+    ledger.apply_delivered(zxid, change, Packed::from_bytes(payload.to_vec()), now()).unwrap();
 }
 
 fn total(work: Work) -> u64 {
@@ -141,10 +141,10 @@
 fn a_copy_for_proposals_costs_the_same_whatever_the_ledger_holds() {
     for routes in ROUTE_COUNTS {
         let mut ledger = Ledger::new(HISTORY);
-        ledger.apply(Zxid::new(1, 1), whole(routes), now());
+        ledger.apply(Zxid::new(1, 1), whole(routes), now()).unwrap();
         let before = Work::so_far();
         let mut ahead = ledger.for_proposals();
-        ahead.apply(Zxid::new(1, 2), patch(routes, 2), now());
+        ahead.apply(Zxid::new(1, 2), patch(routes, 2), now()).unwrap();
         let work = Work::since(before);
         assert!(total(work) <= MOST_WORK_PER_CHANGE * 2, "{routes} routes: {work:?}");
         assert_eq!(work.values_packed, 0, "nobody asks it for news");
@@ -191,7 +191,7 @@
     assert_eq!(LogGrowth::of(&log, Zxid::new(1, 30)), LogGrowth { bytes: 300_000, entries: 30 });
     assert!(LogGrowth::of(&log, Zxid::new(1, 30)).wants_snapshot(0));
     assert!(!LogGrowth::of(&log, Zxid::new(1, 30)).wants_snapshot(400_000), "a large state is written less often");
-    log.compact(Zxid::new(1, 30), vec![0; 10], 10);
+    log.compact(Zxid::new(1, 30), vec![0; 10], TailLimits { entries: 10, bytes: usize::MAX });
     assert_eq!(LogGrowth::of(&log, Zxid::new(1, 30)), LogGrowth::default());
     assert_eq!(LogGrowth::of(&log, Zxid::new(1, 31)).entries, 1);
 }
@@ -230,7 +230,7 @@
     let mut time = now();
     for (counter, change) in (1..).zip(changes) {
         time = time + HISTORY / 8;
-        ledger.apply(Zxid::new(1, counter), change, time);
+        ledger.apply(Zxid::new(1, counter), change, time).unwrap();
     }
     let bytes = ledger.encode();
     let plain: PlainLedger = borsh::from_slice(&bytes).unwrap();
@@ -245,3 +245,38 @@
     let events = again.groups.get("g.").unwrap().after(group.floor + 2).unwrap();
     assert_eq!(events.map(|event| event.revision).collect::<Vec<_>>(), revisions[2..]);
 }
+
+#[test]
+fn a_change_that_does_not_fit_is_refused_and_changes_nothing() {
+    let mut ledger = Ledger::new(HISTORY);
+    let taken = |fence| {
+        let (lock, holder) = ("l".to_owned(), "a".to_owned());
+        Change::LockTaken { lock, holder, fence, hold_millis: 1 }
+    };
+    let number = |value| Change::Number { name: "n".into(), value };
+    let cell = |revision| Change::CellPut { name: "g.k".into(), value: "v".into(), revision };
+    let hour = |number| Change::Slot(SlotRecord { number, label: number, ..SlotRecord::default() });
+    let ended = || Change::Fleet(FleetChange::End(InstanceId::new("i")));
+    for (counter, change) in [taken(5), number(3), cell(1), hour(1), ended()].into_iter().enumerate() {
+        assert_eq!(ledger.apply(Zxid::new(1, counter as u64 + 1), change, now()), Ok(()));
+    }
+    let before = ledger.encode();
+    let absurd = [
+        (taken(4), Refusal::Fence),
+        (taken(0), Refusal::Fence),
+        (number(3), Refusal::Number),
+        (number(0), Refusal::Number),
+        (cell(1), Refusal::Revision),
+        (cell(u64::MAX), Refusal::Revision),
+        (hour(1), Refusal::Slot),
+        (hour(u64::MAX), Refusal::Slot),
+    ];
+    for (change, refusal) in absurd {
+        assert_eq!(ledger.check(&change), Err(refusal));
+        assert_eq!(ledger.apply(Zxid::new(1, 9), change, now()), Err(refusal));
+    }
+    let bytes = payload(&ended());
+    let (change, packed) = (Packed::read::<Change>(&bytes).unwrap(), Packed::from_bytes(bytes));
+    assert_eq!(ledger.apply_delivered(Zxid::new(1, 5), change, packed, now()), Err(Refusal::Place));
+    assert_eq!(ledger.encode(), before);
+}
--- a/crates/signalbox/src/node/turn.rs
+++ b/crates/signalbox/src/node/turn.rs
@@ -8,7 +8,7 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_core::Stream;
 use interlocking::storage::{FileDisk, Storage};
-use interlocking::zab::{Action, Ticket};
+use interlocking::zab::{Action, TailLimits, Ticket};
 use lineside::call::PeerMessage;
 use lineside::gossip::Role;
 use std::net::SocketAddr;
@@ -21,7 +21,7 @@
 
 const TICK: Duration = Duration::from_millis(50);
 /// Transactions kept for those a little behind.
-const TAIL_ENTRIES: usize = 1000;
+const TAIL: TailLimits = TailLimits { entries: 1000, bytes: 4 << 20 };
 
 pub async fn watch_disk(node: Rc<Signalbox>, mut completions: UnboundedReceiver<Ticket>) {
     loop {
@@ -148,7 +148,7 @@
         return;
     }
     let state = node.committed.borrow().encode();
-    zab.compact(state, TAIL_ENTRIES);
+    zab.compact(state, TAIL);
     let encoded = Storage::<FileDisk>::encode_image(&zab.image());
     let _ = node.disk.send(Write::Image { encoded });
 }
--- a/crates/signalbox/src/replica/state.rs
+++ b/crates/signalbox/src/replica/state.rs
@@ -256,12 +256,18 @@
         }
     }
 
-    /// Broadcasts one change, and builds the next on it.
+    /// Broadcasts one change, and builds the next on it. A change that the ledger would refuse is not broadcast.
     fn propose(&mut self, change: Change, now: Moment) -> Option<(Zxid, Vec<Action>)> {
+        let mut proposed = self.proposed.borrow_mut();
+        let ledger = proposed.as_mut()?;
+        if let Err(refusal) = ledger.check(&change) {
+            log::error!("a change is not proposed, as no member would apply it: {refusal}");
+            return None;
+        }
         let payload = Packed::pack(&change).into_bytes();
         let (zxid, actions) = self.zab.borrow_mut().propose(vec![payload], now)?;
-        if let Some(proposed) = self.proposed.borrow_mut().as_mut() {
-            proposed.apply(zxid, change, now);
+        if let Err(refusal) = ledger.apply(zxid, change, now) {
+            log::error!("the change proposed at {zxid} will be refused by every member: {refusal}");
         }
         Some((zxid, actions))
     }
@@ -300,7 +306,10 @@
         };
         let is_fleet = matches!(change, Change::Fleet(_));
         let is_configuration = matches!(change, Change::Fleet(FleetChange::Configure { .. }));
-        self.committed.borrow_mut().apply_delivered(zxid, change, payload, now);
+        if let Err(refusal) = self.committed.borrow_mut().apply_delivered(zxid, change, payload, now) {
+            log::error!("the change at {zxid} is left out by every member: {refusal}");
+            return;
+        }
         if let Some(group) = group {
             self.look_again(&group, now, effects);
         }
--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -57,7 +57,7 @@
             Decision::Propose(change, answer) => {
                 self.counter += 1;
                 let zxid = Zxid::new(self.epoch, self.counter);
-                self.proposed.apply(zxid, (*change).clone(), self.now);
+                self.proposed.apply(zxid, (*change).clone(), self.now).unwrap();
                 self.open.push((zxid, *change, number, answer));
                 None
             }
@@ -104,7 +104,7 @@
 
 fn apply(ledger: &mut Ledger, zxid: Zxid, change: Change, now: Moment) {
     APPLIED.with(|applied| applied.set(zxid));
-    ledger.apply(zxid, change, now);
+    ledger.apply(zxid, change, now).unwrap();
 }
 
 fn call(method: &str, path: &str, body: String) -> ControlCall {
@@ -287,7 +287,7 @@
     for revision in 1..=50 {
         now = now + Duration::from_millis(200);
         let change = Change::CellPut { name: format!("g.{}", revision % 3), value: format!("v{revision}"), revision };
-        ledger.apply(Zxid::new(1, revision), change, now);
+        ledger.apply(Zxid::new(1, revision), change, now).unwrap();
     }
     let told = watch::look(&ledger, "g.", 40, false).expect("there is something to tell");
     assert_eq!((told.status, told.body.matches("\"name\"").count()), (200, 10));
--- a/crates/signalbox/tests/simulation/world.rs
+++ b/crates/signalbox/tests/simulation/world.rs
@@ -3,7 +3,7 @@
 use crate::clients::Client;
 use crate::histories::Histories;
 use crate::voters::{Departures, HandOverEnd, LeaveRule, Leaver, Leaving, VoterRule};
-use interlocking::zab::{Envelope, Image, Record, Ticket, Timing, Voter, Zab};
+use interlocking::zab::{Envelope, Image, Record, TailLimits, Ticket, Timing, Voter, Zab};
 use lineside::call::{ControlCall, ControlReturn};
 use signalbox::ledger::Ledger;
 use signalbox::replica::{CallId, Effect, ForwardReply, Forwarding, Outcome, Replica, Step};
@@ -28,7 +28,7 @@
 /// Clocks of members run apart by this share at most.
 const MOST_DRIFT: f64 = 0.01;
 const COMPACT_EVERY_ENTRIES: usize = 300;
-const TAIL_ENTRIES: usize = 50;
+const TAIL: TailLimits = TailLimits { entries: 50, bytes: 1 << 20 };
 const STALL_DISORDER_MICROS: u64 = 2_000;
 const REPEATED_MESSAGES: f64 = 0.02;
 
@@ -543,7 +543,7 @@
             return;
         }
         let state = replica.committed().borrow().encode();
-        zab.compact(state, TAIL_ENTRIES);
+        zab.compact(state, TAIL);
         member.image = zab.image();
     }
 
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -294,9 +294,12 @@
 
     fn configure(&mut self, change: &ConfigChange, digest: u128) {
         // The primary checked it before it was proposed, and every node holds the same state.
-        let Ok(next) = self.next_configuration(change) else {
-            log_fault(digest);
-            return;
+        let next = match self.next_configuration(change) {
+            Ok(next) => next,
+            Err(fault) => {
+                log::error!("a configuration was ordered that fails its checks, and is left out: {fault}");
+                return;
+            }
         };
         self.snapshot.taken.push(next.epoch, digest, REMEMBERED);
         self.routes = next.table().cloned();
@@ -379,6 +382,9 @@
             FleetNews::Changes(changes) if since == before => {
                 for (zxid, packed) in changes.into_iter().filter(|(zxid, _)| *zxid > before) {
                     let Ok(change) = packed.unpack() else { break };
+                    if zxid <= self.snapshot.zxid {
+                        break;
+                    }
                     self.apply_with_news(zxid, change, Some(TailEntry::ready(packed)));
                 }
             }
@@ -388,9 +394,5 @@
     }
 }
 
-fn log_fault(digest: u128) {
-    debug_assert!(false, "a configuration was ordered that fails its checks: {digest:x}");
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/timetable/src/shards/map.rs
+++ b/crates/timetable/src/shards/map.rs
@@ -3,6 +3,7 @@
 use super::range::KeyRange;
 use super::{ShardChange, fence_at};
 use borsh::{BorshDeserialize, BorshSerialize};
+use std::io::{self, Read};
 use trackbed::ids::{InstanceId, Zxid};
 
 /// Who may run requests for a range's keys.
@@ -57,11 +58,33 @@
 }
 
 /// Invariant: the shards cover all keys in order, without gap or overlap, and neighbours differ in their holding.
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, BorshSerialize)]
 pub struct ShardMap {
     shards: Vec<Shard>,
 }
 
+impl BorshDeserialize for ShardMap {
+    fn deserialize_reader<R: Read>(reader: &mut R) -> io::Result<Self> {
+        let shards = Vec::<Shard>::deserialize_reader(reader)?;
+        match covers_all_keys(&shards) {
+            true => Ok(Self { shards }),
+            false => Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+}
+
+/// Whether ranges stand in order and leave no key out.
+fn covers_all_keys(shards: &[Shard]) -> bool {
+    let mut next = Some(0);
+    for shard in shards {
+        if next != Some(shard.range.first()) {
+            return false;
+        }
+        next = shard.range.last().checked_add(1);
+    }
+    next.is_none()
+}
+
 impl Default for ShardMap {
     fn default() -> Self {
         Self { shards: vec![Shard { range: KeyRange::ALL, holding: Holding::unclaimed() }] }
--- a/crates/timetable/src/shards/range.rs
+++ b/crates/timetable/src/shards/range.rs
@@ -2,18 +2,26 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use derive_more::Display;
+use std::io::{self, Read};
 
 /// The highest key. Keys begin at zero.
 pub const LAST_KEY: u16 = u16::MAX;
 
 /// Keys from `first` to `last`, both inside. Invariant: `first` ≤ `last`.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, BorshSerialize)]
 #[display("{first}-{last}")]
 pub struct KeyRange {
     first: u16,
     last: u16,
 }
 
+impl BorshDeserialize for KeyRange {
+    fn deserialize_reader<R: Read>(reader: &mut R) -> io::Result<Self> {
+        let (first, last) = <(u16, u16)>::deserialize_reader(reader)?;
+        Self::new(first, last).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+}
+
 impl KeyRange {
     /// All keys.
     pub const ALL: KeyRange = KeyRange { first: 0, last: LAST_KEY };
