Answers without a length take no more memory than there is for answers

Each reserves its memory as it comes, a tenth of the process's for all answers of endpoints and as much for those of peers; without room the exchange has failed as one that broke off. Reservations are shared by reference count, so that an answer keeps its own until it is written.

Test: answers_without_a_length_take_no_more_memory_than_there_is_for_answers. Not measured with real processes.

--- a/crates/pointsman/src/dispatch/pool.rs
+++ b/crates/pointsman/src/dispatch/pool.rs
@@ -1,11 +1,15 @@
-//! Connections kept for further use.
+//! Connections kept for further use, and the memory that answers over them may take.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock::Moment;
-use trackbed::http::Line;
+use trackbed::http::{Line, Reservation};
+
+/// What answers may take where nobody says anything else, in bytes.
+const USUAL_ANSWER_ROOM: u64 = 32 << 20;
 
 struct Kept {
     line: Line,
@@ -18,6 +22,9 @@
     kept: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
     /// Lines kept to one place at most.
     most: usize,
+    /// What the answers that are held take, and may take, in bytes.
+    answers_held: Rc<Cell<usize>>,
+    answer_room: Cell<u64>,
 }
 
 impl Default for Pool {
@@ -28,7 +35,18 @@
 
 impl Pool {
     pub fn keeping(most: usize) -> Self {
-        Self { kept: RefCell::default(), most }
+        let answer_room = Cell::new(USUAL_ANSWER_ROOM);
+        Self { kept: RefCell::default(), most, answers_held: Rc::default(), answer_room }
+    }
+
+    /// What the answers that are held may take from now on, in bytes.
+    pub fn set_answer_room(&self, bytes: u64) {
+        self.answer_room.set(bytes);
+    }
+
+    /// Where the memory of an answer is reserved as it comes.
+    pub fn reserve_answer(&self) -> Reservation {
+        Reservation::new(&self.answers_held, self.answer_room.get())
     }
 
     /// The line used last that is still fit: quiet, open, and not about to be closed over there; with how
--- a/crates/pointsman/src/dispatch/remote.rs
+++ b/crates/pointsman/src/dispatch/remote.rs
@@ -68,9 +68,10 @@
     }
     let bytes = write_request(&errand.request, &replaced, &LINE_HEADERS);
     let bodyless = errand.request.method == Method::HEAD;
+    let reservation = pool.reserve_answer();
     let exchange = async move {
         pacer.write(&mut line, bytes).await.map_err(|_| ReturnError::Silent)?;
-        line.read_return_or_flow(bodyless, BODY_LIMIT).await
+        line.read_return_or_flow(bodyless, BODY_LIMIT, reservation).await
     };
     match monoio::time::timeout(left + LAST_WORD, exchange).await {
         Ok(Ok((answer, line))) => {
--- a/crates/pointsman/src/node/doors.rs
+++ b/crates/pointsman/src/node/doors.rs
@@ -20,10 +20,26 @@
 pub struct InboundDoor(pub Rc<Pointsman>);
 pub struct ReadinessDoor(pub Rc<Pointsman>);
 
+/// Parts of the memory that the bodies at one listener may take, and the answers of endpoints or of peers.
+const BODIES_SHARE: u64 = 6;
+const ANSWERS_SHARE: u64 = 10;
+const LEAST_ROOM: u64 = 1 << 20;
+
 impl Pointsman {
-    /// What bodies may take at one door, of the memory there is.
+    fn share_of_memory(&self, share: u64) -> u64 {
+        ((self.live.get().limits.memory_mb << 20) / share).max(LEAST_ROOM)
+    }
+
+    /// What bodies may take at one listener, in bytes.
     fn body_room(&self) -> u64 {
-        ((self.live.get().limits.memory_mb << 20) / 6).max(1 << 20)
+        self.share_of_memory(BODIES_SHARE)
+    }
+
+    /// Shares the memory out to answers that are held, of endpoints and of peers.
+    pub(super) fn bound_answers(&self) {
+        let room = self.share_of_memory(ANSWERS_SHARE);
+        self.lines.set_answer_room(room);
+        self.peers.set_answer_room(room);
     }
 }
 
--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -89,6 +89,7 @@
     });
     node.platform.link.set(config.limits.link_bytes);
     node.pacer.set_link(config.limits.link_bytes);
+    node.bound_answers();
     monoio::spawn(serve_peers(bind_tcp(address)?, node.clone()));
     let doors = open_doors(&node, &config)?;
     monoio::spawn(learn::listen(node.clone()));
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -71,6 +71,11 @@
     pub fn clear(&self, to: SocketAddr) {
         self.pool.clear(to);
     }
+
+    /// What the endpoints' answers that are held may take from now on, in bytes.
+    pub fn set_answer_room(&self, bytes: u64) {
+        self.pool.set_answer_room(bytes);
+    }
 }
 
 pub async fn at_endpoint(address: SocketAddr, lines: &Lines, errand: &Errand) -> Outcome {
@@ -130,7 +135,7 @@
     let bodyless = errand.request.method == Method::HEAD;
     let whole = async move {
         line.write(bytes).await.map_err(|_| ReturnError::Cut)?;
-        let (answer, line) = line.read_return_or_flow(bodyless, BODY_LIMIT).await?;
+        let (answer, line) = line.read_return_or_flow(bodyless, BODY_LIMIT, lines.pool.reserve_answer()).await?;
         if single(&answer.headers, ATTEMPT) == Some(errand.attempt.as_str()) {
             return Ok((answer, line, true));
         }
@@ -138,7 +143,8 @@
         // and the line is not used again.
         let misplaced = ReturnError::Malformed("the answer belongs to another request");
         let Some(line) = line else { return Err(misplaced) };
-        let (next, line) = line.read_return_or_flow(bodyless, BODY_LIMIT).await?;
+        let reservation = lines.pool.reserve_answer();
+        let (next, line) = line.read_return_or_flow(bodyless, BODY_LIMIT, reservation).await?;
         match single(&next.headers, ATTEMPT) == Some(errand.attempt.as_str()) {
             true => Ok((next, line, false)),
             false => Err(misplaced),
--- a/crates/pointsman/src/platform/exchange_tests.rs
+++ b/crates/pointsman/src/platform/exchange_tests.rs
@@ -231,3 +231,31 @@
     });
     ended.unwrap();
 }
+
+#[test]
+fn answers_without_a_length_take_no_more_memory_than_there_is_for_answers() {
+    const ROOM: usize = 100_000;
+    const PIECE: usize = 10_000;
+    let ended = trackbed::kernel::run(async {
+        let (listener, platform) = start();
+        platform.lines.set_answer_room(ROOM as u64);
+        let head = "HTTP/1.1 200 OK\r\nFerryhinge-Attempt-Id: a1\r\nFerryhinge-Server-Stamp: s\r\n";
+        let piece = format!("{PIECE:x}\r\n{}\r\n", "x".repeat(PIECE));
+        for (pieces, is_held) in [(9, true), (30, false), (9, true)] {
+            let under_way = go(&platform, once(1));
+            let mut side = Side::accept(&listener).await;
+            side.next_attempt().await;
+            side.send(&format!("{head}Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n")).await;
+            for _ in 0..pieces {
+                side.send(&piece).await;
+            }
+            side.send("0\r\n\r\n").await;
+            match under_way.await {
+                Outcome::Answered(answer) => assert!(is_held && answer.body.len() == pieces * PIECE),
+                Outcome::Failed(_) => assert!(!is_held),
+                outcome => panic!("{pieces} pieces: {outcome:?}"),
+            }
+        }
+    });
+    ended.unwrap();
+}
--- a/crates/trackbed/src/http/door.rs
+++ b/crates/trackbed/src/http/door.rs
@@ -110,7 +110,7 @@
         head: RequestHead,
         limits: &BodyLimits,
         longest_wait: Duration,
-        reservation: &mut Reservation<'_>,
+        reservation: &mut Reservation,
     ) -> Result<Request, DoorError> {
         if let Framing::Length(length) = head.framing {
             if length > limits.longest {
--- a/crates/trackbed/src/http/line.rs
+++ b/crates/trackbed/src/http/line.rs
@@ -33,19 +33,14 @@
 }
 
 /// How much of a body is taken.
-pub(super) struct BodyBounds<'a, 'b> {
+pub(super) struct BodyBounds<'a> {
     /// The longest body, in bytes.
     pub limit: u64,
     /// Where the body's memory is reserved before it is read.
-    pub reservation: Option<&'a mut Reservation<'b>>,
+    pub reservation: Option<&'a mut Reservation>,
 }
 
-impl BodyBounds<'_, '_> {
-    /// Bounds without a reservation.
-    pub fn up_to(limit: u64) -> Self {
-        Self { limit, reservation: None }
-    }
-
+impl BodyBounds<'_> {
     /// Whether a body of so many bytes may be held.
     fn allow(&mut self, length: u64) -> Result<(), BodyError> {
         if length > self.limit {
@@ -105,11 +100,7 @@
         self.stream.write_all(bytes).await.0.map(|_| ())
     }
 
-    pub(super) async fn read_body(
-        &mut self,
-        framing: Framing,
-        mut bounds: BodyBounds<'_, '_>,
-    ) -> Result<Bytes, BodyError> {
+    pub(super) async fn read_body(&mut self, framing: Framing, mut bounds: BodyBounds<'_>) -> Result<Bytes, BodyError> {
         match framing {
             Framing::Nothing => Ok(Bytes::new()),
             Framing::Length(length) => {
@@ -133,7 +124,7 @@
         }
     }
 
-    async fn read_chunks(&mut self, mut bounds: BodyBounds<'_, '_>) -> Result<Bytes, BodyError> {
+    async fn read_chunks(&mut self, mut bounds: BodyBounds<'_>) -> Result<Bytes, BodyError> {
         let mut body = BytesMut::new();
         loop {
             let line = self.read_text_line(256).await?;
@@ -160,7 +151,7 @@
         &mut self,
         size: usize,
         body: &mut BytesMut,
-        bounds: &mut BodyBounds<'_, '_>,
+        bounds: &mut BodyBounds<'_>,
     ) -> Result<(), BodyError> {
         let mut left = size;
         while left > 0 {
--- a/crates/trackbed/src/http/reservation.rs
+++ b/crates/trackbed/src/http/reservation.rs
@@ -1,13 +1,14 @@
-//! Memory that bodies take at a listener, reserved before it is used.
+//! Memory that bodies take, reserved before it is used.
 
 use std::cell::Cell;
+use std::rc::Rc;
 
-/// Bytes of a listener's memory that one message has reserved. They are given back when this is dropped.
+/// Bytes of memory that one message has reserved. They are given back when this is dropped.
 #[derive(Debug)]
-pub struct Reservation<'a> {
-    /// What all messages of the listener have reserved.
-    held: &'a Cell<usize>,
-    /// What they may reserve together.
+pub struct Reservation {
+    /// What all messages that share the room have reserved.
+    held: Rc<Cell<usize>>,
+    /// What they may reserve together, in bytes.
     room: u64,
     amount: usize,
 }
@@ -16,10 +17,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoRoom;
 
-impl<'a> Reservation<'a> {
+impl Reservation {
     /// Nothing reserved so far, of a `room` that all who count in `held` share.
-    pub fn new(held: &'a Cell<usize>, room: u64) -> Self {
-        Self { held, room, amount: 0 }
+    pub fn new(held: &Rc<Cell<usize>>, room: u64) -> Self {
+        Self { held: held.clone(), room, amount: 0 }
     }
 
     /// Reserves what is lacking up to `amount` bytes in all.
@@ -39,7 +40,7 @@
     }
 }
 
-impl Drop for Reservation<'_> {
+impl Drop for Reservation {
     fn drop(&mut self) {
         self.held.set(self.held.get() - self.amount);
     }
@@ -51,7 +52,7 @@
 
     #[test]
     fn what_is_reserved_never_exceeds_the_room_and_is_given_back() {
-        let held = Cell::new(0);
+        let held = Rc::new(Cell::new(0));
         let mut first = Reservation::new(&held, 10);
         assert_eq!(first.grow_to(6), Ok(()));
         assert_eq!(first.grow_to(4), Ok(()), "it has more already");
--- a/crates/trackbed/src/http/returns.rs
+++ b/crates/trackbed/src/http/returns.rs
@@ -4,6 +4,7 @@
 use super::flow::{Flow, HELD_WHOLE};
 use super::head::{HeadError, Request, head_length, take_return_head};
 use super::line::{BodyBounds, BodyError, Line};
+use super::reservation::Reservation;
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -31,6 +32,8 @@
     pub flow: Option<Box<Flow>>,
     /// Given back when the answer has been written.
     pub guard: Option<Guard>,
+    /// The memory that the body takes, where it is counted.
+    pub reservation: Option<Reservation>,
     /// The connection ends after this answer.
     pub closes: bool,
     /// For how long the other side keeps the idle connection, where it says so.
@@ -52,6 +55,9 @@
     /// The body is over the reader's limit.
     #[display("the answer is longer than can be held")]
     TooLong,
+    /// Other answers hold the memory that this one would take.
+    #[display("too many long answers are held just now")]
+    NoRoom,
 }
 
 impl Return {
@@ -63,6 +69,7 @@
             body: Bytes::new(),
             flow: None,
             guard: None,
+            reservation: None,
             closes: false,
             keep_alive: None,
         }
@@ -159,15 +166,17 @@
     /// Reads one answer whole; answers of the 1xx kind are passed over.
     pub async fn read_return(&mut self, bodyless: bool, limit: u64) -> Result<Return, ReturnError> {
         let (mut answer, framing) = self.read_return_head(bodyless).await?;
-        answer.body = self.read_return_body(framing, limit).await?;
+        answer.body = self.read_return_body(framing, BodyBounds { limit, reservation: None }).await?;
         Ok(answer)
     }
 
-    /// The same, but a long body is left to flow, and takes the line with it.
+    /// The same, but a long body is left to flow, and takes the line with it. Any other body is reserved as it comes,
+    /// and stays so as long as the answer is held.
     pub async fn read_return_or_flow(
         mut self,
         bodyless: bool,
         limit: u64,
+        mut reservation: Reservation,
     ) -> Result<(Return, Option<Line>), ReturnError> {
         let (mut answer, framing) = self.read_return_head(bodyless).await?;
         if let Framing::Length(length) = framing
@@ -176,15 +185,18 @@
             answer.flow = Some(Box::new(Flow::new(self, length)));
             return Ok((answer, None));
         }
-        answer.body = self.read_return_body(framing, limit).await?;
+        let bounds = BodyBounds { limit, reservation: Some(&mut reservation) };
+        answer.body = self.read_return_body(framing, bounds).await?;
+        answer.reservation = Some(reservation);
         Ok((answer, Some(self)))
     }
 
-    async fn read_return_body(&mut self, framing: Framing, limit: u64) -> Result<Bytes, ReturnError> {
-        self.read_body(framing, BodyBounds::up_to(limit)).await.map_err(|error| match error {
+    async fn read_return_body(&mut self, framing: Framing, bounds: BodyBounds<'_>) -> Result<Bytes, ReturnError> {
+        self.read_body(framing, bounds).await.map_err(|error| match error {
             BodyError::Cut | BodyError::Io(_) => ReturnError::Cut,
             BodyError::Malformed(reason) => ReturnError::Malformed(reason),
-            BodyError::TooLong | BodyError::NoRoom => ReturnError::TooLong,
+            BodyError::TooLong => ReturnError::TooLong,
+            BodyError::NoRoom => ReturnError::NoRoom,
         })
     }
 
--- a/crates/trackbed/src/http/serve.rs
+++ b/crates/trackbed/src/http/serve.rs
@@ -56,7 +56,7 @@
     /// Requests read and not yet answered.
     pub under_way: Cell<usize>,
     /// Bytes reserved for bodies that are read, or were read and not yet answered.
-    pub held_bytes: Cell<usize>,
+    pub held_bytes: Rc<Cell<usize>>,
     /// Most connections taken at once.
     pub most_open: Cell<usize>,
     /// Every answer from now on ends its connection.
@@ -154,11 +154,11 @@
 }
 
 /// Reads the next request whole, with the memory that its body takes.
-async fn read_request<'a, H: Handler>(
+async fn read_request<H: Handler>(
     line: &mut Line,
-    serving: &'a Serving,
+    serving: &Serving,
     handler: &H,
-) -> Result<(Request, Reservation<'a>), DoorError> {
+) -> Result<(Request, Reservation), DoorError> {
     let limits = handler.limits();
     let head = line.read_request_head(&limits).await?;
     let body_limits = handler.body_limits(&head.request, &limits);
