--- a/crates/soak/src/coordination/run.rs
+++ b/crates/soak/src/coordination/run.rs
@@ -7,8 +7,9 @@
 use crate::endpoint::events::shared_micros;
 use crate::error::SoakError;
 use crate::layout::{Block, Form, Layout, empty_folder};
-use crate::process::{Process, Program};
+use crate::process::Process;
 use crate::report::RunReport;
+use crate::start::Starter;
 use nix::sys::signal::Signal;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -47,28 +48,15 @@
     pub folder: PathBuf,
 }
 
-struct Cores {
+struct Cores<'a> {
     processes: Vec<Process>,
-    layout: Layout,
-    folder: PathBuf,
+    starter: Starter<'a>,
 }
 
-impl Cores {
-    fn start(play: &CoordinationPlay, layout: Layout) -> Result<Self, SoakError> {
-        let mut cores = Self { processes: Vec::new(), layout, folder: play.folder.clone() };
-        for index in 0..play.cores {
-            let data = cores.data(index);
-            empty_folder(&data)?;
-            let settings = layout.core_settings(index, &data);
-            let name = format!("core-{index}");
-            let process = Process::start(&play.executable, Program::Signalbox, name, &settings, &play.folder)?;
-            cores.processes.push(process);
-        }
-        Ok(cores)
-    }
-
-    fn data(&self, index: usize) -> PathBuf {
-        self.folder.join(format!("data-{index}"))
+impl<'a> Cores<'a> {
+    fn start(play: &'a CoordinationPlay, layout: Layout) -> Result<Self, SoakError> {
+        let starter = Starter { executable: &play.executable, layout, folder: &play.folder };
+        Ok(Self { processes: starter.cores()?, starter })
     }
 
     fn carry_out(&mut self, due: &Due) -> Result<(), SoakError> {
@@ -89,8 +77,8 @@
     }
 
     fn start_empty(&mut self, index: usize) -> Result<(), SoakError> {
-        let data = self.data(index);
-        let settings = self.layout.later_core_settings(index, &data);
+        let data = self.starter.data_folder(index);
+        let settings = self.starter.layout.later_core_settings(index, &data);
         let process = &mut self.processes[index];
         process.kill();
         empty_folder(&data)?;
@@ -190,7 +178,7 @@
 }
 
 /// Carries out the steps when they are due, and returns when the span is over.
-async fn play_steps(cores: &mut Cores, steps: &[Due], span: Duration) -> Result<(), SoakError> {
+async fn play_steps(cores: &mut Cores<'_>, steps: &[Due], span: Duration) -> Result<(), SoakError> {
     let begun = Instant::now();
     for due in steps {
         wait_until(begun + Duration::from_millis(due.at)).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod process;
 pub mod report;
 pub mod run;
+pub mod start;
 pub mod trouble;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,8 +6,9 @@
 use crate::invariants::{self, Witness};
 use crate::layout::{Block, CORES, ENDPOINTS, Form, Layout, NODES, empty_folder};
 use crate::operator::Operator;
-use crate::process::{Process, Program};
+use crate::process::Process;
 use crate::report::{Report, RunReport};
+use crate::start::Starter;
 use crate::trouble::{self, Kind, Target, Trouble};
 use http::Method;
 use nix::sys::signal::Signal;
@@ -57,27 +58,14 @@
 
 impl Fleet {
     fn start(play: &Play, layout: Layout) -> Result<Self, SoakError> {
-        let start = |program, name: String, settings: &str| {
-            Process::start(&play.executable, program, name, settings, &play.folder)
-        };
-        let mut fleet =
-            Self { cores: Vec::new(), nodes: Vec::new(), endpoints: Vec::new(), ended: Vec::new(), lost: None };
-        for index in 0..CORES {
-            let data = play.folder.join(format!("data-{index}"));
-            std::fs::create_dir_all(&data).map_err(|error| SoakError::io(data.display(), &error))?;
-            let settings = layout.core_settings(index, &data);
-            fleet.cores.push(start(Program::Signalbox, format!("core-{index}"), &settings)?);
-        }
-        for index in 0..NODES {
-            let settings = layout.node_settings(index);
-            fleet.nodes.push(start(Program::Pointsman, format!("node-{index}"), &settings)?);
-        }
-        for index in 0..ENDPOINTS {
-            let settings = layout.endpoint_settings(index);
-            fleet.endpoints.push(start(Program::Endpoint, format!("endpoint-{index}"), &settings)?);
-            fleet.ended.push(Vec::new());
-        }
-        Ok(fleet)
+        let starter = Starter { executable: &play.executable, layout, folder: &play.folder };
+        Ok(Self {
+            cores: starter.cores()?,
+            nodes: starter.nodes(NODES)?,
+            endpoints: starter.endpoints(ENDPOINTS)?,
+            ended: vec![Vec::new(); ENDPOINTS],
+            lost: None,
+        })
     }
 
     fn process(&mut self, target: Target) -> &mut Process {
--- a/crates/soak/tests/bad_input.rs
+++ b/crates/soak/tests/bad_input.rs
@@ -6,7 +6,7 @@
 use soak::layout::{Block, CORES, Form, Layout};
 use soak::process::Process;
 use std::time::Duration;
-use support::start_cores;
+use support::starter;
 use trackbed::http::{Client, Request};
 
 const LIMIT: Duration = Duration::from_secs(1);
@@ -45,26 +45,47 @@
     panic!("no clear answer to {} {}", request.method, request.target);
 }
 
-#[test]
-fn no_call_ends_a_core_process() {
+/// What core processes made of some calls, each made at every one of them.
+struct Outcome {
+    statuses: Vec<u16>,
+    has_ended: Vec<bool>,
+}
+
+fn make(calls: Vec<Request>) -> Outcome {
     let folder = tempfile::tempdir().unwrap();
-    let mut statuses = Vec::new();
-    let mut has_ended = Vec::new();
+    let mut outcome = Outcome { statuses: Vec::new(), has_ended: Vec::new() };
     trackbed::kernel::run(async {
         let block = Block::take().unwrap();
         let layout = Layout { block: block.number(), form: Form::ALL[0], cores: CORES };
-        let mut cores = start_cores(layout, folder.path());
+        let mut cores = starter(layout, folder.path()).cores().unwrap();
         let number = Request::json(Method::POST, "/v1/numbers/n".into(), "{}".into());
         assert_eq!(status(layout, 0, &number).await, 200);
-        for request in bad_calls() {
+        for request in calls {
             for core in 0..CORES {
-                statuses.push(status(layout, core, &request).await);
+                outcome.statuses.push(status(layout, core, &request).await);
             }
         }
         assert_eq!(status(layout, 0, &number).await, 200);
-        has_ended = cores.iter_mut().map(Process::has_ended).collect();
+        outcome.has_ended = cores.iter_mut().map(Process::has_ended).collect();
     })
     .unwrap();
-    assert!(statuses.iter().all(|status| (400..500).contains(status)), "{statuses:?}");
-    assert_eq!(has_ended, [false; CORES]);
+    outcome
+}
+
+#[test]
+fn no_call_ends_a_core_process() {
+    let outcome = make(bad_calls());
+    assert!(outcome.statuses.iter().all(|status| (400..500).contains(status)), "{:?}", outcome.statuses);
+    assert_eq!(outcome.has_ended, [false; CORES]);
+}
+
+/// Guards against the stack overflow of every primary that read one configuration of 100,000 nested lists (issue 38).
+#[test]
+fn a_configuration_nested_too_deep_ends_no_primary() {
+    let routes = "[".repeat(LEVELS);
+    let body = format!("{{\"version\":\"r1\",\"routes\":{routes}");
+    let mut configuration = Request::json(Method::PUT, "/v1/configuration".into(), body);
+    configuration.headers.insert("if-match", "0".parse().unwrap());
+    let outcome = make(vec![configuration]);
+    assert_eq!((outcome.statuses, outcome.has_ended), (vec![400; CORES], vec![false; CORES]));
 }
--- a/crates/soak/tests/large_bodies.rs
+++ b/crates/soak/tests/large_bodies.rs
@@ -10,7 +10,7 @@
 use soak::process::Process;
 use std::net::SocketAddr;
 use std::time::Duration;
-use support::start_cores;
+use support::starter;
 use trackbed::http::{Client, Request};
 
 const CALL_LIMIT: Duration = Duration::from_secs(1);
@@ -116,7 +116,7 @@
     trackbed::kernel::run(async {
         let block = Block::take().unwrap();
         let layout = Layout { block: block.number(), form: Form::ALL[0], cores: CORES };
-        let mut cores = start_cores(layout, folder.path());
+        let mut cores = starter(layout, folder.path()).cores().unwrap();
         assert!(is_a_number_drawn(layout).await);
         test(layout, &mut cores).await;
     })
--- a/crates/soak/tests/locks.rs
+++ b/crates/soak/tests/locks.rs
@@ -10,8 +10,9 @@
 use soak::process::Process;
 use soak::report::RunReport;
 use sonic_rs::JsonValueTrait;
+use std::path::PathBuf;
 use std::time::Duration;
-use support::{executable, start_cores};
+use support::starter;
 use trackbed::http::{Client, Request};
 
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -74,7 +75,7 @@
     trackbed::kernel::run(async {
         let block = Block::take().unwrap();
         let layout = Layout { block: block.number(), form: Form::ALL[0], cores: CORES };
-        let processes = start_cores(layout, folder.path());
+        let processes = starter(layout, folder.path()).cores().unwrap();
         for stopped in 0..CORES {
             if second_holder_after_a_late_release(layout, &processes, stopped).await {
                 overlaps.push(stopped);
@@ -92,7 +93,7 @@
     trackbed::kernel::run(async {
         let block = Block::take().unwrap();
         let layout = Layout { block: block.number(), form: Form::ALL[0], cores: CORES };
-        let processes = start_cores(layout, folder.path());
+        let processes = starter(layout, folder.path()).cores().unwrap();
         take(layout, &[0, 1, 2], "first", "a.1").await;
         for (stopped, process) in processes.iter().enumerate() {
             let lock = format!("lock-{stopped}");
@@ -119,7 +120,7 @@
         callers: 24,
         locks: 12,
         seconds: 12,
-        executable: executable(),
+        executable: PathBuf::from(env!("CARGO_BIN_EXE_soak")),
         folder: folder.path().to_owned(),
     };
     let mut report = None;
--- a/crates/soak/tests/route_type.rs
+++ b/crates/soak/tests/route_type.rs
@@ -6,13 +6,13 @@
 use nix::sys::signal::Signal;
 use soak::endpoint::events::Event;
 use soak::layout::{Block, CORES, ENDPOINTS, Form, HOST, Layout, NODES, SERVICE};
-use soak::process::{Process, Program};
+use soak::process::Process;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use support::{executable, start_cores};
+use support::starter;
 use trackbed::http::{Client, Request};
 
 const FROZEN: usize = 0;
@@ -39,18 +39,15 @@
 
 impl Fleet {
     fn start(layout: Layout, folder: &Path) -> Self {
-        let start = |program, name: String, settings: &str| {
-            Process::start(&executable(), program, name, settings, folder).unwrap()
-        };
-        let node = |index| start(Program::Pointsman, format!("node-{index}"), &layout.node_settings(index));
+        let starter = starter(layout, folder);
         let endpoint = |index| {
             let settings = layout.endpoint_settings(index).replacen('{', "{\"is_divided\":false,", 1);
-            start(Program::Endpoint, format!("endpoint-{index}"), &settings)
+            starter.endpoint(index, &settings).unwrap()
         };
         Self {
             layout,
-            _cores: start_cores(layout, folder),
-            nodes: (0..NODES).map(node).collect(),
+            _cores: starter.cores().unwrap(),
+            nodes: starter.nodes(NODES).unwrap(),
             endpoints: (0..ENDPOINTS).map(endpoint).collect(),
         }
     }
--- a/crates/soak/tests/second_process.rs
+++ b/crates/soak/tests/second_process.rs
@@ -11,7 +11,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use support::{start_core, start_cores};
+use support::starter;
 use trackbed::http::{Client, Request};
 
 const LIMIT: Duration = Duration::from_secs(1);
@@ -53,7 +53,8 @@
     trackbed::kernel::run(async {
         let block = Block::take().unwrap();
         let layout = Layout { block: block.number(), form: Form::ALL[0], cores: CORES };
-        let mut first = start_cores(layout, folder.path());
+        let starter = starter(layout, folder.path());
+        let mut first = starter.cores().unwrap();
         let stopped = Rc::new(Cell::new(false));
         let callers = (0..CALLERS).map(|number| draw_until(layout, number % CORES, told.clone(), stopped.clone()));
         let callers: Vec<_> = callers.map(monoio::spawn).collect();
@@ -64,7 +65,7 @@
         let begun = Instant::now();
         while begun.elapsed() < SPAN {
             let mut seconds: Vec<Process> = (0..CORES * AT_ONCE)
-                .map(|number| start_core(layout, number % CORES, &format!("second-{number}"), folder.path()))
+                .map(|number| starter.core(number % CORES, format!("second-{number}")).unwrap())
                 .collect();
             let started = Instant::now();
             while started.elapsed() < LIMIT && !seconds.iter_mut().all(Process::has_ended) {
