--- a/crates/lineside/tests/hold_calls.rs
+++ b/crates/lineside/tests/hold_calls.rs
@@ -295,3 +295,12 @@
     let overlaps: usize = (0..16).map(|seed| World::new(seed, true).run().overlaps).sum();
     assert!(overlaps > 0, "the argument rests on it, and the check sees it");
 }
+
+/// Guards against keys with two holders where an endpoint takes a grant long after its call was broken off (issue 34).
+#[test]
+fn no_two_endpoints_hold_a_key_at_once_though_broken_off_calls_are_taken_late() {
+    for seed in 0..16 {
+        let world = World::new(seed, true).run();
+        assert_eq!(world.overlaps, 0, "seed {seed}: two endpoints held one key");
+    }
+}
