--- a/crates/fuzz/src/targets/disk.rs
+++ b/crates/fuzz/src/targets/disk.rs
@@ -12,6 +12,7 @@
 use timetable::configuration::Configuration;
 use timetable::fleet::{ConfigChange, FleetChange};
 use timetable::packed::Packed;
+use timetable::shards::{KeyRange, ShardChange};
 use trackbed::clock::Moment;
 use trackbed::ids::{MemberId, ZabEpoch, Zxid};
 
@@ -36,6 +37,7 @@
     vec![
         Change::Fleet(configure),
         Change::Fleet(FleetChange::Register(super::wire::instance())),
+        Change::Fleet(super::wire::shards(ShardChange::Grant(vec![(KeyRange::ALL, super::wire::instance().id)]))),
         Change::LockTaken { lock: "l".into(), holder: "a".into(), fence: 7, hold_millis: 100 },
         Change::LockFreed { lock: "l".into(), fence: 7 },
         Change::Number { name: "n".into(), value: 3 },
--- a/crates/fuzz/src/targets/wire.rs
+++ b/crates/fuzz/src/targets/wire.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use timetable::configuration::Configuration;
 use timetable::fleet::{ConfigChange, FleetChange, FleetNews, FleetState, Instance};
-use timetable::shards::KeyRange;
+use timetable::shards::{KeyRange, ShardChange};
 use trackbed::clock::Moment;
 use trackbed::ids::{
     ConfigEpoch, Incarnation, InstanceId, MemberId, NodeName, RegionName, ServiceName, ZabEpoch, ZoneName, Zxid,
@@ -136,10 +136,16 @@
     vec![
         FleetChange::Configure { change: ConfigChange::Whole(configuration), digest: 1 },
         FleetChange::Register(instance()),
-        FleetChange::End(InstanceId::new("i-1")),
+        shards(ShardChange::Grant(vec![(KeyRange::ALL, instance().id)])),
+        shards(ShardChange::Revoke(KeyRange::new(4, 9).map(|range| (range, instance().id)).into_iter().collect())),
+        FleetChange::End(InstanceId::new("i-2")),
     ]
 }
 
+pub(super) fn shards(change: ShardChange) -> FleetChange {
+    FleetChange::Shards { service: ServiceName::new("s"), change }
+}
+
 fn fleet() -> FleetState {
     let mut fleet = FleetState::default();
     for (counter, change) in (1..).zip(changes()) {
@@ -150,16 +156,33 @@
 
 fn news() -> Vec<FleetNews> {
     let fleet = fleet();
-    fleet.news_since(Zxid::new(1, 0)).into_iter().chain([fleet.whole()]).collect()
+    [Zxid::ZERO, Zxid::new(1, 3)]
+        .into_iter()
+        .filter_map(|since| fleet.news_since(since))
+        .chain([fleet.whole()])
+        .collect()
 }
 
 fn read_news(input: &[u8]) {
     let Ok(news) = FleetNews::try_from_slice(input) else { return };
     let mut behind = FleetState::default();
     behind.take(Zxid::ZERO, news.clone());
+    go_on(behind);
     let mut other = fleet();
     other.take(other.zxid(), news.clone());
     other.replace(news);
+    go_on(other);
+}
+
+/// Whatever was taken, later changes find their keys in it.
+fn go_on(mut fleet: FleetState) {
+    let place = Zxid::new(u64::MAX >> 32, 1);
+    if place > fleet.zxid() {
+        fleet.apply(place, shards(ShardChange::Revoke(vec![(KeyRange::ALL, instance().id)])));
+    }
+    for (_, map) in fleet.sharded() {
+        let _ = map.owner_of(u16::MAX);
+    }
 }
 
 fn occupancy() -> Occupancy {
