--- a/review/standin-2/endpoint.rs
+++ b/review/standin-2/endpoint.rs
@@ -4,7 +4,7 @@
 use crate::http::{self, Message};
 use crate::util::{below, note, now, number, random, sleep, text, whole};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
     pub work_millis: u64,
     /// It runs only requests for keys that it holds.
     pub is_divided: bool,
+    /// It lists its keys in its heartbeats, and takes what their answers say.
+    pub lists_keys: bool,
 }
 
 /// One span in which keys are held without a break.
@@ -56,6 +58,10 @@
     working: Vec<u64>,
     waiting: usize,
     runs: Vec<Run>,
+    /// Let go, and still worked on.
+    letting_go: Vec<(u64, u64)>,
+    /// Let go since the last acknowledged heartbeat.
+    released: Vec<(u64, u64, String)>,
 }
 
 pub struct Endpoint {
@@ -68,6 +74,8 @@
     /// Its process is over.
     ended: AtomicBool,
     pub draining: AtomicBool,
+    /// The next heartbeat comes so many milliseconds late.
+    pub next_beat_late: AtomicU64,
 }
 
 fn overlap(one: (u64, u64), other: (u64, u64)) -> bool {
@@ -136,6 +144,7 @@
             resets: AtomicUsize::new(0),
             ended: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            next_beat_late: AtomicU64::new(0),
         });
         note(&format!("endpoint {} starts at {}", endpoint.life, endpoint.kind.address));
         let (listening, beating) = (endpoint.clone(), endpoint.clone());
@@ -290,27 +299,86 @@
         (200, vec![("Ferryhinge-Duty-Handoff", format!("{:016x}", random()))], "{}".into())
     }
 
+    /// What the next heartbeat lists: holds, and what was let go.
+    fn lists(&self) -> (String, usize, bool) {
+        if !self.kind.lists_keys {
+            return (String::new(), 0, false);
+        }
+        let mut state = self.state.lock().unwrap();
+        for (first, last) in std::mem::take(&mut state.letting_go) {
+            match state.working.iter().any(|key| first <= *key && *key <= last) {
+                true => state.letting_go.push((first, last)),
+                false => state.released.push((first, last, format!("{:016x}", random()))),
+            }
+        }
+        let at = now();
+        let held = state.holds.iter().filter(|hold| at < hold.until);
+        let held: Vec<String> = held.map(|hold| format!("[{},{},{}]", hold.first, hold.last, hold.fence)).collect();
+        let released: Vec<String> =
+            state.released.iter().map(|(first, last, handover)| format!("[{first},{last},\"{handover}\"]")).collect();
+        let lists = format!(",\"holds\":[{}],\"released\":[{}]", held.join(","), released.join(","));
+        (lists, state.released.len(), !state.letting_go.is_empty() || !state.released.is_empty())
+    }
+
+    /// Takes the answer to a heartbeat that was sent at a time and listed so much as released.
+    fn heard(&self, answer: &str, sent: u64, told: usize) {
+        let mut state = self.state.lock().unwrap();
+        state.released.drain(..told);
+        let (Some(rows), Some(hold_s)) = (rows(answer), number(answer, "hold_s")) else { return };
+        if !self.kind.lists_keys {
+            return;
+        }
+        let at = now();
+        let until = sent + (hold_s * 1000.0) as u64;
+        let before: Vec<(u64, u64)> =
+            state.holds.iter().filter(|hold| at < hold.until).map(|hold| (hold.first, hold.last)).collect();
+        for (first, last) in before {
+            let mut kept = vec![(first, last)];
+            for (from, to, _) in &rows {
+                kept = kept.into_iter().flat_map(|part| without(part, (*from, *to))).collect();
+            }
+            for (first, last) in kept {
+                note(&format!("{} is told to let go of keys {first}-{last}", self.life));
+                state.cut(first, last, at);
+                state.letting_go.push((first, last));
+            }
+        }
+        for (first, last, fence) in rows {
+            let taken = state.take(Hold { first, last, fence, from: at, until });
+            note(&format!("{} is told to hold keys {first}-{last}, fence {fence}, to {until} ms: {taken}", self.life));
+        }
+    }
+
     fn beat(self: Arc<Self>) {
         let mut target = 0;
-        let mut told: Option<SocketAddr> = None;
+        let mut told_target: Option<SocketAddr> = None;
         for sequence in 1u64.. {
+            let late = self.next_beat_late.swap(0, Ordering::SeqCst);
+            if late > 0 {
+                note(&format!("a heartbeat of {} comes {late} ms late", self.life));
+                sleep(late);
+            }
             if self.ended.load(Ordering::SeqCst) {
                 return;
             }
             let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+            let (lists, told, letting_go) = self.lists();
             let body = format!(
                 "{{\"service_name\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"capacity_slots\":{},\
-                 \"lifecycle_state\":\"{state}\",\"cold_remaining_s\":0,\"sequence\":{sequence}}}",
+                 \"lifecycle_state\":\"{state}\",\"cold_remaining_s\":0,\"sequence\":{sequence}{lists}}}",
                 self.kind.service, self.kind.address, self.kind.zone, self.kind.slots
             );
-            let to = told.unwrap_or(self.kind.heartbeats[target % self.kind.heartbeats.len()]);
+            let to = told_target.unwrap_or(self.kind.heartbeats[target % self.kind.heartbeats.len()]);
+            let sent = now();
             match http::json(to, "PUT", &format!("/v1/instances/{}", self.life), None, &body, 1000) {
                 Ok(answer) if (200..300).contains(&answer.status()) => {
-                    told = text(&answer.text(), "heartbeat_target").and_then(|address| address.parse().ok());
-                    sleep(crate::fleet::HEARTBEAT_MILLIS);
+                    let answer = answer.text();
+                    told_target = text(&answer, "heartbeat_target").and_then(|address| address.parse().ok());
+                    self.heard(&answer, sent, told);
+                    sleep(if letting_go { 90 } else { crate::fleet::HEARTBEAT_MILLIS });
                 }
                 _ => {
-                    told = None;
+                    told_target = None;
                     target += 1;
                     sleep(100);
                 }
@@ -318,3 +386,33 @@
         }
     }
 }
+
+/// What is left of a range without another.
+fn without(range: (u64, u64), cut: (u64, u64)) -> Vec<(u64, u64)> {
+    if !overlap(range, cut) {
+        return vec![range];
+    }
+    let mut left = Vec::new();
+    if range.0 < cut.0 {
+        left.push((range.0, cut.0 - 1));
+    }
+    if cut.1 < range.1 {
+        left.push((cut.1 + 1, range.1));
+    }
+    left
+}
+
+/// The rows of `holds` in an answer to a heartbeat; nothing where it has none.
+fn rows(answer: &str) -> Option<Vec<(u64, u64, u64)>> {
+    let rest = answer.split_once("\"holds\":[")?.1;
+    let mut found = Vec::new();
+    let mut rest = rest.trim_start();
+    while let Some(row) = rest.strip_prefix('[') {
+        let (inside, after) = row.split_once(']')?;
+        let mut fields = inside.split(',').map(str::trim);
+        let mut whole = || fields.next()?.parse::<u64>().ok();
+        found.push((whole()?, whole()?, whole()?));
+        rest = after.trim_start().trim_start_matches(',').trim_start();
+    }
+    Some(found)
+}
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -153,14 +153,18 @@
     }
 
     pub fn start_node(&mut self, index: usize) {
+        self.start_node_of(index, self.service);
+    }
+
+    /// A node on a machine whose endpoint is of that service.
+    pub fn start_node_of(&mut self, index: usize, service: &str) {
         let (name, ip) = (format!("node-{index}"), self.ip(2, index));
         let (class, rest) = match self.tier {
             Tier::Beside => (
                 "sidecar",
                 format!(
-                    "\"serves\":[\"sidecar\"],\"loss_counted\":false,\"data_directory\":null,\"service_name\":\"{}\",\"app_address\":\"{ip}:{ENDPOINT}\",\
-                     \"listen_addresses\":{{\"inbound\":\"{ip}:{INBOUND}\",\"outbound\":\"{ip}:{REQUESTS}\",\"readiness\":\"{ip}:{READINESS}\",\"control_plane\":\"{ip}:{CONTROL}\"}}",
-                    self.service
+                    "\"serves\":[\"sidecar\"],\"loss_counted\":false,\"data_directory\":null,\"service_name\":\"{service}\",\"app_address\":\"{ip}:{ENDPOINT}\",\
+                     \"listen_addresses\":{{\"inbound\":\"{ip}:{INBOUND}\",\"outbound\":\"{ip}:{REQUESTS}\",\"readiness\":\"{ip}:{READINESS}\",\"control_plane\":\"{ip}:{CONTROL}\"}}"
                 ),
             ),
             Tier::Gateway => (
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,8 @@
 mod endpoint;
 mod fleet;
 mod http;
+mod late_heartbeat;
+mod left_clients;
 mod refused_release;
 mod util;
 
@@ -34,6 +36,8 @@
     let root = std::env::current_dir().unwrap_or_default();
     let verdict = match case.as_str() {
         "refused-release" => refused_release::play(&root, with_trouble),
+        "left-clients" => left_clients::play(&root, with_trouble),
+        "late-heartbeat" => late_heartbeat::play(&root, with_trouble),
         _ => Verdict::CouldNotRun("there is no such case".into()),
     };
     let status = match verdict {
