--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
     echo "build the deploy file's programs and run review/build-2.sh first"
     exit 2
 }
-exec target/review-2 large-packs "$here"
+exec target/review-2 left-clients "$here"
