OWNER: a request that waited for a slot goes only to a holder of its key

Now it is looked at again once there is a slot, and at a gateway once a slot was given by another one.

Test: a_request_that_waited_for_a_slot_goes_only_to_a_holder_of_its_key (without the look: sent all the same).

--- a/crates/pointsman/src/dispatch/direct.rs
+++ b/crates/pointsman/src/dispatch/direct.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::configuration::Route;
+use timetable::fleet::Instance;
 use trackbed::clock;
 use trackbed::http::Return;
 
@@ -116,7 +117,12 @@
     // What was ordered meanwhile holds here too.
     let address = {
         let fleet = node.fleet.borrow();
-        fleet.instance(&errand.instance).filter(|instance| !instance.draining).map(|instance| instance.address)
+        let instance = fleet.instance(&errand.instance).filter(|instance| !instance.draining);
+        let holds_key = |instance: &&Instance| {
+            let shards = errand.key.zip(fleet.shards(&instance.service));
+            shards.is_none_or(|(key, shards)| shards.owner_of(key) == Some(&errand.instance))
+        };
+        instance.filter(holds_key).map(|instance| instance.address)
     };
     let granted = clock::now();
     let mut outcome = match address {
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -227,6 +227,10 @@
         if !self.takes_on(&errand.instance, now) {
             return self.passed(Passed::Gone, Duration::from_millis(20));
         }
+        // So may its key.
+        if errand.key.is_some_and(|key| !self.ownership.may_hold(key, now)) {
+            return self.passed(Passed::NotHeld, KEY_ELSEWHERE);
+        }
         if errand.request.presence.has_left() {
             return self.passed(Passed::Late, Duration::from_millis(50));
         }
--- a/crates/pointsman/src/platform/ownership/tests.rs
+++ b/crates/pointsman/src/platform/ownership/tests.rs
@@ -1,8 +1,11 @@
 //! What the node beside an endpoint of a divided service answers to its heartbeats.
 
 use super::*;
+use crate::dispatch::{Errand, Outcome, Passed};
 use crate::node::test_node::start;
 use crate::platform::Life;
+use crate::platform::tests::errand;
+use assert_matches::assert_matches;
 use std::net::SocketAddr;
 use timetable::configuration::Configuration;
 use timetable::fleet::{Beat, Instance};
@@ -136,3 +139,34 @@
     });
     ended.unwrap();
 }
+
+/// Guards against a request that reaches an endpoint whose key was given away while the request waited for a slot.
+#[test]
+fn a_request_that_waited_for_a_slot_goes_only_to_a_holder_of_its_key() {
+    let ended = trackbed::kernel::run(async {
+        let listener = monoio::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let node = node_beside(23, listener.local_addr().unwrap());
+        let ownership = &node.platform.ownership;
+        ownership.is_divided.set(true);
+        node.platform.admission.set_slots(1);
+        let held = vec![(range(0, 999), clock::now() + Duration::from_secs(60))];
+        *ownership.granted.borrow_mut() = Some(held);
+        let horizon = clock::now() + Duration::from_secs(20);
+        let mut under_way = Vec::new();
+        for number in 0..2 {
+            let platform = node.platform.clone();
+            let errand =
+                Errand { horizon, target: horizon, key: Some(7), instance: InstanceId::new("i-1"), ..errand(number) };
+            let errand = Errand { patience: Duration::from_secs(20), ..errand };
+            under_way.push(monoio::spawn(async move { platform.run(&errand).await.outcome }));
+        }
+        let (first, _) = listener.accept().await.unwrap();
+        monoio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(node.platform.admission.counts().1, 1, "the second one waits");
+        *ownership.granted.borrow_mut() = Some(Vec::new());
+        drop(first);
+        let second = under_way.pop().unwrap().await;
+        assert_matches!(second, Outcome::NotTaken { why: Passed::NotHeld, .. });
+    });
+    ended.unwrap();
+}
