GONE: what a client has left is withdrawn from another node's queue too

Behind gateways a request went to the endpoint with a slot that was asked for before its client left.

Now the node that took the request closes the connection between the nodes. The node beside the endpoint withdraws what waits there, at once, and sees through what the endpoint is at. A slot that another gateway gave is given back. What is told on a connection closed in one direction only is a 502 where the request may run yet, as 503 would promise that it doesn't.

--- a/crates/pointsman/src/dispatch/carry.rs
+++ b/crates/pointsman/src/dispatch/carry.rs
@@ -80,9 +80,10 @@
     }
 }
 
-/// The client has left: nobody reads this answer.
-fn client_left() -> Return {
-    Return::text(503, "the client has left").closing()
+/// The client has left: nobody reads this answer, unless it has closed one direction only.
+fn client_left(may_run_yet: bool) -> Return {
+    let status = if may_run_yet { 502 } else { 503 };
+    Return::text(status, "the client has left").closing()
 }
 
 async fn go(node: &Rc<Pointsman>, candidate: &Candidate, route: &Route, errand: &Errand) -> GoResult {
@@ -167,6 +168,14 @@
     fleet.routes().and_then(|routes| routes.find(host, request.path())).is_some_and(|route| route.kind.repeats())
 }
 
+/// Whether a go may be broken off when the client leaves. What may not run twice is seen through where it may be at work; the
+/// node beside the endpoint sees to that itself, and withdraws what still waits there when its connection ends.
+fn may_break_off(node: &Pointsman, candidate: &Candidate, errand: &Errand) -> bool {
+    let is_passed_to_peer = node.mode == Mode::Beside && !candidate.is_local;
+    // A slot that was asked for must be given back.
+    errand.repeats || (is_passed_to_peer && !errand.is_long())
+}
+
 /// Sees a request through to its answer.
 pub async fn carry_out(node: &Rc<Pointsman>, mut plan: Plan, request: Request, binding: Binding) -> Return {
     let arrived = clock::now();
@@ -221,7 +230,7 @@
             break;
         }
         if errand.request.presence.has_left() {
-            return client_left();
+            return client_left(may_have_run.is_some());
         }
         // Whoever is free is looked for first; only then is anybody's queue stood in.
         let looks_for_free = asked_in_vain < looks && !left.is_empty();
@@ -242,9 +251,8 @@
         left.retain(|other| other.instance != candidate.instance);
         let presence = errand.request.presence.clone();
         let going = go(node, &candidate, &plan.route, &errand);
-        // What may not run twice is seen through once it is on its way: it may be at work.
-        let result = presence.unless_left_where(errand.repeats, going).await;
-        let Some(GoResult { outcome, .. }) = result else { return client_left() };
+        let result = presence.unless_left_where(may_break_off(node, &candidate, &errand), going).await;
+        let Some(GoResult { outcome, .. }) = result else { return client_left(!errand.repeats) };
         if looks_for_free && !candidate.is_local {
             let free = !matches!(outcome, Outcome::NotTaken { why: Passed::Busy, .. });
             node.balance.borrow_mut().looked(&plan.service, free);
--- a/crates/pointsman/src/dispatch/direct.rs
+++ b/crates/pointsman/src/dispatch/direct.rs
@@ -103,7 +103,11 @@
         Err(result) => return result,
     };
     let permitted = Errand { permit: Some(held.number), ..errand.clone() };
-    let result = remote::deliver(&node.peers, &node.pacer, beside, &permitted).await;
+    let going = remote::deliver(&node.peers, &node.pacer, beside, &permitted);
+    // The node beside the endpoint sees through what the endpoint is at.
+    let Some(result) = errand.request.presence.unless_left(going).await else {
+        return GoResult::only(Outcome::abandoned());
+    };
     // Whoever has answered has taken the slot over.
     held.is_redeemed = !matches!(result.outcome, Outcome::NotSent | Outcome::Failed(_));
     GoResult { occupancy: result.occupancy.or(occupancy), ..result }
@@ -114,6 +118,9 @@
         Ok(permitted) => permitted,
         Err(result) => return result,
     };
+    if errand.request.presence.has_left() {
+        return GoResult { outcome: Outcome::abandoned(), occupancy, spent: None };
+    }
     // What was ordered meanwhile holds here too.
     let address = {
         let fleet = node.fleet.borrow();
--- a/crates/pointsman/src/dispatch/errand.rs
+++ b/crates/pointsman/src/dispatch/errand.rs
@@ -120,6 +120,13 @@
     OverHorizon,
 }
 
+impl Outcome {
+    /// The client has left before the endpoint was offered the request.
+    pub fn abandoned() -> Self {
+        Self::NotTaken { why: Passed::Late, free_in: Duration::ZERO }
+    }
+}
+
 /// The route that it was planned by is not in force here.
 pub fn stale() -> GoResult {
     GoResult::not_taken(Passed::Stale, Duration::from_millis(20))
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -121,6 +121,10 @@
                     Some(end) => Line::counted(stream, end.connections()),
                     None => Line::new(stream),
                 };
+                if errand.request.presence.has_left() {
+                    lines.pool.keep(address, line, clock::now(), USUAL_KEEP.min(lines.keeps));
+                    return Outcome::abandoned();
+                }
                 (line, None)
             }
             Err(error) => {
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -214,7 +214,14 @@
         };
         let admitted = match given {
             Some(slot) => Ok(slot),
-            None => self.admission.admit(&errand.claim(), now).await,
+            None => {
+                let claim = errand.claim();
+                let waiting = self.admission.admit(&claim, now);
+                match errand.request.presence.unless_left(waiting).await {
+                    Some(admitted) => admitted,
+                    None => return self.result(Outcome::abandoned()),
+                }
+            }
         };
         let slot = match admitted {
             Ok(slot) => slot,
@@ -232,7 +239,7 @@
             return self.passed(Passed::NotHeld, KEY_ELSEWHERE);
         }
         if errand.request.presence.has_left() {
-            return self.passed(Passed::Late, Duration::from_millis(50));
+            return self.result(Outcome::abandoned());
         }
         if errand.left(now) < Duration::from_millis(2) {
             return self.passed(Passed::Late, Duration::from_millis(50));
