--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -6,11 +6,13 @@
 use soak::layout::{CORES, Layout};
 use soak::process::Process;
 use soak::start::Starter;
+use sonic_rs::JsonValueTrait;
 use std::path::Path;
 use std::time::Duration;
 use trackbed::http::{Client, Request};
 
 const CALL_LIMIT: Duration = Duration::from_secs(4);
+const NUMBER_LIMIT: Duration = Duration::from_secs(1);
 const PAUSE: Duration = Duration::from_millis(100);
 const MOST_TRIES: usize = 200;
 
@@ -38,6 +40,24 @@
     panic!("the configuration was never acknowledged");
 }
 
+/// A number, from whichever core node gives one; nothing where none does for a while.
+pub async fn draw_number(layout: Layout) -> Option<u64> {
+    let request = Request::json(Method::POST, "/v1/numbers/n".into(), "{}".into());
+    for turn in 0..MOST_TRIES {
+        match Client::new(layout.core(turn % CORES)).call(&request, NUMBER_LIMIT).await {
+            Ok(answer) if answer.status == 200 => return number_in(&answer.body),
+            _ => monoio::time::sleep(PAUSE).await,
+        }
+    }
+    None
+}
+
+/// The number that an answer gives.
+pub fn number_in(body: &[u8]) -> Option<u64> {
+    let body: sonic_rs::Value = sonic_rs::from_slice(body).ok()?;
+    body.pointer(["value"].iter()).and_then(|value| value.as_u64())
+}
+
 /// Waits until something is so.
 pub async fn wait(wanted: &str, mut is_so: impl FnMut() -> bool) {
     for _ in 0..MOST_TRIES {
