--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -13,6 +13,7 @@
 
 const CALL_LIMIT: Duration = Duration::from_secs(4);
 const NUMBER_LIMIT: Duration = Duration::from_secs(1);
+const NUMBER_TRIES: usize = 60;
 const PAUSE: Duration = Duration::from_millis(100);
 const MOST_TRIES: usize = 200;
 
@@ -43,7 +44,7 @@
 /// A number, from whichever core node gives one; nothing where none does for a while.
 pub async fn draw_number(layout: Layout) -> Option<u64> {
     let request = Request::json(Method::POST, "/v1/numbers/n".into(), "{}".into());
-    for turn in 0..MOST_TRIES {
+    for turn in 0..NUMBER_TRIES {
         match Client::new(layout.core(turn % CORES)).call(&request, NUMBER_LIMIT).await {
             Ok(answer) if answer.status == 200 => return number_in(&answer.body),
             _ => monoio::time::sleep(PAUSE).await,
