--- a/crates/soak/tests/full_endpoint.rs
+++ b/crates/soak/tests/full_endpoint.rs
@@ -3,16 +3,14 @@
 
 mod support;
 
-use http::Method;
 use nix::sys::signal::Signal;
 use soak::endpoint::events::Event;
 use soak::invariants::{self, Witness};
-use soak::layout::{Block, CORES, Form, Grants, HOST, Layout, Tier, UNSAFE_PREFIX};
+use soak::layout::{Block, CORES, Form, Grants, Layout, Tier};
 use soak::process::Process;
 use std::path::Path;
 use std::time::{Duration, Instant};
-use support::{configure, events, settings_with, starter, wait};
-use trackbed::http::{Client, Request};
+use support::{POST_LIMIT, configure, events, post_once, settings_with, starter, wait};
 
 const ENDPOINTS: usize = 2;
 const NODES: usize = 2;
@@ -21,7 +19,6 @@
 const BETWEEN: Duration = Duration::from_millis(25);
 const BEFORE: Duration = Duration::from_secs(3);
 const AFTER: Duration = Duration::from_secs(9);
-const CALL_LIMIT: Duration = Duration::from_millis(2500);
 const DEADLINE_MILLIS: &str = "1500";
 /// Fewer requests show nothing.
 const LEAST_RUNS: usize = 100;
@@ -38,25 +35,14 @@
 /// How the first endpoint treats connections that are too many.
 const WHEN_FULL: [&str; 2] = ["refuse", "accept_and_reset"];
 
-async fn post(layout: Layout, number: u64, key: u16) {
-    let (attempt, key) = (format!("{number:016x}"), key.to_string());
-    let headers = [
-        ("host", HOST),
-        ("ferryhinge-attempt-id", attempt.as_str()),
-        ("ferryhinge-deadline-ms", DEADLINE_MILLIS),
-        ("ferryhinge-shard-key", key.as_str()),
-    ];
-    let request = Request::own(Method::POST, format!("{UNSAFE_PREFIX}submit"), &headers, "work".into());
-    let _ = Client::new(layout.requests(number as usize % NODES)).call(&request, CALL_LIMIT).await;
-}
-
 /// Sends requests at an even rate for a time, with keys all over.
 async fn send(layout: Layout, span: Duration, sent: &mut u64) {
     let begun = Instant::now();
     while begun.elapsed() < span {
         *sent += 1;
         let spread = sent.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48;
-        monoio::spawn(post(layout, *sent, spread as u16));
+        let node = *sent as usize % NODES;
+        monoio::spawn(post_once(layout, node, *sent, spread as u16, DEADLINE_MILLIS));
         monoio::time::sleep(BETWEEN).await;
     }
 }
@@ -85,7 +71,7 @@
         Trouble::LateHeartbeats => endpoints[0].signal(Signal::SIGUSR2),
     }
     send(layout, AFTER, &mut sent).await;
-    monoio::time::sleep(CALL_LIMIT).await;
+    monoio::time::sleep(POST_LIMIT).await;
     assert_eq!(endpoints.len(), ENDPOINTS);
     endpoints.iter().map(|endpoint| Witness { events: events(endpoint), ended: Vec::new() }).collect()
 }
--- a/crates/soak/tests/late_grant.rs
+++ b/crates/soak/tests/late_grant.rs
@@ -3,16 +3,14 @@
 
 mod support;
 
-use http::Method;
 use nix::sys::signal::Signal;
 use soak::endpoint::events::{Event, shared_micros};
 use soak::invariants::{self, Witness};
-use soak::layout::{Block, CORES, Form, Grants, HOST, Layout, Tier, UNSAFE_PREFIX};
+use soak::layout::{Block, CORES, Form, Grants, Layout, Tier};
 use soak::process::Process;
 use std::path::Path;
 use std::time::{Duration, Instant};
-use support::{configure, events, starter, wait};
-use trackbed::http::{Client, Request};
+use support::{POST_LIMIT, configure, events, post_once, starter, wait};
 
 const ENDPOINTS: usize = 8;
 /// Endpoints that stay: the others leave in order before the freeze, so that these hold several ranges each.
@@ -24,7 +22,6 @@
 const BETWEEN: Duration = Duration::from_millis(10);
 const PAUSE: Duration = Duration::from_millis(100);
 const MOST_TRIES: usize = 200;
-const CALL_LIMIT: Duration = Duration::from_millis(2500);
 /// Deadlines of requests for keys of the endpoint that stands still, and of all others, in milliseconds.
 const SHORT_DEADLINE: &str = "150";
 const LONG_DEADLINE: &str = "2000";
@@ -79,18 +76,6 @@
     }
 }
 
-async fn post(layout: Layout, number: u64, key: u16, deadline: &'static str) {
-    let (attempt, key) = (format!("{number:016x}"), key.to_string());
-    let headers = [
-        ("host", HOST),
-        ("ferryhinge-attempt-id", attempt.as_str()),
-        ("ferryhinge-deadline-ms", deadline),
-        ("ferryhinge-shard-key", key.as_str()),
-    ];
-    let request = Request::own(Method::POST, format!("{UNSAFE_PREFIX}submit"), &headers, "work".into());
-    let _ = Client::new(layout.requests(number as usize % STAY)).call(&request, CALL_LIMIT).await;
-}
-
 /// Sends requests at an even rate for a time: every second one for some keys of the endpoint that stands still.
 async fn send(layout: Layout, busy: &[(u16, u16)], span: Duration, sent: &mut u64) {
     let begun = Instant::now();
@@ -103,7 +88,8 @@
             true => (inside, SHORT_DEADLINE),
             false => (spread as u16, LONG_DEADLINE),
         };
-        monoio::spawn(post(layout, *sent, key, deadline));
+        let node = *sent as usize % STAY;
+        monoio::spawn(post_once(layout, node, *sent, key, deadline));
         monoio::time::sleep(BETWEEN).await;
     }
 }
@@ -127,7 +113,7 @@
         send(fleet.layout, busy, FREEZE, &mut sent).await;
         fleet.endpoints[FROZEN].signal(Signal::SIGCONT);
         send(fleet.layout, busy, AFTER, &mut sent).await;
-        monoio::time::sleep(CALL_LIMIT).await;
+        monoio::time::sleep(POST_LIMIT).await;
         witnesses = (0..ENDPOINTS).map(|index| Witness { events: fleet.events(index), ended: Vec::new() }).collect();
     })
     .unwrap();
--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use http::Method;
 use soak::endpoint::events::Event;
-use soak::layout::{CORES, Layout};
+use soak::layout::{CORES, HOST, Layout, UNSAFE_PREFIX};
 use soak::process::Process;
 use soak::start::Starter;
 use sonic_rs::JsonValueTrait;
@@ -12,6 +12,8 @@
 use trackbed::http::{Client, Request};
 
 const CALL_LIMIT: Duration = Duration::from_secs(4);
+/// How long [`post_once`] waits for its answer.
+pub const POST_LIMIT: Duration = Duration::from_millis(2500);
 const NUMBER_LIMIT: Duration = Duration::from_secs(1);
 const NUMBER_TRIES: usize = 60;
 const PAUSE: Duration = Duration::from_millis(100);
@@ -41,6 +43,19 @@
     panic!("the configuration was never acknowledged");
 }
 
+/// Sends a request for a key that may run once at most, and passes over what comes of it.
+pub async fn post_once(layout: Layout, node: usize, number: u64, key: u16, deadline_millis: &'static str) {
+    let (attempt, key) = (format!("{number:016x}"), key.to_string());
+    let headers = [
+        ("host", HOST),
+        ("ferryhinge-attempt-id", attempt.as_str()),
+        ("ferryhinge-deadline-ms", deadline_millis),
+        ("ferryhinge-shard-key", key.as_str()),
+    ];
+    let request = Request::own(Method::POST, format!("{UNSAFE_PREFIX}submit"), &headers, "work".into());
+    let _ = Client::new(layout.requests(node)).call(&request, POST_LIMIT).await;
+}
+
 /// A number, from whichever core node gives one; nothing where none does for a while.
 pub async fn draw_number(layout: Layout) -> Option<u64> {
     let request = Request::json(Method::POST, "/v1/numbers/n".into(), "{}".into());
