--- a/crates/soak/src/endpoint/events.rs
+++ b/crates/soak/src/endpoint/events.rs
@@ -68,6 +68,29 @@
         /// Whether the request may run more than once.
         safe: bool,
     },
+    /// It is cold from now on, until a time.
+    Cold {
+        /// When.
+        at: u64,
+        /// The life's id.
+        life: String,
+        /// When it is warm again.
+        until: u64,
+    },
+    /// It turned a request away since it had no slot.
+    Refused {
+        /// When.
+        at: u64,
+        /// The life's id.
+        life: String,
+    },
+    /// More requests came while it was cold than it bears: its process ends.
+    FellOver {
+        /// When.
+        at: u64,
+        /// The life's id.
+        life: String,
+    },
     /// It was asked to run a request for a key that it doesn't hold.
     Misdirected {
         /// When.
--- a/crates/soak/src/endpoint/heartbeat.rs
+++ b/crates/soak/src/endpoint/heartbeat.rs
@@ -36,7 +36,7 @@
             version: "v1",
             capacity_slots: self.settings.slots,
             lifecycle_state: if self.is_draining.get() { "draining" } else { "ready" },
-            cold_remaining_s: 0.0,
+            cold_remaining_s: self.coldness.remaining_seconds(now),
             sequence,
             holds: lists.then(holds),
             released: lists.then(|| self.released.borrow().clone()),
--- a/crates/soak/src/endpoint/messages.rs
+++ b/crates/soak/src/endpoint/messages.rs
@@ -26,6 +26,25 @@
     /// Work of a request: at least so much.
     #[serde(default = "least_work_millis")]
     pub(super) least_work_millis: u64,
+    /// What it bears while it is cold; an endpoint without is never cold.
+    #[serde(default)]
+    pub(super) cold: Option<ColdSettings>,
+}
+
+/// What an endpoint bears for a while after its start, or when it turns cold later on.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(super) struct ColdSettings {
+    /// How long it stays cold, in seconds.
+    pub(super) cold_start_s: f64,
+    /// Whether it is cold from its start.
+    #[serde(default = "starts_cold")]
+    pub(super) starts_cold: bool,
+    /// Requests in a second, above which its process ends.
+    pub(super) falls_over_above: usize,
+}
+
+fn starts_cold() -> bool {
+    true
 }
 
 /// How connections beyond the limit are reset.
--- a/crates/soak/src/endpoint/mod.rs
+++ b/crates/soak/src/endpoint/mod.rs
@@ -1,12 +1,14 @@
 //! An emulated endpoint of the divided service, as a process of its own: it serves requests for keys that it holds,
 //! sends heartbeats, and says on standard output what it saw.
 
+mod coldness;
 pub mod events;
 mod heartbeat;
 pub mod holds;
 mod messages;
 mod server;
 
+use coldness::Coldness;
 use events::{Event, shared_micros};
 use heartbeat::{beat_for_ever, leave};
 use holds::{Hold, Holds};
@@ -44,6 +46,7 @@
     is_draining: Cell<bool>,
     /// A heartbeat that said so was acknowledged.
     drain_is_known: Cell<bool>,
+    coldness: Coldness,
 }
 
 /// Runs an endpoint until its process is killed or asked to end; gives the process's status.
@@ -57,10 +60,12 @@
         Err(error) => return fail(&format!("{}: {error}", settings.display())),
     };
     let (lose, silence, end) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default(), Arc::default());
+    let cold = Arc::<AtomicBool>::default();
     let signals = [
         signal_hook::flag::register(signal_hook::consts::SIGUSR1, lose.clone()),
         signal_hook::flag::register(signal_hook::consts::SIGUSR2, silence.clone()),
         signal_hook::flag::register(signal_hook::consts::SIGTERM, Arc::clone(&end)),
+        signal_hook::flag::register(signal_hook::consts::SIGHUP, cold.clone()),
     ];
     if signals.iter().any(Result::is_err) {
         return fail("signals can't be taken over");
@@ -79,6 +84,7 @@
         silent_until: Cell::new(0),
         is_draining: Cell::new(false),
         drain_is_known: Cell::new(false),
+        coldness: Coldness::default(),
     });
     let outcome = kernel::run(async {
         let listener = match bind_tcp(endpoint.settings.address) {
@@ -86,6 +92,9 @@
             Err(error) => return eprintln!("{}: {error}", endpoint.settings.address),
         };
         Event::Started { at: shared_micros(), life: endpoint.life.clone() }.tell();
+        if endpoint.settings.cold.is_some_and(|cold| cold.starts_cold) {
+            endpoint.turn_cold();
+        }
         monoio::spawn(serve_for_ever(endpoint.clone(), listener));
         monoio::spawn(beat_for_ever(endpoint.clone()));
         while !end.load(Ordering::Relaxed) {
@@ -96,6 +105,9 @@
             if silence.swap(false, Ordering::Relaxed) {
                 endpoint.silent_until.set(until);
             }
+            if cold.swap(false, Ordering::Relaxed) {
+                endpoint.turn_cold();
+            }
             monoio::time::sleep(LOOK_EVERY).await;
         }
         leave(&endpoint).await;
--- a/crates/soak/src/endpoint/server.rs
+++ b/crates/soak/src/endpoint/server.rs
@@ -21,6 +21,7 @@
 const LOST_SHARE: f64 = 0.4;
 const ATTEMPT: &str = "ferryhinge-attempt-id";
 const EXPECTED: &str = "ferryhinge-expected-instance";
+const COLD_REMAINING: &str = "ferryhinge-cold-remaining";
 const INSTANCE: &str = "ferryhinge-instance-id";
 const NOT_EXECUTED: &str = "ferryhinge-not-executed";
 const SHARD_KEY: &str = "ferryhinge-shard-key";
@@ -38,7 +39,7 @@
     async fn handle(self: Rc<Self>, request: Request) -> Option<Return> {
         let endpoint = &self.0;
         match (request.method.as_str(), request.path()) {
-            ("GET", "/health") => Some(Return::text(200, "well").with_header(INSTANCE, &endpoint.life)),
+            ("GET", "/health") => Some(healthy(endpoint)),
             ("POST", "/v1/grant") => Some(granted(endpoint, &request)),
             ("POST", "/v1/release") => Some(released(endpoint, &request).await),
             _ => serve(endpoint, &request).await,
@@ -89,6 +90,12 @@
     }
 }
 
+fn healthy(endpoint: &Endpoint) -> Return {
+    let cold = endpoint.coldness.remaining_seconds(shared_micros());
+    let answer = Return::text(200, "well").with_header(INSTANCE, &endpoint.life);
+    answer.with_header(COLD_REMAINING, &format!("{cold:.3}"))
+}
+
 /// Whether a request is meant for another life.
 fn is_for_another(endpoint: &Endpoint, request: &Request) -> bool {
     request.header(EXPECTED).is_some_and(|expected| expected != endpoint.life)
@@ -140,7 +147,9 @@
         Event::Misdirected { at: now, life: endpoint.life.clone(), key }.tell();
         return Some(misdirected(endpoint, &attempt));
     }
+    endpoint.bear_one_more(now);
     if endpoint.running.borrow().len() >= endpoint.settings.slots as usize {
+        Event::Refused { at: now, life: endpoint.life.clone() }.tell();
         return Some(Return::text(503, "full").with_header(NOT_EXECUTED, "1").with_header(ATTEMPT, &attempt));
     }
     let safe = request.method == Method::GET;
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -82,7 +82,11 @@
                 let ended = std::mem::take(&mut open);
                 all.extend(ended.into_iter().map(|held| Held { until: held.until.min(*at), ..held }));
             }
-            Event::Ran { .. } | Event::Misdirected { .. } => {}
+            Event::Ran { .. }
+            | Event::Misdirected { .. }
+            | Event::Cold { .. }
+            | Event::Refused { .. }
+            | Event::FellOver { .. } => {}
         }
     }
     all.extend(open);
@@ -154,6 +158,50 @@
     ran.map(|record| format!("REFUSED: {} was answered {:?} and began", record.attempt, record.answer)).collect()
 }
 
+/// The most requests that reached a life within one second while it was cold, and when that second began. Those that
+/// it answered with 421 don't count.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ColdSecond {
+    /// The life's id.
+    pub life: String,
+    /// When the second began, on the shared clock.
+    pub from: u64,
+    /// Requests within it.
+    pub arrivals: usize,
+}
+
+const SECOND_MICROS: u64 = 1_000_000;
+
+/// The busiest cold second of each life that was ever cold.
+pub fn cold_seconds(witnesses: &[Witness]) -> Vec<ColdSecond> {
+    let mut spans: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+    let mut arrivals: HashMap<&str, Vec<u64>> = HashMap::new();
+    for event in witnesses.iter().flat_map(|witness| &witness.events) {
+        match event {
+            Event::Cold { at, life, until } => spans.entry(life).or_default().push((*at, *until)),
+            Event::Ran { at, life, .. } | Event::Refused { at, life } | Event::FellOver { at, life } => {
+                arrivals.entry(life).or_default().push(*at);
+            }
+            _ => {}
+        }
+    }
+    let busiest = |(life, spans): (&str, Vec<(u64, u64)>)| {
+        let is_cold = |at: &u64| spans.iter().any(|(from, until)| from <= at && at < until);
+        let mut cold: Vec<u64> = arrivals.get(life).into_iter().flatten().copied().filter(is_cold).collect();
+        cold.sort_unstable();
+        let within = |from: u64| cold.iter().filter(|at| (from..=from + SECOND_MICROS).contains(*at)).count();
+        let (arrivals, from) = cold.iter().map(|from| (within(*from), *from)).max().unwrap_or((0, spans[0].0));
+        ColdSecond { life: life.to_owned(), from, arrivals }
+    };
+    spans.into_iter().map(busiest).collect()
+}
+
+/// How often a life ended since it got more than it bore.
+pub fn fell_over(witnesses: &[Witness]) -> usize {
+    let events = witnesses.iter().flat_map(|witness| &witness.events);
+    events.filter(|event| matches!(event, Event::FellOver { .. })).count()
+}
+
 /// How often keys were let go.
 pub fn let_go(witnesses: &[Witness]) -> usize {
     let events = witnesses.iter().flat_map(|witness| &witness.events);
--- a/crates/soak/src/invariants_tests.rs
+++ b/crates/soak/src/invariants_tests.rs
@@ -65,3 +65,24 @@
     assert_eq!(found.len(), 1, "{found:?}");
     assert!(found[0].starts_with("TWICE: x"), "{found:?}");
 }
+
+#[test]
+fn the_busiest_cold_second_counts_all_arrivals_but_those_while_warm() {
+    let refused = |at: u64| Event::Refused { at, life: "a".into() };
+    let cold = |at: u64, until: u64| Event::Cold { at, life: "a".into(), until };
+    let misdirected = Event::Misdirected { at: 1_000_000, life: "a".into(), key: 7 };
+    let events = vec![
+        started(0, "a"),
+        ran(10, "a", "before", 0),
+        cold(1_000_000, 3_000_000),
+        misdirected,
+        ran(1_000_010, "a", "x", 0),
+        refused(1_900_000),
+        ran(2_000_010, "a", "y", 0),
+        ran(2_900_010, "a", "z", 0),
+        ran(3_100_000, "a", "after", 0),
+    ];
+    let found = cold_seconds(&[witness(events, &[])]);
+    assert_eq!(found.len(), 1);
+    assert_eq!((found[0].life.as_str(), found[0].arrivals), ("a", 3), "{found:?}");
+}
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -190,7 +190,7 @@
 "internal_port_range":[7380,7395],"heartbeat_s":{HEARTBEAT_SECONDS},"initial_start":true,
 "limits":{{"memory_mb":{MACHINE_MEMORY_MB},"file_descriptors":4096}},"fault_tolerance":{{"machine_losses":{losses}}},
 "bounds":["config_apply_s=3","drain_s=1","grace_period_s=4","retry_budget_ratio=0.2","budget_window_s=10","retry_slack=100",
-"hold_max_s={HOLD_MAX_SECONDS}","history_s=20","address_reuse_s=2"],{rest}}}"#,
+"hold_max_s={HOLD_MAX_SECONDS}","history_s=20","address_reuse_s=2","cold_overage=1.5","cold_slack=8","evacuation_s=5"],{rest}}}"#,
             zone % ZONES,
             zones.join(","),
             seeds.join(",")
--- /dev/null
+++ b/crates/soak/tests/cold_endpoints.rs
@@ -0,0 +1,209 @@
+//! Endpoints that start during traffic, or turn cold in an evacuation, bear little for a while and end where they get more.
+//! Whatever restarts beside them, no cold one gets more than the contract allows, or more than it bears.
+
+mod support;
+
+use http::Method;
+use nix::sys::signal::Signal;
+use soak::invariants::{ColdSecond, Witness, cold_seconds, fell_over};
+use soak::layout::{Block, CORES, Form, Grants, HOST, Layout, SAFE_PREFIX, Tier};
+use soak::process::Process;
+use std::cell::Cell;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use support::{configure, events, settings_with, starter, wait};
+use trackbed::http::{Client, Request};
+
+const ENDPOINTS: usize = 2;
+const NODES: usize = 2;
+/// The endpoint that is troubled, and the node beside it where there is one.
+const TROUBLED: usize = 1;
+/// What a cold endpoint bears in a second, by the configuration.
+const COLD_RATE: usize = 10;
+/// By the bounds of the layout's settings: the rate, half of it more, and 8.
+const MOST_IN_A_SECOND: usize = COLD_RATE * 3 / 2 + 8;
+/// Of the bound, and rounded down.
+const AIM: usize = MOST_IN_A_SECOND * 9 / 10;
+const COLD: &str = r#""is_divided":false,"cold":{"cold_start_s":3,"falls_over_above":23},"#;
+const WARM: &str = r#""is_divided":false,"cold":{"cold_start_s":3,"starts_cold":false,"falls_over_above":23},"#;
+const BETWEEN: Duration = Duration::from_millis(7);
+const DEADLINE: Duration = Duration::from_millis(1000);
+const ROUNDS: usize = 3;
+/// In each round the node is killed so long after the endpoint's start.
+const NODE_KILLED_AFTER: Duration = Duration::from_millis(1100);
+const NODE_DOWN: Duration = Duration::from_millis(200);
+const ROUND_ENDS_AFTER: Duration = Duration::from_millis(2900);
+/// An order is in force everywhere by then.
+const EVACUATED_WITHIN: Duration = Duration::from_secs(5);
+const COLD_BEFORE_THE_END: Duration = Duration::from_millis(1500);
+const LEAST_SERVED: usize = 300;
+/// Fewer would show that a cold endpoint is left alone, and not that it gets what it bears.
+const LEAST_IN_A_SECOND: usize = 3;
+
+/// Clients that send at an even rate to all nodes in turn, until this is dropped.
+struct Traffic {
+    stopped: Rc<Cell<bool>>,
+    served: Rc<Cell<usize>>,
+}
+
+impl Traffic {
+    fn start(layout: Layout) -> Self {
+        let traffic = Self { stopped: Rc::default(), served: Rc::default() };
+        let (stopped, served) = (traffic.stopped.clone(), traffic.served.clone());
+        monoio::spawn(async move {
+            for number in 0u64.. {
+                if stopped.get() {
+                    return;
+                }
+                monoio::spawn(request(layout, number, served.clone()));
+                monoio::time::sleep(BETWEEN).await;
+            }
+        });
+        traffic
+    }
+}
+
+impl Drop for Traffic {
+    fn drop(&mut self) {
+        self.stopped.set(true);
+    }
+}
+
+async fn request(layout: Layout, number: u64, served: Rc<Cell<usize>>) {
+    let attempt = format!("{number:016x}");
+    let headers = [("host", HOST), ("ferryhinge-attempt-id", attempt.as_str()), ("ferryhinge-deadline-ms", "1000")];
+    let request = Request::own(Method::GET, format!("{SAFE_PREFIX}{number}"), &headers, Default::default());
+    let node = layout.requests(number as usize % NODES);
+    if Client::new(node).call(&request, DEADLINE).await.is_ok_and(|answer| answer.status == 200) {
+        served.set(served.get() + 1);
+    }
+}
+
+struct Fleet {
+    layout: Layout,
+    _block: Block,
+    _cores: Vec<Process>,
+    nodes: Vec<Process>,
+    endpoints: Vec<Process>,
+    traffic: Traffic,
+}
+
+impl Fleet {
+    /// All processes, with warm endpoints that serve what clients send.
+    async fn start(tier: Tier, folder: &Path) -> Self {
+        let block = Block::take().unwrap();
+        let layout = Layout { block: block.number(), form: Form { tier, grants: Grants::Heartbeat }, cores: CORES };
+        let starter = starter(layout, folder);
+        let cores = starter.cores().unwrap();
+        let nodes = starter.nodes(NODES).unwrap();
+        let cold = format!("\"sharded\":false,\"cold_start_s\":3,\"cold_rate_s\":{COLD_RATE}");
+        configure(layout, layout.configuration(5).replace("\"sharded\":true", &cold)).await;
+        let start = |index| starter.endpoint(index, &settings_with(layout, index, WARM)).unwrap();
+        let endpoints: Vec<Process> = (0..ENDPOINTS).map(start).collect();
+        let traffic = Traffic::start(layout);
+        let served = traffic.served.clone();
+        wait("requests that are served", || served.get() > LEAST_SERVED).await;
+        Self { layout, _block: block, _cores: cores, nodes, endpoints, traffic }
+    }
+
+    fn witnesses(&self) -> Vec<Witness> {
+        self.endpoints.iter().map(|endpoint| Witness { events: events(endpoint), ended: Vec::new() }).collect()
+    }
+
+    /// Sends an order about the troubled endpoint's zone until it is acknowledged.
+    async fn order(&self, method: Method) {
+        let zone = format!("zone-{TROUBLED}");
+        let request = Request::own(method, format!("/v1/evacuations/{zone}"), &[], Default::default());
+        for attempt in 0..CORES * 2 {
+            let mut core = Client::new(self.layout.core(attempt % CORES));
+            match core.call(&request, DEADLINE * 2).await {
+                Ok(answer) if answer.is_success() => return,
+                Ok(answer) => assert!(answer.status >= 500, "an evacuation is answered {}", answer.status),
+                Err(_) => {}
+            }
+        }
+        panic!("an evacuation was never acknowledged");
+    }
+}
+
+fn check(witnesses: &[Witness], served: usize, least_colds: usize) {
+    let seconds: Vec<ColdSecond> = cold_seconds(witnesses);
+    println!("busiest cold seconds, bound {MOST_IN_A_SECOND}: {seconds:?}; {served} served");
+    assert!(seconds.len() >= least_colds, "only {} lives were cold", seconds.len());
+    assert!(served >= LEAST_SERVED, "only {served} requests were served");
+    assert_eq!(fell_over(witnesses), 0, "{seconds:?}");
+    assert!(seconds.iter().all(|second| second.arrivals <= AIM), "the bound is {MOST_IN_A_SECOND}: {seconds:?}");
+    assert!(seconds.iter().any(|second| second.arrivals >= LEAST_IN_A_SECOND), "{seconds:?}");
+}
+
+async fn play_restarts(tier: Tier, folder: &Path) -> (Vec<Witness>, usize) {
+    let mut fleet = Fleet::start(tier, folder).await;
+    let (layout, before) = (fleet.layout, fleet.traffic.served.get());
+    fleet.endpoints[TROUBLED].write_settings(&settings_with(layout, TROUBLED, COLD)).unwrap();
+    for _ in 0..ROUNDS {
+        fleet.endpoints[TROUBLED].kill();
+        fleet.endpoints[TROUBLED].restart().unwrap();
+        monoio::time::sleep(NODE_KILLED_AFTER).await;
+        fleet.nodes[TROUBLED].kill();
+        monoio::time::sleep(NODE_DOWN).await;
+        fleet.nodes[TROUBLED].restart().unwrap();
+        monoio::time::sleep(ROUND_ENDS_AFTER).await;
+    }
+    (fleet.witnesses(), fleet.traffic.served.get() - before)
+}
+
+fn restarted_endpoints_bear_what_they_get(tier: Tier) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut played = None;
+    trackbed::kernel::run(async { played = Some(play_restarts(tier, folder.path()).await) }).unwrap();
+    let (witnesses, served) = played.unwrap();
+    check(&witnesses, served, ROUNDS);
+}
+
+/// Guards against cold endpoints that get what their slots carry (issue 50).
+#[test]
+fn a_cold_endpoint_beside_a_node_that_restarts_is_not_flooded() {
+    restarted_endpoints_bear_what_they_get(Tier::Beside);
+}
+
+/// The same where several gateways send to it.
+#[test]
+fn a_cold_endpoint_behind_gateways_that_restart_is_not_flooded() {
+    restarted_endpoints_bear_what_they_get(Tier::Gateway);
+}
+
+async fn play_evacuation(tier: Tier, folder: &Path) -> (Vec<Witness>, usize) {
+    let fleet = Fleet::start(tier, folder).await;
+    let before = fleet.traffic.served.get();
+    fleet.order(Method::POST).await;
+    monoio::time::sleep(EVACUATED_WITHIN).await;
+    let reached = || events(&fleet.endpoints[TROUBLED]).len();
+    let by_then = reached();
+    fleet.endpoints[TROUBLED].signal(Signal::SIGHUP);
+    monoio::time::sleep(COLD_BEFORE_THE_END).await;
+    assert!(reached() <= by_then + 1, "{} events beside its turning cold, though evacuated", reached() - by_then);
+    fleet.order(Method::DELETE).await;
+    monoio::time::sleep(ROUND_ENDS_AFTER).await;
+    (fleet.witnesses(), fleet.traffic.served.get() - before)
+}
+
+fn an_evacuated_zone_comes_back_cold(tier: Tier) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut played = None;
+    trackbed::kernel::run(async { played = Some(play_evacuation(tier, folder.path()).await) }).unwrap();
+    let (witnesses, served) = played.unwrap();
+    check(&witnesses, served, 1);
+}
+
+/// Guards against a zone that is taken back cold at full weight (issue 50).
+#[test]
+fn an_evacuated_zone_beside_nodes_gets_nothing_and_comes_back_slowly() {
+    an_evacuated_zone_comes_back_cold(Tier::Beside);
+}
+
+/// The same behind gateways.
+#[test]
+fn an_evacuated_zone_behind_gateways_gets_nothing_and_comes_back_slowly() {
+    an_evacuated_zone_comes_back_cold(Tier::Gateway);
+}
