--- a/crates/fuzz/src/targets/calls.rs
+++ b/crates/fuzz/src/targets/calls.rs
@@ -5,6 +5,7 @@
 use lineside::call::ControlCall;
 use signalbox::ledger::Ledger;
 use signalbox::replica::{CallId, Effect, Replica};
+use signalbox::resources::Places;
 use std::time::Duration;
 use trackbed::clock::Moment;
 use trackbed::ids::MemberId;
@@ -17,13 +18,15 @@
 const CALLS_OF_ONE_STATE: u64 = 2_000;
 
 /// A request line, the version that the call builds on, and the body.
-const EXAMPLES: [&str; 8] = [
+const EXAMPLES: [&str; 10] = [
     "POST /v1/locks/l\n\n{\"holder\":\"a\",\"hold_s\":2}",
     "PUT /v1/locks/l\n\n{\"holder\":\"a\",\"fence_token\":1,\"hold_s\":2}",
     "DELETE /v1/locks/l\n\n{\"holder\":\"a\",\"fence_token\":1}",
     "POST /v1/numbers/n\n\n{}",
     "PUT /v1/cells/g.k\n\n{\"value\":\"v\",\"enabled\":0}",
     "GET /v1/watch/g.?after=0&wait_ms=10\n\n",
+    "POST /v1/evacuations/z\n\n",
+    "DELETE /v1/evacuations/z\n\n",
     "PUT /v1/configuration\n0\n{\"version\":\"r1\",\"routes\":{},\"services\":{}}",
     "PATCH /v1/configuration\nr1\n{\"version\":\"r2\",\"upserts\":{\"services\":{\"s\":{}}}}",
 ];
@@ -94,7 +97,7 @@
     fn call(&mut self, call: ControlCall) {
         self.calls += 1;
         self.now = self.now + Duration::from_millis(1);
-        let effects = self.replica.call(CallId(self.calls), &call, &|_| true, self.now);
+        let effects = self.replica.call(CallId(self.calls), &call, Places::ANY, self.now);
         self.carry_out(effects);
         if self.calls.is_multiple_of(100) {
             self.tick();
--- a/crates/signalbox/src/ledger/state.rs
+++ b/crates/signalbox/src/ledger/state.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::{
-    FleetSnapshot, FleetSnapshotBefore, FleetSnapshotBeforeFences, FleetSnapshotBeforeShards, FleetState,
+    FleetSnapshot, FleetSnapshotBefore, FleetSnapshotBeforeEvacuations, FleetSnapshotBeforeFences,
+    FleetSnapshotBeforeShards, FleetState,
 };
 use timetable::packed::Packed;
 use timetable::shared::SharedMap;
@@ -61,11 +62,14 @@
     }
 }
 
-/// Reads a ledger as it is now, or as it stood on disks before revoked holds kept their fences, keys had holders, or there was a forecast, or councils.
+/// Reads a ledger as it is now, or as it stood on disks before there were evacuations, revoked holds kept their fences, keys had holders, or there was a forecast, or councils.
 fn read(state: &[u8]) -> borsh::io::Result<(LedgerSnapshot<FleetSnapshot>, Option<Foresight>)> {
     if let Ok(now) = LedgerSnapshot::read(state) {
         return Ok(now);
     }
+    if let Ok((before, foresight)) = LedgerSnapshot::<FleetSnapshotBeforeEvacuations>::read(state) {
+        return Ok((before.with_fleet_of_now(), foresight));
+    }
     if let Ok((before, foresight)) = LedgerSnapshot::<FleetSnapshotBeforeFences>::read(state) {
         return Ok((before.with_fleet_of_now(), foresight));
     }
--- a/crates/signalbox/src/ledger/tests.rs
+++ b/crates/signalbox/src/ledger/tests.rs
@@ -8,7 +8,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 use timetable::configuration::{Configuration, Patch};
-use timetable::fleet::{ConfigChange, FleetChange, FleetNews, FleetSnapshot, FleetState};
+use timetable::fleet::{ConfigChange, Evacuations, FleetChange, FleetNews, FleetSnapshot, FleetState};
 use timetable::packed::Packed;
 use timetable::work::Work;
 use trackbed::clock::Moment;
@@ -246,6 +246,25 @@
     assert_eq!(events.map(|event| event.revision).collect::<Vec<_>>(), revisions[2..]);
 }
 
+/// Guards against evacuations, configuration and all else that are lost when a program of now reads an older disk.
+#[test]
+fn a_ledger_from_before_there_were_evacuations_is_read_whole() {
+    let mut ledger = Ledger::new(HISTORY);
+    let locked = Change::LockTaken { lock: "l".into(), holder: "x".into(), fence: 7, hold_millis: 9 };
+    let number = Change::Number { name: "n".into(), value: 4 };
+    for (counter, change) in (1..).zip([whole(3), locked, number]) {
+        ledger.apply(Zxid::new(1, counter), change, now()).unwrap();
+    }
+    for ledger in [Ledger::new(HISTORY), ledger] {
+        let bytes = ledger.encode();
+        let fleet_end = borsh::to_vec(ledger.fleet.snapshot()).unwrap().len();
+        let no_evacuations = fleet_end - borsh::to_vec(&Evacuations::default()).unwrap().len()..fleet_end;
+        let mut before = bytes.clone();
+        before.drain(no_evacuations);
+        assert_eq!(Ledger::decode(&before, HISTORY, now()).unwrap().encode(), bytes);
+    }
+}
+
 #[test]
 fn a_change_that_does_not_fit_is_refused_and_changes_nothing() {
     let mut ledger = Ledger::new(HISTORY);
--- a/crates/signalbox/src/node/fitness.rs
+++ b/crates/signalbox/src/node/fitness.rs
@@ -9,6 +9,7 @@
 use lineside::gossip::Standing;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::{FleetState, Instance};
 use trackbed::clock::Moment;
@@ -104,7 +105,8 @@
 pub fn survey(node: &Signalbox, fleet: &FleetState, service: &ServiceName, now: Moment) -> Survey {
     let serving = fleet.serving(service);
     let mut survey = Survey::default();
-    for instance in serving.iter().filter(|instance| !instance.draining) {
+    let may_hold = |instance: &&Rc<Instance>| !instance.draining && !fleet.is_evacuated(&instance.zone);
+    for instance in serving.iter().filter(may_hold) {
         match presence(node, instance, now) {
             Presence::There => survey.fit.push(Endpoint { id: instance.id.clone(), slots: instance.slots }),
             Presence::Doubted => {}
--- a/crates/signalbox/src/node/primary.rs
+++ b/crates/signalbox/src/node/primary.rs
@@ -3,14 +3,14 @@
 use super::{Signalbox, turn};
 use crate::ledger::Change;
 use crate::replica::{CALL_LIMIT, ForwardReply, Forwarding, Outcome, Step};
-use crate::resources::CONFIGURATION_PATH;
+use crate::resources::{CONFIGURATION_PATH, Places};
 use futures_channel::oneshot;
 use interlocking::zab::Voter;
 use lineside::call::{Ask, CallError, ControlCall, ControlReturn, Reply};
 use std::time::Duration;
 use timetable::fleet::{FleetChange, FleetNews, FleetState, Instance};
 use trackbed::clock;
-use trackbed::ids::{InstanceId, RegionName, Zxid};
+use trackbed::ids::{InstanceId, Zxid};
 
 /// Answers a call that came to this node, wherever the primary is.
 pub async fn answer_anywhere(node: &Signalbox, call: ControlCall) -> ControlReturn {
@@ -64,8 +64,11 @@
 fn decide(node: &Signalbox, call: ControlCall) -> oneshot::Receiver<Outcome> {
     let (id, outcome) = node.calls.open();
     let config = node.live.get();
-    let knows_region = |region: &RegionName| config.zones.values().any(|known| known == region);
-    let effects = node.replica.borrow_mut().call(id, &call, &knows_region, clock::now());
+    let places = Places {
+        knows_zone: &|zone| config.zones.contains_key(zone),
+        knows_region: &|region| config.zones.values().any(|known| known == region),
+    };
+    let effects = node.replica.borrow_mut().call(id, &call, places, clock::now());
     turn::carry_out(node, effects);
     outcome
 }
--- a/crates/signalbox/src/replica/state.rs
+++ b/crates/signalbox/src/replica/state.rs
@@ -3,7 +3,7 @@
 use super::effect::{CallId, Effect, Outcome, Route};
 use super::membership::{Departing, Departure, next_voters};
 use crate::ledger::{Change, Ledger, group_of};
-use crate::resources::{self, Context, Decision, Hold, LockMetrics};
+use crate::resources::{self, Context, Decision, Hold, LockMetrics, Places};
 use interlocking::zab::{Action, Envelope, Ticket, Voter, Zab};
 use lineside::call::{ControlCall, ControlReturn};
 use std::cell::RefCell;
@@ -13,7 +13,7 @@
 use timetable::fleet::{FleetChange, FleetState};
 use timetable::packed::Packed;
 use trackbed::clock::Moment;
-use trackbed::ids::{MemberId, RegionName, Zxid};
+use trackbed::ids::{MemberId, Zxid};
 
 const MAYBE_DEPOSED: &str = "this node may no longer be the primary: ask again";
 const PRIMARY_CHANGED: &str = "the primary has changed: ask again";
@@ -139,17 +139,11 @@
     }
 
     /// Decides a call of an operator or an application. Its answer is among these effects or later ones.
-    pub fn call(
-        &mut self,
-        id: CallId,
-        call: &ControlCall,
-        knows_region: &dyn Fn(&RegionName) -> bool,
-        now: Moment,
-    ) -> Vec<Effect> {
+    pub fn call(&mut self, id: CallId, call: &ControlCall, places: Places<'_>, now: Moment) -> Vec<Effect> {
         let Some((resource, name)) = resources::find(&call.path) else {
             return vec![Effect::answer(id, ControlReturn::fault(404, "no such resource"))];
         };
-        let Some(decision) = self.decide(resource, name, call, knows_region, now) else {
+        let Some(decision) = self.decide(resource, name, call, places, now) else {
             return vec![Effect::answer(id, ControlReturn::not_now(PRIMARY_CHANGED))];
         };
         match decision {
@@ -234,7 +228,7 @@
         resource: &dyn resources::Resource,
         name: &str,
         call: &ControlCall,
-        knows_region: &dyn Fn(&RegionName) -> bool,
+        places: Places<'_>,
         now: Moment,
     ) -> Option<Decision> {
         let proposed = self.proposed.borrow();
@@ -244,7 +238,7 @@
             holds: &mut self.holds,
             lock_metrics: &self.lock_metrics,
             now,
-            knows_region,
+            places,
         };
         Some(resource.decide(name, call, context))
     }
--- a/crates/signalbox/src/resources/configuration.rs
+++ b/crates/signalbox/src/resources/configuration.rs
@@ -96,7 +96,9 @@
         let message = format!("/version {epoch} does not rise above {current}: choose a higher one");
         return Decision::Committed(ControlReturn::fault(400, &message));
     }
-    if let Err(fault) = fleet.next_configuration(&change).and_then(|next| next.check_regions(context.knows_region)) {
+    if let Err(fault) =
+        fleet.next_configuration(&change).and_then(|next| next.check_regions(context.places.knows_region))
+    {
         return invalid(&fault);
     }
     Decision::Propose(Box::new(Change::Fleet(FleetChange::Configure { change, digest })), done())
--- a/crates/signalbox/src/resources/mod.rs
+++ b/crates/signalbox/src/resources/mod.rs
@@ -2,9 +2,11 @@
 
 mod cells;
 mod configuration;
+mod evacuations;
 mod lock_metrics;
 mod locks;
 mod numbers;
+mod places;
 #[cfg(test)]
 mod tests;
 mod watch;
@@ -12,13 +14,13 @@
 pub use configuration::CONFIGURATION_PATH;
 pub use lock_metrics::LockMetrics;
 pub use locks::Hold;
+pub use places::Places;
 pub use watch::look as watch_look;
 
 use crate::ledger::{Change, Ledger};
 use lineside::call::{ControlCall, ControlReturn};
 use std::collections::BTreeMap;
 use trackbed::clock::Moment;
-use trackbed::ids::RegionName;
 use trackbed::json;
 
 /// What a primary has at hand to decide a call.
@@ -31,8 +33,8 @@
     pub holds: &'a mut BTreeMap<String, Hold>,
     pub now: Moment,
     pub lock_metrics: &'a LockMetrics,
-    /// Whether a region is one of the fleet's.
-    pub knows_region: &'a dyn Fn(&RegionName) -> bool,
+    /// The zones and regions of the settings.
+    pub places: Places<'a>,
 }
 
 /// What comes of a call, as data.
--- a/crates/signalbox/src/resources/tests.rs
+++ b/crates/signalbox/src/resources/tests.rs
@@ -5,7 +5,7 @@
 use crate::ledger::Change;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use trackbed::ids::Zxid;
+use trackbed::ids::{ZoneName, Zxid};
 use trackbed::random::Random;
 
 /// A primary's context without the network: what it proposed is committed later, or lost with it.
@@ -18,6 +18,7 @@
     epoch: u64,
     counter: u64,
     now: Moment,
+    places: Places<'static>,
 }
 
 impl Core {
@@ -31,6 +32,7 @@
             epoch: 1,
             counter: 0,
             now: Moment::from_micros(1_000_000),
+            places: Places::ANY,
         }
     }
 
@@ -43,7 +45,7 @@
             holds: &mut self.holds,
             now: self.now,
             lock_metrics: &LockMetrics::default(),
-            knows_region: &|_| true,
+            places: self.places,
         };
         match resource.decide(name, call, context) {
             Decision::Read(answer) => Some(answer),
@@ -81,6 +83,12 @@
         APPLIED.with(|applied| applied.get() < zxid)
     }
 
+    /// Decides a call and commits all that it proposed.
+    fn answer_to(&mut self, method: &str, path: &str, body: String) -> ControlReturn {
+        let answer = self.call(self.counter as usize, &call(method, path, body));
+        answer.unwrap_or_else(|| self.commit(self.open.len()).pop().expect("it is open").1)
+    }
+
     /// Another primary takes over; a part of what was open survives, and nobody was told.
     fn change_primary(&mut self, random: &mut Random) {
         let kept = random.below(self.open.len() as u64 + 1) as usize;
@@ -410,11 +418,8 @@
         Self { core: Core::new() }
     }
 
-    /// Decides a call and commits all that it proposed.
     fn answer_to(&mut self, method: &str, body: String) -> ControlReturn {
-        let number = self.core.counter as usize;
-        let answer = self.core.call(number, &call(method, "/v1/locks/l", body));
-        answer.unwrap_or_else(|| self.core.commit(self.core.open.len()).pop().expect("it is open").1)
+        self.core.answer_to(method, "/v1/locks/l", body)
     }
 
     fn take(&mut self, holder: &str, hold_seconds: u64) -> ControlReturn {
@@ -488,3 +493,40 @@
     lock.let_pass(6000);
     assert_eq!(lock.take("b", 1).status, 409);
 }
+
+#[test]
+fn an_evacuation_is_ordered_once_and_taken_back_once_however_often_it_is_sent() {
+    APPLIED.with(|applied| applied.set(Zxid::ZERO));
+    let mut core = Core::new();
+    let path = "/v1/evacuations/zone-a";
+    let zone = ZoneName::new("zone-a");
+    for _ in 0..3 {
+        assert_eq!(core.answer_to("POST", path, String::new()).status, 200);
+        assert!(core.committed.fleet.is_evacuated(&zone));
+    }
+    let ordered = core.committed.fleet.zxid();
+    assert_eq!(core.answer_to("POST", path, String::new()).status, 200);
+    assert_eq!(core.committed.fleet.zxid(), ordered, "the same order once more changes nothing");
+    core.change_primary(&mut Random::seeded(1));
+    assert_eq!(core.answer_to("POST", "/v1/evacuations/zone-b", String::new()).status, 200);
+    for _ in 0..3 {
+        assert_eq!(core.answer_to("DELETE", path, String::new()).status, 200);
+        assert!(!core.committed.fleet.is_evacuated(&zone));
+    }
+    assert!(core.committed.fleet.is_evacuated(&ZoneName::new("zone-b")), "another zone's stands");
+}
+
+#[test]
+fn an_evacuation_that_says_nonsense_is_refused_and_changes_nothing() {
+    APPLIED.with(|applied| applied.set(Zxid::ZERO));
+    let mut core = Core::new();
+    core.places = Places { knows_zone: &|zone| zone.as_str() == "zone-a", ..Places::ANY };
+    let unknown = core.answer_to("POST", "/v1/evacuations/zone-x", String::new());
+    assert_eq!(unknown.status, 404);
+    assert!(unknown.body.contains("zone-x"), "it names the zone");
+    assert_eq!(core.answer_to("DELETE", "/v1/evacuations/zone-x", String::new()).status, 404);
+    assert_eq!(core.answer_to("POST", "/v1/evacuations/zone-a", "{}".into()).status, 400);
+    assert_eq!(core.answer_to("PUT", "/v1/evacuations/zone-a", String::new()).status, 405);
+    assert_eq!(core.answer_to("DELETE", "/v1/evacuations/zone-a", String::new()).status, 200);
+    assert_eq!(core.committed.fleet.zxid(), Zxid::ZERO);
+}
--- a/crates/signalbox/tests/simulation/world.rs
+++ b/crates/signalbox/tests/simulation/world.rs
@@ -7,6 +7,7 @@
 use lineside::call::{ControlCall, ControlReturn};
 use signalbox::ledger::Ledger;
 use signalbox::replica::{CallId, Effect, ForwardReply, Forwarding, Outcome, Replica, Step};
+use signalbox::resources::Places;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -599,7 +600,7 @@
     fn decide(&mut self, host: Host, origin: Origin, asked: u64, call: &ControlCall) {
         let id = CallId(self.next_id());
         self.members[host].deciding.insert(id, (origin, asked));
-        self.advance(host, |replica, now| replica.call(id, call, &|_| true, now));
+        self.advance(host, |replica, now| replica.call(id, call, Places::ANY, now));
     }
 
     fn answer_client(&mut self, host: Host, door: u64, answer: ControlReturn) {
--- a/crates/timetable/src/fleet/changes.rs
+++ b/crates/timetable/src/fleet/changes.rs
@@ -91,6 +91,10 @@
         /// The step.
         change: ShardChange,
     },
+    /// Nothing more is to go to the endpoints of a zone.
+    Evacuate(ZoneName),
+    /// A zone's evacuation is taken back.
+    EndEvacuation(ZoneName),
 }
 
 impl Instance {
--- a/crates/timetable/src/fleet/mod.rs
+++ b/crates/timetable/src/fleet/mod.rs
@@ -2,11 +2,14 @@
 
 mod beat;
 mod changes;
+mod evacuations;
 mod state;
 mod tail;
 
 pub use beat::{Beat, Post};
 pub use changes::{Charter, ConfigChange, FleetChange, Instance, Member};
+pub use evacuations::Evacuations;
 pub use state::{
-    FleetNews, FleetSnapshot, FleetSnapshotBefore, FleetSnapshotBeforeFences, FleetSnapshotBeforeShards, FleetState,
+    FleetNews, FleetSnapshot, FleetSnapshotBefore, FleetSnapshotBeforeEvacuations, FleetSnapshotBeforeFences,
+    FleetSnapshotBeforeShards, FleetState,
 };
--- a/crates/timetable/src/fleet/state.rs
+++ b/crates/timetable/src/fleet/state.rs
@@ -1,6 +1,7 @@
 //! The fleet's state, with a short memory of how it came about for those a little behind.
 
 use super::changes::{Charter, ConfigChange, FleetChange, Instance};
+use super::evacuations::Evacuations;
 use super::tail::{NewsTail, TailEntry};
 use crate::configuration::{Configuration, Fault, Routes};
 use crate::packed::Packed;
@@ -11,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use trackbed::ids::{ConfigEpoch, InstanceId, RegionName, ServiceName, Zxid};
+use trackbed::ids::{ConfigEpoch, InstanceId, RegionName, ServiceName, ZoneName, Zxid};
 
 /// How many ended lives and taken calls are remembered.
 const REMEMBERED: usize = 1024;
@@ -28,6 +29,27 @@
     charters: SharedMap<RegionName, Charter>,
     /// The holders of keys, by service divided by key.
     shards: SharedMap<ServiceName, Rc<ShardMap>>,
+    evacuations: Evacuations,
+}
+
+/// As it stood on disks before there were evacuations.
+#[derive(BorshDeserialize)]
+pub struct FleetSnapshotBeforeEvacuations {
+    zxid: Zxid,
+    configuration: Option<Configuration>,
+    instances: SharedMap<InstanceId, Rc<Instance>>,
+    ended: RecentKeys<InstanceId, ()>,
+    taken: RecentKeys<u128, ConfigEpoch>,
+    charters: SharedMap<RegionName, Charter>,
+    shards: SharedMap<ServiceName, Rc<ShardMap>>,
+}
+
+impl From<FleetSnapshotBeforeEvacuations> for FleetSnapshot {
+    fn from(before: FleetSnapshotBeforeEvacuations) -> Self {
+        let FleetSnapshotBeforeEvacuations { zxid, configuration, instances, ended, taken, charters, shards } = before;
+        let evacuations = Evacuations::default();
+        Self { zxid, configuration, instances, ended, taken, charters, shards, evacuations }
+    }
 }
 
 /// As it stood on disks before a revoked hold kept its fence.
@@ -46,7 +68,8 @@
     fn from(before: FleetSnapshotBeforeFences) -> Self {
         let FleetSnapshotBeforeFences { zxid, configuration, instances, ended, taken, charters, shards } = before;
         let shards = shards.into_iter().map(|(service, shards)| (service, Rc::new(shards.into()))).collect();
-        Self { zxid, configuration, instances, ended, taken, charters, shards }
+        let evacuations = Evacuations::default();
+        Self { zxid, configuration, instances, ended, taken, charters, shards, evacuations }
     }
 }
 
@@ -64,7 +87,8 @@
 impl From<FleetSnapshotBeforeShards> for FleetSnapshot {
     fn from(before: FleetSnapshotBeforeShards) -> Self {
         let FleetSnapshotBeforeShards { zxid, configuration, instances, ended, taken, charters } = before;
-        Self { zxid, configuration, instances, ended, taken, charters, shards: SharedMap::new() }
+        let (shards, evacuations) = (SharedMap::new(), Evacuations::default());
+        Self { zxid, configuration, instances, ended, taken, charters, shards, evacuations }
     }
 }
 
@@ -81,7 +105,9 @@
 impl From<FleetSnapshotBefore> for FleetSnapshot {
     fn from(before: FleetSnapshotBefore) -> Self {
         let FleetSnapshotBefore { zxid, configuration, instances, ended, taken } = before;
-        Self { zxid, configuration, instances, ended, taken, charters: SharedMap::new(), shards: SharedMap::new() }
+        let (charters, shards) = (SharedMap::new(), SharedMap::new());
+        let evacuations = Evacuations::default();
+        Self { zxid, configuration, instances, ended, taken, charters, shards, evacuations }
     }
 }
 
@@ -187,6 +213,14 @@
     pub fn sharded(&self) -> impl Iterator<Item = (&ServiceName, &Rc<ShardMap>)> {
         self.snapshot.shards.iter()
     }
+    /// Whether nothing is to go to the endpoints of a zone.
+    pub fn is_evacuated(&self, zone: &ZoneName) -> bool {
+        self.snapshot.evacuations.contains(zone)
+    }
+    /// The zones that are evacuated.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.snapshot.evacuations
+    }
     /// Every service that has endpoints, with them.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Rc<Instance>])> {
         self.by_service.iter().map(|(service, instances)| (service, instances.as_slice()))
@@ -244,6 +278,8 @@
                 self.remove(&id);
             }
             FleetChange::Shards { service, change } => self.change_shards(service, &change),
+            FleetChange::Evacuate(zone) => self.evacuate(zone),
+            FleetChange::EndEvacuation(zone) => self.snapshot.evacuations.end(&zone),
             FleetChange::Council { region, members } => {
                 let before = self.snapshot.charters.remove(&region).map(|charter| charter.members).unwrap_or_default();
                 let charter = Charter { region: region.clone(), zxid, members, before };
@@ -312,6 +348,14 @@
         self.snapshot.shards.insert(service, shards);
     }
 
+    /// Endpoints of an evacuated zone let go of their keys.
+    fn evacuate(&mut self, zone: ZoneName) {
+        let there: Vec<InstanceId> =
+            self.instances().filter(|instance| instance.zone == zone).map(|instance| instance.id.clone()).collect();
+        there.iter().for_each(|id| self.revoke_keys(id));
+        self.snapshot.evacuations.begin(zone, self.snapshot.zxid);
+    }
+
     /// The maps in which an endpoint holds keys. It serves one service in its life.
     fn shards_held_by(&self, id: &InstanceId) -> Vec<(ServiceName, Rc<ShardMap>)> {
         let holds = |shards: &Rc<ShardMap>| shards.shards().iter().any(|shard| shard.holding.owner() == Some(id));
--- a/crates/timetable/tests/encoding.rs
+++ b/crates/timetable/tests/encoding.rs
@@ -4,7 +4,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use timetable::configuration::Configuration;
 use timetable::fleet::{
-    Charter, ConfigChange, FleetChange, FleetSnapshot, FleetSnapshotBeforeShards, FleetState, Instance, Member,
+    Charter, ConfigChange, FleetChange, FleetSnapshot, FleetSnapshotBeforeEvacuations, FleetSnapshotBeforeShards,
+    FleetState, Instance, Member,
 };
 use timetable::shards::{KeyRange, ShardChange, ShardMap};
 use trackbed::ids::{ConfigEpoch, InstanceId, NodeName, RegionName, ServiceName, ZoneName, Zxid};
@@ -31,8 +32,16 @@
     taken: VecDeque<(ConfigEpoch, u128)>,
     charters: BTreeMap<RegionName, Charter>,
     shards: BTreeMap<ServiceName, ShardMap>,
+    /// A mark, and each evacuated zone.
+    evacuations: (u64, BTreeMap<ZoneName, Zxid>),
 }
 
+/// Stands before the evacuated zones.
+const EVACUATIONS: u64 = 0x5a6f_6e65_732d_4f75;
+/// Bytes of no evacuations, and of no holders of keys.
+const NO_EVACUATIONS_BYTES: usize = 12;
+const NO_SHARDS_BYTES: usize = 4;
+
 const ROUTE: &str = r#"{"hostname":"h","path_prefix":"/a/","route_type":"upload","timeout_s":1,"service_name":"s"}"#;
 
 fn texts(items: &[(&str, &str)]) -> Texts {
@@ -97,6 +106,7 @@
         taken: VecDeque::from([(ConfigEpoch(7), 1), (ConfigEpoch(7), 2), (ConfigEpoch(7), 1)]),
         charters: BTreeMap::new(),
         shards: BTreeMap::new(),
+        evacuations: (EVACUATIONS, BTreeMap::new()),
     };
     for (counter, digest) in [(1, 1), (2, 2), (3, 1)] {
         let change = ConfigChange::Whole(configuration());
@@ -112,16 +122,26 @@
     let charter =
         Charter { region: region.clone(), zxid: Zxid::new(1, 1200), members: vec![member()], before: Vec::new() };
     plain.charters.insert(region, charter);
-    // What stood on disks before keys had holders is a snapshot without the last field, and is still read.
+    // What stood on disks before there were evacuations is a snapshot without the last field, and before keys had holders
+    // without the last two. Both are still read, and never taken for a snapshot of now.
     let mut before = borsh::to_vec(state.snapshot()).unwrap();
-    before.truncate(before.len() - 4);
+    before.truncate(before.len() - NO_EVACUATIONS_BYTES);
+    let read: FleetSnapshotBeforeEvacuations = borsh::from_slice(&before).unwrap();
+    assert_eq!(&FleetSnapshot::from(read), state.snapshot());
+    assert!(borsh::from_slice::<FleetSnapshot>(&before).is_err());
+    before.truncate(before.len() - NO_SHARDS_BYTES);
     let read: FleetSnapshotBeforeShards = borsh::from_slice(&before).unwrap();
     assert_eq!(&FleetSnapshot::from(read), state.snapshot());
     let change = ShardChange::Grant(vec![(KeyRange::ALL, InstanceId::new("i9"))]);
     let mut map = ShardMap::default();
     map.apply(Zxid::new(1, 1201), &change);
     state.apply(Zxid::new(1, 1201), FleetChange::Shards { service: ServiceName::new("s"), change });
-    plain.zxid = Zxid::new(1, 1201);
+    state.apply(Zxid::new(1, 1202), FleetChange::Evacuate(ZoneName::new("z")));
+    state.apply(Zxid::new(1, 1203), FleetChange::Evacuate(ZoneName::new("y")));
+    state.apply(Zxid::new(1, 1204), FleetChange::EndEvacuation(ZoneName::new("y")));
+    plain.zxid = Zxid::new(1, 1204);
+    map.revoke_all(&InstanceId::new("i9"), Zxid::new(1, 1202));
+    plain.evacuations.1.insert(ZoneName::new("z"), Zxid::new(1, 1202));
     plain.shards.insert(ServiceName::new("s"), map);
     let bytes = borsh::to_vec(state.snapshot()).unwrap();
     assert_eq!(borsh::from_slice::<PlainSnapshot>(&bytes).unwrap(), plain);
@@ -129,6 +149,7 @@
     let snapshot: FleetSnapshot = borsh::from_slice(&bytes).unwrap();
     let again = FleetState::from_snapshot(snapshot);
     assert_eq!(again.snapshot(), state.snapshot());
+    assert!(again.is_evacuated(&ZoneName::new("z")) && !again.is_evacuated(&ZoneName::new("y")));
     assert!(again.has_taken(2) && again.has_ended(&InstanceId::new("e175")));
     assert!(!again.has_taken(3) && !again.has_ended(&InstanceId::new("e174")));
     assert_eq!(again.routes().unwrap().digest(), state.routes().unwrap().digest());
