FAILBACK: one bound on what goes to an endpoint that may be cold

A cold endpoint got what its slots carry, about 60 requests a second for the 9.8 that it bears: nothing read cold_rate_s, cold_overage, cold_slack or Ferryhinge-Cold-Remaining, and cold_remaining_s only doubled a figure told to others.

The queue for an endpoint's slots asks ColdBound before it lets a request in, and nothing goes to an endpoint without a slot (RightToSend). A sliding window over the moments at which requests really go out, with those let in before counted as open, keeps to cold_rate_s however long each takes on its way; a slot given to another gateway counts until a second after its end. What is not known is cold: a node that starts, a home that takes over, a zone that is taken back. The endpoint is asked for its health then, once. A deputy gets what is left beside its home, others nothing. A node that hears no orders asks again each few requests.

--- a/crates/pointsman/src/dispatch/candidates.rs
+++ b/crates/pointsman/src/dispatch/candidates.rs
@@ -51,6 +51,7 @@
     let serving = fleet.serving(&plan.service);
     let fit = |instance: &Instance| {
         !instance.draining
+            && !fleet.is_evacuated(&instance.zone)
             && instance.has_node_beside()
             && binding.permits(config.zones.get(&instance.zone))
             && (instance.node == config.node_name
@@ -139,7 +140,7 @@
     let near = &seating.seats[seating.own_zone.clone()];
     let at_home = |gate: &Gate| gate.name == config.node_name;
     for seat in near.iter().filter(|seat| at_home(&seat.home)).filter(permitted) {
-        if let Some(platform) = node.homes.platform(&seat.instance.id, &node.fleet.borrow(), now) {
+        if let Some(platform) = node.homes.platform(&seat.instance.id, &node.fleet.borrow(), &config.bounds, now) {
             if let Some(occupancy) = platform.occupancy(now) {
                 balance.told(&occupancy, now);
             }
--- a/crates/pointsman/src/dispatch/direct.rs
+++ b/crates/pointsman/src/dispatch/direct.rs
@@ -5,7 +5,7 @@
 use super::errand::{Errand, GoResult, Outcome, Passed, gone};
 use super::remote;
 use crate::node::Pointsman;
-use crate::platform::{Sign, at_endpoint, sign_of, word_of_sign};
+use crate::platform::{RightToSend, Sign, at_endpoint, sign_of, word_of_sign};
 use lineside::call::{Ask, PeerMessage, Permit, Reply};
 use lineside::gossip::Occupancy;
 use std::net::SocketAddr;
@@ -124,7 +124,8 @@
     // What was ordered meanwhile holds here too.
     let address = {
         let fleet = node.fleet.borrow();
-        let instance = fleet.instance(&errand.instance).filter(|instance| !instance.draining);
+        let instance = fleet.instance(&errand.instance);
+        let instance = instance.filter(|instance| !instance.draining && !fleet.is_evacuated(&instance.zone));
         let holds_key = |instance: &&Instance| {
             let shards = errand.key.zip(fleet.shards(&instance.service));
             shards.is_none_or(|(key, shards)| shards.owner_of(key) == Some(&errand.instance))
@@ -133,7 +134,7 @@
     };
     let granted = clock::now();
     let mut outcome = match address {
-        Some(address) => at_endpoint(address, &node.lines, errand, None).await,
+        Some(address) => at_endpoint(address, &node.lines, errand, RightToSend::Permit, None).await,
         None => gone().outcome,
     };
     held.span = clock::now().since(granted);
--- a/crates/pointsman/src/dispatch/long_tests.rs
+++ b/crates/pointsman/src/dispatch/long_tests.rs
@@ -117,7 +117,6 @@
             sequence: 1,
             heard: clock::now(),
             leaving: false,
-            cold_until: clock::now(),
             lists_keys: true,
         };
         *receiver.platform.life.borrow_mut() = Some(life);
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -1,7 +1,7 @@
 //! How this node comes to know the fleet: all of it at the start, then news from whoever is ahead.
 
 use super::{Mode, Pointsman, aggregation, coordination, core_calls};
-use crate::platform::{Life, sign_of_word};
+use crate::platform::{FormerSender, Life, sign_of_word};
 use borsh::BorshDeserialize;
 use lineside::call::{Answering, Ask, Reply};
 use lineside::gossip::{Datagram, GossipAction, Peer, Role};
@@ -18,6 +18,9 @@
 const CATCH_UP: Duration = Duration::from_millis(250);
 /// The longest ask that is taken, in bytes: an order about every endpoint of a region is the longest that there is.
 const LONGEST_ASK: usize = 4 << 20;
+/// A core node that a majority backs has answered so short a time ago: what was ordered is heard here. Each node calls one
+/// every two seconds.
+const IN_TOUCH_WITHIN: Duration = Duration::from_secs(3);
 const KNOCK_LIMIT: Duration = Duration::from_millis(900);
 
 impl Answering for Pointsman {
@@ -105,6 +108,7 @@
         node.council.borrow_mut().take_charter(charter);
     }
     adopt_life(node);
+    node.platform.follow(&node.fleet.borrow(), &node.live.get().bounds, clock::now());
     node.seat_endpoints();
     let fleet = node.fleet.borrow();
     node.balance.borrow_mut().forget_all_but(|instance| fleet.instance(instance).is_some());
@@ -141,9 +145,11 @@
             sequence: 0,
             heard: now,
             leaving: instance.draining,
-            cold_until: now,
             lists_keys: true,
         });
+        drop(life);
+        node.platform.follow(&fleet, &node.live.get().bounds, now);
+        node.platform.admission.change_cold(|cold| cold.begin_life(FormerSender::EarlierProcess, now));
     }
 }
 
@@ -234,6 +240,9 @@
         node.permits.tidy(now);
         node.routes_check.step(node.fleet.borrow().routes());
         aggregation::step(&node, now);
+        let is_in_touch = now.since(node.council.borrow().core_heard()) < IN_TOUCH_WITHIN;
+        node.platform.note_touch(is_in_touch, node.live.get().heartbeat, now);
+        node.homes.note_touch(is_in_touch);
         let actions = {
             let mut roster = node.roster.borrow_mut();
             roster.set_occupancy(node.platform.occupancy(now));
--- a/crates/pointsman/src/node/mod.rs
+++ b/crates/pointsman/src/node/mod.rs
@@ -93,7 +93,10 @@
     pub fn platform_of(&self, instance: &InstanceId) -> Option<Rc<Platform>> {
         match self.mode {
             Mode::Beside => Some(self.platform.clone()),
-            Mode::Gateway => self.homes.platform(instance, &self.fleet.borrow(), clock::now()),
+            Mode::Gateway => {
+                let config = self.live.get();
+                self.homes.platform(instance, &self.fleet.borrow(), &config.bounds, clock::now())
+            }
         }
     }
 
@@ -120,7 +123,7 @@
             let (fleet, roster) = (self.fleet.borrow(), self.roster.borrow());
             let book = self.book.borrow();
             let gone = book.in_force().map(|order| order.gone.as_slice());
-            self.homes.refresh(&fleet, &roster, gone, clock::now());
+            self.homes.refresh(&fleet, &roster, gone, &self.live.get().bounds, clock::now());
         }
     }
 }
--- a/crates/pointsman/src/platform/admission/mod.rs
+++ b/crates/pointsman/src/platform/admission/mod.rs
@@ -5,10 +5,11 @@
 mod queue;
 mod work;
 
+use crate::platform::coldness::ColdBound;
 use futures_channel::oneshot;
 pub use queue::Claim;
 use queue::{AdmissionQueue, Decision, Offer, Ticket};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,14 +23,33 @@
 pub struct Admission {
     queue: RefCell<AdmissionQueue>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Slot>>>,
+    /// Whoever waits is looked at again when the endpoint may get more.
+    is_to_look_again: Cell<bool>,
 }
 
 /// The right to one of the endpoint's slots, given back on drop.
 pub struct Slot(Rc<Admission>, Ticket);
 
+impl Slot {
+    /// The request that has this slot goes out to the endpoint now.
+    pub fn goes_out(&self) {
+        self.0.queue.borrow_mut().goes_out(self.1, clock::now());
+    }
+
+    /// Another node sends the request, at a time not known here.
+    pub fn give_away(&self) {
+        self.0.queue.borrow_mut().give_away(self.1);
+    }
+
+    /// That node has passed the request on to this one.
+    pub fn take_back(&self) {
+        self.0.queue.borrow_mut().take_back(self.1);
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.queue.borrow_mut().finish(self.1);
+        self.0.queue.borrow_mut().finish(self.1, clock::now());
         Admission::let_in(&self.0);
     }
 }
@@ -47,6 +67,18 @@
         Self::let_in(self);
     }
 
+    /// Looks at what the endpoint may get while it may be cold.
+    pub fn cold<T>(&self, look: impl FnOnce(&ColdBound) -> T) -> T {
+        look(self.queue.borrow().cold())
+    }
+
+    /// Takes in what concerns that, and lets in whoever may go now.
+    pub fn change_cold<T>(self: &Rc<Self>, change: impl FnOnce(&mut ColdBound) -> T) -> T {
+        let changed = change(self.queue.borrow_mut().cold_mut());
+        Self::let_in(self);
+        changed
+    }
+
     /// Requests running and waiting.
     pub fn counts(&self) -> (u32, u32) {
         self.queue.borrow().counts()
@@ -79,7 +111,10 @@
         match offer {
             Offer::Start(ticket) => Ok(Slot(self.clone(), ticket)),
             Offer::TurnAway { free_in } => Err(TurnedAway { late: false, free_in }),
-            Offer::Wait { ticket, start_by } => self.wait(ticket, now.until(start_by)).await,
+            Offer::Wait { ticket, start_by } => {
+                Self::look_again_later(self);
+                self.wait(ticket, now.until(start_by)).await
+            }
         }
     }
 
@@ -105,7 +140,7 @@
         loop {
             let decision = admission.queue.borrow_mut().next(clock::now());
             match decision {
-                None => return,
+                None => return Self::look_again_later(admission),
                 // A sender that is dropped tells its request that it is turned away.
                 Some(Decision::TurnAway(ticket)) => drop(admission.waiting.borrow_mut().remove(&ticket)),
                 Some(Decision::Start(ticket)) => admission.hand_over(ticket),
@@ -113,6 +148,20 @@
         }
     }
 
+    /// Those who wait for nothing but an endpoint that may be cold are looked at when it may get more.
+    fn look_again_later(admission: &Rc<Self>) {
+        let Some(wait) = admission.queue.borrow().held_back_for(clock::now()) else { return };
+        if admission.is_to_look_again.replace(true) {
+            return;
+        }
+        let admission = admission.clone();
+        monoio::spawn(async move {
+            monoio::time::sleep(wait).await;
+            admission.is_to_look_again.set(false);
+            Self::let_in(&admission);
+        });
+    }
+
     fn hand_over(self: &Rc<Self>, ticket: Ticket) {
         let sender = self.waiting.borrow_mut().remove(&ticket);
         let refused = match sender {
@@ -121,7 +170,7 @@
         };
         // Whoever gave up meanwhile gives the slot back, without another round of choices within this one.
         if let Some(slot) = refused {
-            self.queue.borrow_mut().finish(ticket);
+            self.queue.borrow_mut().finish(ticket, clock::now());
             std::mem::forget(slot);
         }
     }
--- a/crates/pointsman/src/platform/admission/overload/plain.rs
+++ b/crates/pointsman/src/platform/admission/overload/plain.rs
@@ -42,7 +42,7 @@
         self.waiting.retain(|(waiting, _, _)| *waiting != ticket);
     }
 
-    fn finish(&mut self, ticket: Ticket) {
+    fn finish(&mut self, ticket: Ticket, _: Moment) {
         self.running.retain(|running| *running != ticket);
     }
 
--- a/crates/pointsman/src/platform/admission/overload/world.rs
+++ b/crates/pointsman/src/platform/admission/overload/world.rs
@@ -15,7 +15,7 @@
     fn with_slots(slots: u32) -> Self;
     fn offer(&mut self, claim: &Claim, now: Moment) -> Offer;
     fn withdraw(&mut self, ticket: Ticket);
-    fn finish(&mut self, ticket: Ticket);
+    fn finish(&mut self, ticket: Ticket, now: Moment);
     fn next(&mut self, now: Moment) -> Option<Decision>;
     fn measured(&mut self, sort: u64, took: Duration);
     fn counts(&self) -> (u32, u32);
@@ -34,8 +34,8 @@
     fn withdraw(&mut self, ticket: Ticket) {
         self.withdraw(ticket);
     }
-    fn finish(&mut self, ticket: Ticket) {
-        self.finish(ticket);
+    fn finish(&mut self, ticket: Ticket, now: Moment) {
+        self.finish(ticket, now);
     }
     fn next(&mut self, now: Moment) -> Option<Decision> {
         self.next(now)
@@ -349,7 +349,7 @@
         let (endpoint, ticket, begun) = self.requests[request].place.take().expect("it runs");
         let queue = &mut self.endpoints[endpoint].queue;
         queue.measured(self.requests[request].kind as u64, self.now.since(begun));
-        queue.finish(ticket);
+        queue.finish(ticket, self.now);
         self.answered(request, endpoint);
         self.let_in(endpoint);
         match self.requests[request].parent {
--- a/crates/pointsman/src/platform/admission/queue.rs
+++ b/crates/pointsman/src/platform/admission/queue.rs
@@ -7,6 +7,7 @@
 //! slack of what waits in it, and is empty again as soon as the load is back below the capacity.
 
 use super::work::WorkTimes;
+use crate::platform::coldness::ColdBound;
 use std::time::Duration;
 use trackbed::clock::Moment;
 
@@ -70,11 +71,23 @@
     expected: Duration,
 }
 
+/// Where a request is whose slot is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// It has not gone out.
+    LetIn,
+    /// Another node sends it, at a time not known here.
+    WithAnother,
+    /// It went out.
+    GoneOut,
+}
+
 struct Running {
     ticket: Ticket,
     begun: Moment,
     sort: u64,
     expected: Duration,
+    progress: Progress,
 }
 
 /// Invariants: as many run as hold slots, `slots` at most unless slots were taken away meanwhile; nobody waits while
@@ -86,6 +99,8 @@
     /// Routes that can be deferred, and the slots that they may take together.
     reserved: Option<(Vec<u64>, u32)>,
     work: WorkTimes,
+    /// What the endpoint may get while it may be cold.
+    cold: ColdBound,
     next_ticket: u64,
 }
 
@@ -97,6 +112,7 @@
             waiting: Vec::new(),
             reserved: None,
             work: WorkTimes::default(),
+            cold: ColdBound::default(),
             next_ticket: 0,
         }
     }
@@ -125,6 +141,21 @@
         &mut self.work
     }
 
+    pub fn cold(&self) -> &ColdBound {
+        &self.cold
+    }
+
+    pub fn cold_mut(&mut self) -> &mut ColdBound {
+        &mut self.cold
+    }
+
+    /// How long those who wait are held back though a slot is free; nothing where that isn't so.
+    pub fn held_back_for(&self, now: Moment) -> Option<Duration> {
+        let is_held_back =
+            !self.waiting.is_empty() && self.running.len() < self.slots as usize && !self.cold.admits(now);
+        is_held_back.then(|| self.cold.wait(0, now))
+    }
+
     /// How long the request that has run longest has been at it.
     pub fn longest_running(&self, now: Moment) -> Duration {
         self.running.iter().map(|running| now.since(running.begun)).max().unwrap_or_default()
@@ -142,7 +173,7 @@
         let expected = self.work.expected(claim.sort);
         let ticket = self.next_ticket();
         let place = (claim.priority, claim.target + expected.mul_f64(STANDS_BACK), ticket);
-        let wait = self.wait_at(place, claim.sort, now);
+        let wait = self.wait_at(place, claim.sort, now).max(self.cold_wait_at(place, now));
         let full = self.waiting.len() >= self.slots as usize * QUEUE_FACTOR;
         let end_by = if self.is_short(expected) { claim.horizon } else { claim.target };
         let margin = self.work.spread(claim.sort).mul_f64(MARGIN);
@@ -159,9 +190,40 @@
         self.waiting.retain(|waiting| waiting.place.2 != ticket);
     }
 
+    /// A request that was let in goes out to the endpoint now.
+    pub fn goes_out(&mut self, ticket: Ticket, now: Moment) {
+        if let Some(running) = self.running.iter_mut().find(|running| running.ticket == ticket)
+            && running.progress != Progress::GoneOut
+        {
+            running.progress = Progress::GoneOut;
+            self.cold.goes_out(now);
+        }
+    }
+
+    /// Another node sends a request that was let in.
+    pub fn give_away(&mut self, ticket: Ticket) {
+        self.set_progress(ticket, Progress::WithAnother);
+    }
+
+    /// That node has passed the request on: it goes out from here.
+    pub fn take_back(&mut self, ticket: Ticket) {
+        self.set_progress(ticket, Progress::LetIn);
+    }
+
+    fn set_progress(&mut self, ticket: Ticket, progress: Progress) {
+        if let Some(running) = self.running.iter_mut().find(|running| running.ticket == ticket) {
+            running.progress = progress;
+        }
+    }
+
     /// A running request has ended; its slot is free.
-    pub fn finish(&mut self, ticket: Ticket) {
-        self.running.retain(|running| running.ticket != ticket);
+    pub fn finish(&mut self, ticket: Ticket, now: Moment) {
+        let Some(place) = self.running.iter().position(|running| running.ticket == ticket) else { return };
+        match self.running.remove(place).progress {
+            Progress::LetIn => self.cold.withdraw(),
+            Progress::WithAnother => self.cold.goes_out(now),
+            Progress::GoneOut => {}
+        }
     }
 
     /// What becomes of the next in the queue; nothing when all slots are taken or nobody waits who may have one.
@@ -213,6 +275,12 @@
         wait.div_f64(1.0 - overtaking)
     }
 
+    /// How long someone at this place waits until an endpoint that may be cold gets one more.
+    fn cold_wait_at(&self, place: Place, now: Moment) -> Duration {
+        let ahead = self.waiting.iter().filter(|waiting| waiting.place < place).count();
+        self.cold.wait(ahead, now)
+    }
+
     /// Whether a route can be deferred, and has all the slots that it may take now.
     fn is_deferred(&self, sort: u64) -> bool {
         let Some((deferrable, slots)) = self.reserved.as_ref().filter(|(sorts, _)| sorts.contains(&sort)) else {
@@ -227,6 +295,7 @@
         let free = (self.slots as usize).saturating_sub(self.running.len());
         match free {
             0 => false,
+            _ if !self.cold.admits(now) => false,
             1 if self.slots > 1 => self.work.load_of_shorter(sort, SHORT, now) < KEPT_FREE_FROM,
             _ => true,
         }
@@ -245,7 +314,8 @@
 
     fn begin(&mut self, ticket: Ticket, sort: u64, now: Moment) {
         let expected = self.work.known(sort).unwrap_or(self.work.mean());
-        self.running.push(Running { ticket, begun: now, sort, expected });
+        self.cold.let_in();
+        self.running.push(Running { ticket, begun: now, sort, expected, progress: Progress::LetIn });
     }
 }
 
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -1,6 +1,6 @@
 //! The endpoint's beats and its sign-off, on its own machine.
 
-use super::{Life, ownership};
+use super::{FormerSender, Life, ownership};
 use crate::node::{Pointsman, coordination, core_calls};
 use lineside::call::{Ask, Reply};
 use lineside::council::Fact;
@@ -93,6 +93,7 @@
             return false;
         }
         let mut life = platform.life.borrow_mut();
+        let mut begun = None;
         match life.as_mut() {
             Some(life) if life.instance.id == beat.instance.id => {
                 if beat.sequence <= life.sequence && life.sequence > 0 {
@@ -103,7 +104,7 @@
                 life.sequence = beat.sequence;
                 life.heard = now;
                 life.leaving = beat.instance.draining;
-                life.cold_until = now + beat.cold;
+                platform.admission.change_cold(|cold| cold.heard(beat.cold, now));
                 life.lists_keys = beat.lists_keys;
                 life.instance = beat.instance.clone();
             }
@@ -120,17 +121,24 @@
                     platform.ended.borrow_mut().push(last.instance.id.clone());
                 }
                 platform.lines.clear(beat.instance.address);
+                begun = Some(if life.is_some() { FormerSender::Nobody } else { FormerSender::EarlierProcess });
                 *life = Some(Life {
                     instance: beat.instance.clone(),
                     sequence: beat.sequence,
                     heard: now,
                     leaving: beat.instance.draining,
-                    cold_until: now + beat.cold,
                     lists_keys: beat.lists_keys,
                 });
             }
         }
         drop(life);
+        if let Some(former) = begun {
+            platform.follow(&self.0.fleet.borrow(), &self.0.live.get().bounds, now);
+            platform.admission.change_cold(|cold| {
+                cold.begin_life(former, now);
+                cold.introduced(beat.cold, now);
+            });
+        }
         platform.health.spoke();
         platform.process_end.heard(now);
         platform.admission.set_slots(beat.instance.slots);
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -1,5 +1,6 @@
 //! One request at the endpoint, and what its bytes back are worth.
 
+use super::Slot;
 use super::process_end::{PassedOn, ProcessEnd};
 use crate::dispatch::{ATTEMPT, CALLER, DEADLINE, EXPECTED, Errand, LINE_HEADERS, NOT_EXECUTED, Outcome, Pool, STAMP};
 use http::Method;
@@ -85,12 +86,31 @@
     }
 }
 
+/// By what a request may go to an endpoint. Nothing goes there without.
+#[derive(Clone, Copy)]
+pub enum RightToSend<'a> {
+    /// A slot that is counted here.
+    Slot(&'a Slot),
+    /// A slot that another gateway counts: it takes the request to be on its way until it hears of its end.
+    Permit,
+}
+
+impl RightToSend<'_> {
+    /// The request's first byte goes out now.
+    fn use_now(self) {
+        if let Self::Slot(slot) = self {
+            slot.goes_out();
+        }
+    }
+}
+
 /// Sends a request to an endpoint and reads its answer. `process_end` learns of every connection and of every request that
 /// stays without an answer, where this node is the only one that reaches the endpoint.
 pub async fn at_endpoint(
     address: SocketAddr,
     lines: &Lines,
     errand: &Errand,
+    right: RightToSend<'_>,
     process_end: Option<&ProcessEnd>,
 ) -> Outcome {
     let now = clock::now();
@@ -136,7 +156,7 @@
             }
         },
     };
-    let outcome = exchange(lines, address, line, errand, process_end).await;
+    let outcome = exchange(lines, address, line, errand, right, process_end).await;
     if let Some(rested) = rested {
         let trusted = lines.trusted_idle.get();
         let next = match outcome {
@@ -153,6 +173,7 @@
     address: SocketAddr,
     mut line: Line,
     errand: &Errand,
+    right: RightToSend<'_>,
     process_end: Option<&ProcessEnd>,
 ) -> Outcome {
     let left = errand.left(clock::now());
@@ -169,6 +190,7 @@
     let bytes = write_request(&errand.request, &replaced, &LINE_HEADERS);
     let bodyless = errand.request.method == Method::HEAD;
     let whole = async move {
+        right.use_now();
         line.write(bytes).await.map_err(|_| ReturnError::Cut)?;
         let (answer, line) = line.read_return_or_flow(bodyless, BODY_LIMIT, lines.pool.reserve_answer()).await?;
         if single(&answer.headers, ATTEMPT) == Some(errand.attempt.as_str()) {
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -4,7 +4,7 @@
 //! tell it. Two gateways whose rosters differ for a moment may both hold an endpoint's slots: that
 //! costs occupancy, never safety, as what may not run twice is sent once whoever holds the slots.
 
-use super::{Life, Lines, Platform};
+use super::{FormerSender, Life, Lines, Platform, SendShare};
 use lineside::aggregation::Reservations;
 use lineside::gossip::{Role, Roster, Standing};
 use std::cell::{Cell, RefCell};
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use timetable::fleet::{FleetState, Instance};
 use trackbed::clock::Moment;
+use trackbed::config::Bounds;
 use trackbed::ids::{InstanceId, NodeName, ServiceName, ZoneName, Zxid};
 use trackbed::random::stable_hash;
 
@@ -52,6 +53,8 @@
     lines: Rc<Lines>,
     made_for: Cell<Option<(Zxid, u64, u64)>>,
     by_service: RefCell<HashMap<ServiceName, Rc<Seating>>>,
+    /// Of those at home here, or that this node stands in for.
+    shares: RefCell<HashMap<InstanceId, SendShare>>,
     /// Invariant: by life; a platform here has a life.
     platforms: RefCell<BTreeMap<InstanceId, (Rc<Platform>, Moment)>>,
 }
@@ -121,6 +124,19 @@
     seating
 }
 
+/// What a node may send to each endpoint that may be cold: its home the whole, and who stands in for that the rest, so that
+/// both together stay below the bound.
+fn shares<'a>(seatings: impl Iterator<Item = &'a Seating>, me: &NodeName) -> HashMap<InstanceId, SendShare> {
+    let is_me = |gate: &Rc<Gate>| gate.name == *me;
+    let share = |seat: &Seat| match seat {
+        Seat { home, .. } if is_me(home) => Some(SendShare::Whole),
+        Seat { deputy: Some(deputy), .. } if is_me(deputy) => Some(SendShare::Rest),
+        _ => None,
+    };
+    let seats = seatings.flat_map(|seating| &seating.seats);
+    seats.filter_map(|seat| Some((seat.instance.id.clone(), share(seat)?))).collect()
+}
+
 /// Has a platform follow what the list says of its endpoint; false where that isn't listed. One that was taken off the list
 /// for its silence may be taken back in the same life, and has a new platform then.
 fn follow_list(platform: &Platform, instance: Option<&Instance>) -> bool {
@@ -134,12 +150,30 @@
 
 impl Homes {
     pub fn new(lines: Rc<Lines>) -> Self {
-        Self { lines, made_for: Cell::new(None), by_service: RefCell::default(), platforms: RefCell::default() }
+        Self {
+            lines,
+            made_for: Cell::new(None),
+            by_service: RefCell::default(),
+            shares: RefCell::default(),
+            platforms: RefCell::default(),
+        }
+    }
+
+    /// Whether what is ordered is heard here.
+    pub fn note_touch(&self, hears_orders: bool) {
+        self.platforms.borrow().values().for_each(|(platform, _)| platform.set_in_touch(hears_orders));
     }
 
     /// Works the seating out anew where fleet or roster moved on.
     /// `gone`: whom a coordinator counts as gone, in place of what the roster says.
-    pub fn refresh(&self, fleet: &FleetState, roster: &Roster, gone: Option<&[NodeName]>, now: Moment) {
+    pub fn refresh(
+        &self,
+        fleet: &FleetState,
+        roster: &Roster,
+        gone: Option<&[NodeName]>,
+        bounds: &Bounds,
+        now: Moment,
+    ) {
         let ordered = gone.map(|gone| gone.iter().fold(1, |sum, name| mix(sum, stable_hash(name.as_str()))));
         let key = (fleet.zxid(), roster.revision(), ordered.unwrap_or_default());
         if self.made_for.replace(Some(key)) == Some(key) {
@@ -165,19 +199,32 @@
         let mut by_service = self.by_service.borrow_mut();
         by_service.clear();
         for (service, instances) in fleet.services() {
-            by_service.insert(service.clone(), Rc::new(seat(instances, &gates, &me.name, &me.zone)));
+            let open: Vec<Rc<Instance>> =
+                instances.iter().filter(|instance| !fleet.is_evacuated(&instance.zone)).cloned().collect();
+            by_service.insert(service.clone(), Rc::new(seat(&open, &gates, &me.name, &me.zone)));
         }
+        *self.shares.borrow_mut() = shares(by_service.values().map(Rc::as_ref), &me.name);
         let here = by_service.values().flat_map(|seating| &seating.seats).filter(|seat| seat.home.name == me.name);
         let here: Vec<Rc<Instance>> = here.map(|seat| seat.instance.clone()).collect();
         drop(by_service);
         for instance in &here {
-            self.hold(instance, now);
+            self.hold(instance, fleet, bounds, now);
         }
-        self.platforms.borrow_mut().retain(|id, (platform, _)| follow_list(platform, fleet.instance(id)));
+        self.platforms.borrow_mut().retain(|id, (platform, _)| {
+            platform.follow(fleet, bounds, now);
+            let share = self.share(id);
+            platform.admission.change_cold(|cold| cold.set_share(share));
+            follow_list(platform, fleet.instance(id))
+        });
+    }
+
+    /// What this node may send to an endpoint that may be cold.
+    fn share(&self, id: &InstanceId) -> SendShare {
+        self.shares.borrow().get(id).copied().unwrap_or(SendShare::Nothing)
     }
 
     /// Takes up an endpoint's slots here.
-    fn hold(&self, instance: &Rc<Instance>, now: Moment) -> Rc<Platform> {
+    fn hold(&self, instance: &Rc<Instance>, fleet: &FleetState, bounds: &Bounds, now: Moment) -> Rc<Platform> {
         let mut platforms = self.platforms.borrow_mut();
         let (platform, held) = platforms.entry(instance.id.clone()).or_insert_with(|| {
             let platform = Platform::new(Some(instance.address), self.lines.clone());
@@ -187,9 +234,14 @@
                 sequence: 0,
                 heard: now,
                 leaving: instance.draining,
-                cold_until: now,
                 lists_keys: false,
             });
+            platform.follow(fleet, bounds, now);
+            let share = self.share(&instance.id);
+            platform.admission.change_cold(|cold| {
+                cold.set_share(share);
+                cold.begin_life(FormerSender::Others, now);
+            });
             (Rc::new(platform), now)
         });
         *held = now;
@@ -202,13 +254,13 @@
 
     /// The platform of a life. A peer that passes something on for a life held elsewhere sees another
     /// roster, or could not reach the home: it is served here meanwhile.
-    pub fn platform(&self, id: &InstanceId, fleet: &FleetState, now: Moment) -> Option<Rc<Platform>> {
+    pub fn platform(&self, id: &InstanceId, fleet: &FleetState, bounds: &Bounds, now: Moment) -> Option<Rc<Platform>> {
         if let Some((platform, held)) = self.platforms.borrow_mut().get_mut(id) {
             *held = now;
             return Some(platform.clone());
         }
         let instance = fleet.instance(id).filter(|instance| !instance.draining && !instance.has_node_beside())?;
-        Some(self.hold(&Rc::new(instance.clone()), now))
+        Some(self.hold(&Rc::new(instance.clone()), fleet, bounds, now))
     }
 
     /// What the endpoints here were at since this was last asked.
@@ -311,16 +363,18 @@
         let now = Moment::from_micros(1_000_000);
         let roster = Roster::new(me, Vec::new(), RosterTiming::default(), Random::seeded(1), now);
         let homes = Homes::new(Rc::default());
-        homes.refresh(&fleet, &roster, None, now);
+        homes.refresh(&fleet, &roster, None, &Bounds::default(), now);
         let takes = |fleet: &FleetState| {
-            homes.platform(&instance.id, fleet, now).is_some_and(|platform| platform.takes(&instance.id, now))
+            homes
+                .platform(&instance.id, fleet, &Bounds::default(), now)
+                .is_some_and(|platform| platform.takes(&instance.id, now))
         };
         assert!(takes(&fleet));
         fleet.apply(Zxid::new(1, 2), FleetChange::Lost(instance.id.clone()));
-        homes.refresh(&fleet, &roster, None, now);
+        homes.refresh(&fleet, &roster, None, &Bounds::default(), now);
         assert!(!takes(&fleet), "it is off the list");
         fleet.apply(Zxid::new(1, 3), register());
-        homes.refresh(&fleet, &roster, None, now);
+        homes.refresh(&fleet, &roster, None, &Bounds::default(), now);
         assert!(takes(&fleet), "it has spoken again");
     }
 
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod beats;
+mod coldness;
 mod exchange;
 #[cfg(test)]
 mod exchange_tests;
@@ -17,7 +18,8 @@
 
 pub use admission::{Admission, Claim, Slot, TurnedAway};
 pub use beats::BeatsDoor;
-pub use exchange::{Lines, at_endpoint};
+pub use coldness::{ColdLimits, FormerSender, SendShare, Warmth};
+pub use exchange::{Lines, RightToSend, at_endpoint};
 pub use health::{Health, Sign};
 pub use homes::{Gate, Homes, Seat};
 pub use ownership::Ownership;
@@ -33,10 +35,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use timetable::fleet::Instance;
+use timetable::fleet::{FleetState, Instance};
 use trackbed::clock::{self, Moment};
+use trackbed::config::Bounds;
 use trackbed::http::{Guard, Return};
-use trackbed::ids::{InstanceId, ServiceName};
+use trackbed::ids::{InstanceId, ServiceName, ZoneName};
 
 /// For how long a failed call excuses the endpoint's own failures.
 const EXCUSED: Duration = Duration::from_millis(700);
@@ -65,7 +68,6 @@
     pub heard: Moment,
     /// It says so, or has signed off: nothing new goes to it. Invariant: never taken back in one life.
     pub leaving: bool,
-    pub cold_until: Moment,
     /// Its heartbeats list the keys that it holds.
     pub lists_keys: bool,
 }
@@ -93,11 +95,22 @@
     next_binding: Cell<u64>,
     /// This node is about to end and takes nothing more for the endpoint.
     pub closed: Cell<bool>,
+    /// The endpoint's zone is evacuated: nothing new goes to it.
+    is_evacuated: Cell<bool>,
+    /// Where the endpoint answers how it is, by the configuration.
+    health_path: RefCell<Option<String>>,
     /// By what requests name their route by: how many ended well here, and how long the endpoint was at them.
     /// Invariant: of all since it was last taken.
     work: RefCell<HashMap<u64, (u64, u64)>>,
 }
 
+/// Heartbeats that may be missing before an endpoint counts as silent.
+const HEARTBEATS_MISSED: u32 = 3;
+/// How many times as long a cold endpoint is taken to need.
+const SLOWER_WHILE_COLD: u32 = 2;
+/// An endpoint that did not answer how it is, or answered for another life, is asked again so much later.
+const ASKED_AGAIN_AFTER: Duration = Duration::from_millis(100);
+
 /// Routes whose work is told apart between two takings.
 const MOST_SORTS: usize = 512;
 
@@ -118,6 +131,8 @@
             bindings: RefCell::default(),
             next_binding: Cell::new(0),
             closed: Cell::new(false),
+            is_evacuated: Cell::new(false),
+            health_path: RefCell::default(),
             work: RefCell::default(),
         }
     }
@@ -145,14 +160,17 @@
         let life = self.life.borrow();
         let life = life.as_ref()?;
         let (running, queued) = self.admission.counts();
-        let cold = if now < life.cold_until { 2 } else { 1 };
+        let (slowness, is_full) = self.admission.cold(|cold| match cold.is_limited(now) {
+            true => (SLOWER_WHILE_COLD, !cold.admits(now)),
+            false => (1, false),
+        });
         Some(Occupancy {
             instance: life.instance.id.clone(),
             running,
             queued,
             slots: life.instance.slots,
-            service_micros: self.admission.service_micros(now).saturating_mul(cold),
-            closed: life.leaving || self.closed.get() || self.health.is_aside(now),
+            service_micros: self.admission.service_micros(now).saturating_mul(slowness),
+            closed: is_full || !self.is_open(life) || self.health.is_aside(now),
         })
     }
 
@@ -174,7 +192,68 @@
     /// Whether the life that an errand names is here and does not leave.
     fn is_here(&self, instance: &InstanceId) -> bool {
         let life = self.life.borrow();
-        life.as_ref().is_some_and(|life| life.instance.id == *instance && !life.leaving) && !self.closed.get()
+        life.as_ref().is_some_and(|life| life.instance.id == *instance && self.is_open(life))
+    }
+
+    /// Whether anything new goes to a life.
+    fn is_open(&self, life: &Life) -> bool {
+        !life.leaving && !self.closed.get() && !self.is_evacuated.get()
+    }
+
+    /// Takes in what the fleet's state says of the endpoint's zone and service.
+    pub fn follow(&self, fleet: &FleetState, bounds: &Bounds, now: Moment) {
+        let (Some(routes), Some((service, zone))) = (fleet.routes(), self.service_and_zone()) else { return };
+        let limits = ColdLimits::of(&service, routes, bounds);
+        let path = routes.service(&service).and_then(|service| service.health_path.clone());
+        *self.health_path.borrow_mut() = path;
+        let is_evacuated = fleet.is_evacuated(&zone);
+        let was_evacuated = self.is_evacuated.replace(is_evacuated);
+        self.admission.change_cold(|cold| {
+            cold.set_limits(limits);
+            if was_evacuated != is_evacuated {
+                cold.forget(now);
+            }
+        });
+    }
+
+    /// Whether this node hears what is ordered; it must hear the endpoint's heartbeats too.
+    pub fn note_touch(&self, hears_orders: bool, heartbeat: Duration, now: Moment) {
+        let heard = self.life.borrow().as_ref().map(|life| life.heard);
+        let hears_endpoint = heard.is_none_or(|heard| now.since(heard) < heartbeat * HEARTBEATS_MISSED);
+        self.set_in_touch(hears_orders && hears_endpoint);
+    }
+
+    /// Whether what concerns the endpoint is heard here.
+    fn set_in_touch(&self, is_in_touch: bool) {
+        if self.admission.cold(|cold| cold.is_in_touch()) != is_in_touch {
+            self.admission.change_cold(|cold| cold.set_in_touch(is_in_touch));
+        }
+    }
+
+    fn service_and_zone(&self) -> Option<(ServiceName, ZoneName)> {
+        let life = self.life.borrow();
+        life.as_ref().map(|life| (life.instance.service.clone(), life.instance.zone.clone()))
+    }
+
+    /// Asks the endpoint how it is, where a request is for it and that isn't known.
+    fn learn_warmth(&self, now: Moment) {
+        let Some(asked) = self.admission.change_cold(|cold| cold.ask(now)) else { return };
+        let place = self.address.zip(self.health_path.borrow().clone());
+        let instance = self.life.borrow().as_ref().map(|life| life.instance.id.clone());
+        let admission = self.admission.clone();
+        monoio::spawn(async move {
+            let word = match place {
+                Some((address, path)) => coldness::ask_health(address, path).await,
+                None => None,
+            };
+            let remaining =
+                word.filter(|word| Some(&word.instance) == instance.as_ref()).map(|word| word.cold_remaining);
+            log::debug!("asked for its health, {instance:?} is cold for {remaining:?}");
+            if remaining.is_none() {
+                monoio::time::sleep(ASKED_AGAIN_AFTER).await;
+            }
+            admission.change_cold(|cold| cold.answered(asked, remaining, clock::now()));
+        });
     }
 
     /// Whether an errand for that life, let in already, may go to it.
@@ -202,6 +281,7 @@
         if !takes {
             return self.passed(Passed::Gone, Duration::from_millis(50));
         }
+        self.learn_warmth(now);
         if let Some(key) = errand.key.filter(|_| given.is_none()) {
             self.ownership.asked_for(key);
         }
@@ -246,7 +326,9 @@
         }
         let bound = self.bind(errand);
         let mut outcome = match self.address {
-            Some(address) => exchange::at_endpoint(address, &self.lines, errand, Some(&self.process_end)).await,
+            Some(address) => {
+                at_endpoint(address, &self.lines, errand, RightToSend::Slot(&slot), Some(&self.process_end)).await
+            }
             None => Outcome::NotSent,
         };
         let ended = clock::now();
--- a/crates/pointsman/src/platform/ownership/tests.rs
+++ b/crates/pointsman/src/platform/ownership/tests.rs
@@ -51,7 +51,7 @@
     }
     node.platform.admission.set_slots(instance.slots);
     let heard = clock::now();
-    let life = Life { instance, sequence: 1, heard, leaving: false, cold_until: heard, lists_keys: true };
+    let life = Life { instance, sequence: 1, heard, leaving: false, lists_keys: true };
     *node.platform.life.borrow_mut() = Some(life);
     node
 }
--- a/crates/pointsman/src/platform/permits.rs
+++ b/crates/pointsman/src/platform/permits.rs
@@ -64,6 +64,7 @@
         if !platform.takes(&permit.instance, now) {
             return not_taken(true, Duration::from_millis(50), platform.occupancy(now));
         }
+        platform.learn_warmth(now);
         let claim = super::Claim {
             priority: permit.priority,
             sort: permit.sort,
@@ -80,6 +81,7 @@
         if !platform.takes_on(&permit.instance, now) {
             return not_taken(true, Duration::from_millis(20), platform.occupancy(now));
         }
+        slot.give_away();
         let number = self.next.get();
         self.next.set(number + 1);
         let occupancy = platform.occupancy(now);
@@ -92,7 +94,8 @@
     pub fn redeem(&self, number: u64, platform: &Rc<Platform>) -> Option<Slot> {
         let mut given = self.given.borrow_mut();
         let is_here = given.get(&number).is_some_and(|given| Rc::ptr_eq(&given.platform, platform));
-        given.remove(&number).filter(|_| is_here).map(|given| given.slot)
+        let slot = given.remove(&number).filter(|_| is_here).map(|given| given.slot);
+        slot.inspect(Slot::take_back)
     }
 
     /// The request that a slot was given for has ended.
--- a/crates/pointsman/src/platform/tests.rs
+++ b/crates/pointsman/src/platform/tests.rs
@@ -97,8 +97,7 @@
     };
     platform.admission.set_slots(4);
     let now = clock::now();
-    *platform.life.borrow_mut() =
-        Some(Life { instance, sequence: 1, heard: now, leaving: false, cold_until: now, lists_keys: true });
+    *platform.life.borrow_mut() = Some(Life { instance, sequence: 1, heard: now, leaving: false, lists_keys: true });
     platform
 }
 
--- a/crates/timetable/src/configuration/route.rs
+++ b/crates/timetable/src/configuration/route.rs
@@ -193,6 +193,8 @@
     pub sharded: bool,
     /// How endpoints of a sharded service are told what they hold.
     pub grants: GrantWay,
+    /// Requests that an endpoint bears in a second while it is cold; nothing where it bears them all.
+    pub cold_rate: Option<f64>,
 }
 
 impl Service {
@@ -214,7 +216,13 @@
             _ => GrantWay::Unnamed,
         };
         let max_connections = max_connections.clamp(1, 1_000_000) as u32;
-        Ok(Self { health_path, max_connections, sharded, grants })
+        let cold_rate = match value.pointer(["cold_rate_s"].iter()) {
+            None => None,
+            Some(rate) => Some(rate.as_f64().filter(|rate| rate.is_finite() && *rate >= 0.0).ok_or_else(|| {
+                Fault::Wrong { place: format!("/services/{name}/cold_rate_s"), wanted: "a number, zero or above" }
+            })?),
+        };
+        Ok(Self { health_path, max_connections, sharded, grants, cold_rate })
     }
 }
 
--- a/crates/trackbed/src/config/bounds.rs
+++ b/crates/trackbed/src/config/bounds.rs
@@ -64,6 +64,18 @@
     pub fn retry_slack(&self) -> f64 {
         self.number("retry_slack", 0.0)
     }
+    /// How many times its rate an endpoint may get in a second while it is cold.
+    pub fn cold_overage(&self) -> f64 {
+        self.number("cold_overage", 1.0)
+    }
+    /// Requests that a cold endpoint may get in a second beside that.
+    pub fn cold_slack(&self) -> f64 {
+        self.number("cold_slack", 0.0)
+    }
+    /// How soon after its acknowledgement an evacuation is in force everywhere.
+    pub fn evacuation(&self) -> Duration {
+        self.seconds("evacuation_s", 5.0)
+    }
     /// The window in which further arrivals are counted.
     pub fn budget_window(&self) -> Duration {
         self.seconds("budget_window_s", 10.0)
