Cold endpoints: counters, a log line, limits in time; keys that nothing reads are told

Nothing told what went to an endpoint by what was known of it: cold_requests, cold_held_back, cold_busiest_second, cold_above_ceiling (an invariant), and an info line for each second.

--- a/crates/gauge/src/main.rs
+++ b/crates/gauge/src/main.rs
@@ -10,7 +10,7 @@
 use finding::{Finding, Level};
 use getopts::Options;
 use std::net::SocketAddr;
-use timetable::configuration::{Configuration, Fault, Patch};
+use timetable::configuration::{Configuration, Fault, Patch, unread_keys};
 
 const USAGE: &str = "Usage: gauge check FILE [--fleet ADDRESS] [--json] [--strict]
        gauge routes --fleet ADDRESS [--json]
@@ -123,6 +123,8 @@
         Err(fault) => return vec![Finding::fault("", &fault.to_string(), "mend it as said")],
     };
     let mut findings = against::alone(&routes);
+    let remedy = "leave it out, or don't count on it";
+    findings.extend(unread_keys(body).iter().map(|place| Finding::warning(place, "is read by nothing", remedy)));
     if let Some(now) = now {
         findings.extend(against::fleet(&whole, &routes, now));
     }
--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use timetable::fleet::FleetNews;
-use trackbed::clock;
+use trackbed::clock::{self, Moment};
 use trackbed::ids::Zxid;
 
 const PULL_EVERY: Duration = Duration::from_millis(700);
@@ -18,9 +18,8 @@
 const CATCH_UP: Duration = Duration::from_millis(250);
 /// The longest ask that is taken, in bytes: an order about every endpoint of a region is the longest that there is.
 const LONGEST_ASK: usize = 4 << 20;
-/// A core node that a majority backs has answered so short a time ago: what was ordered is heard here. Each node calls one
-/// every two seconds.
-const IN_TOUCH_WITHIN: Duration = Duration::from_secs(3);
+/// Share of the time in which an evacuation is to be in force, for which nothing may be heard of the core.
+const SHARE_OF_EVACUATION: f64 = 0.6;
 const KNOCK_LIMIT: Duration = Duration::from_millis(900);
 
 impl Answering for Pointsman {
@@ -233,6 +232,27 @@
     }
 }
 
+/// Whether a core node that a majority backs has answered so short a time ago that no order is in force unheard.
+fn hears_orders(node: &Pointsman, now: Moment) -> bool {
+    let longest = node.live.get().bounds.evacuation().mul_f64(SHARE_OF_EVACUATION);
+    now.since(node.council.borrow().core_heard()) < longest
+}
+
+/// Turns of [`keep_time`] in a second.
+const TURNS_OF_A_SECOND: u64 = 10;
+
+/// Counts what went out to endpoints, and tells of those that may be cold.
+fn note_sends(node: &Pointsman) {
+    let mut tallies = node.homes.take_cold_tallies();
+    tallies.push(node.platform.take_cold_tally());
+    for tally in tallies {
+        node.metrics.cold.add(&tally);
+        if tally.cold + tally.unknown > 0 {
+            log::info!("sent within a second to an endpoint that may be cold: {tally:?}");
+        }
+    }
+}
+
 pub async fn keep_time(node: Rc<Pointsman>) {
     let mut turns = 0u64;
     loop {
@@ -240,7 +260,7 @@
         node.permits.tidy(now);
         node.routes_check.step(node.fleet.borrow().routes());
         aggregation::step(&node, now);
-        let is_in_touch = now.since(node.council.borrow().core_heard()) < IN_TOUCH_WITHIN;
+        let is_in_touch = hears_orders(&node, now);
         node.platform.note_touch(is_in_touch, node.live.get().heartbeat, now);
         node.homes.note_touch(is_in_touch);
         let actions = {
@@ -259,6 +279,9 @@
         };
         gossip(&node, actions);
         node.seat_endpoints();
+        if turns.is_multiple_of(TURNS_OF_A_SECOND) {
+            note_sends(&node);
+        }
         if turns.is_multiple_of(100) {
             super::tenancy::tell(&node);
             log::info!("own datagrams {:?}; calls {:?}", node.datagrams.tally(), node.caller.tally());
--- a/crates/pointsman/src/node/metrics.rs
+++ b/crates/pointsman/src/node/metrics.rs
@@ -1,9 +1,11 @@
 //! What this node counts of itself, for `GET /v1/metrics` at its readiness address.
 
+use crate::platform::ColdTally;
 use lineside::holds::HoldMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use trackbed::metrics::PREFIX;
 
@@ -54,12 +56,62 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum KnownWarmth {
+    Unknown,
+    Cold,
+    Warm,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WarmthLabels {
+    known: KnownWarmth,
+}
+
+/// Counts of requests to endpoints that may be cold. Copies share their counters.
+#[derive(Clone, Debug, Default)]
+pub struct ColdMetrics {
+    sent: Family<WarmthLabels, Counter>,
+    held_back: Counter,
+    busiest_second: Gauge,
+    violations: Counter,
+}
+
+impl ColdMetrics {
+    /// Adds what went out to one endpoint.
+    pub fn add(&self, tally: &ColdTally) {
+        let sent = |known, count| self.sent.get_or_create(&WarmthLabels { known }).inc_by(count);
+        sent(KnownWarmth::Unknown, tally.unknown);
+        sent(KnownWarmth::Cold, tally.cold);
+        sent(KnownWarmth::Warm, tally.warm);
+        self.held_back.inc_by(tally.held_back);
+        self.busiest_second.set(self.busiest_second.get().max(tally.busiest_second as i64));
+        self.violations.inc_by(tally.violations);
+        if tally.violations > 0 {
+            log::error!("an endpoint that may be cold got {} requests within a second", tally.busiest_second);
+        }
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let help = "Requests that went out to endpoints whose service can be cold, by what was known of the endpoint";
+        registry.register("cold_requests", help, self.sent.clone());
+        let help = "Requests that an endpoint that may be cold was not sent at once";
+        registry.register("cold_held_back", help, self.held_back.clone());
+        let help = "Most requests of this node to one endpoint within a second in which it was not known to be warm";
+        registry.register("cold_busiest_second", help, self.busiest_second.clone());
+        let help = "Requests above what all senders together keep to: the invariant is violated";
+        registry.register("cold_above_ceiling", help, self.violations.clone());
+    }
+}
+
 /// All figures of a node.
 pub struct NodeMetrics {
     /// Those of requests that name a key.
     pub keys: KeyMetrics,
     /// Those of calls to the endpoint about its keys.
     pub holds: HoldMetrics,
+    /// Those of endpoints that may be cold.
+    pub cold: ColdMetrics,
     /// All of them, for whoever asks.
     pub registry: Registry,
 }
@@ -71,6 +123,8 @@
         keys.register(&mut registry);
         let holds = HoldMetrics::default();
         holds.register(&mut registry);
-        Self { keys, holds, registry }
+        let cold = ColdMetrics::default();
+        cold.register(&mut registry);
+        Self { keys, holds, cold, registry }
     }
 }
--- a/crates/pointsman/src/platform/admission/mod.rs
+++ b/crates/pointsman/src/platform/admission/mod.rs
@@ -1,5 +1,7 @@
 //! The slots of an endpoint, given to the requests of the queue's choice.
 
+#[cfg(test)]
+mod cold_tests;
 #[cfg(test)]
 mod overload;
 mod queue;
--- a/crates/pointsman/src/platform/admission/queue.rs
+++ b/crates/pointsman/src/platform/admission/queue.rs
@@ -170,6 +170,9 @@
         if self.has_slot_for(claim.sort, now) {
             return Offer::Start(self.start(claim.sort, now));
         }
+        if self.running.len() < self.slots as usize && !self.cold.admits(now) {
+            self.cold.held_back();
+        }
         let expected = self.work.expected(claim.sort);
         let ticket = self.next_ticket();
         let place = (claim.priority, claim.target + expected.mul_f64(STANDS_BACK), ticket);
--- a/crates/pointsman/src/platform/coldness/limits.rs
+++ b/crates/pointsman/src/platform/coldness/limits.rs
@@ -20,6 +20,8 @@
     pub window: Duration,
     /// All senders together keep to so many within any second. Invariant: not below `requests`.
     pub ceiling: usize,
+    /// How long an endpoint stays cold, where the configuration says so.
+    pub cold_start: Option<Duration>,
 }
 
 impl ColdLimits {
@@ -28,13 +30,14 @@
         let ceiling = (((rate * overage + slack) * SHARE_OF_BOUND) as usize).max(1);
         let requests = (rate.ceil() as usize).clamp(1, ceiling);
         let seconds = (requests as f64 / rate).clamp(SECOND.as_secs_f64(), LONGEST_WINDOW_SECONDS);
-        Self { requests, window: Duration::from_secs_f64(seconds), ceiling }
+        Self { requests, window: Duration::from_secs_f64(seconds), ceiling, cold_start: None }
     }
 
     /// The limits of a service; nothing where its configuration says nothing of cold endpoints.
     pub fn of(service: &ServiceName, routes: &Routes, bounds: &Bounds) -> Option<Self> {
-        let rate = routes.service(service)?.cold_rate?;
-        Some(Self::new(rate, bounds.cold_overage(), bounds.cold_slack()))
+        let service = routes.service(service)?;
+        let limits = Self::new(service.cold_rate?, bounds.cold_overage(), bounds.cold_slack());
+        Some(Self { cold_start: service.cold_start, ..limits })
     }
 
     /// What is left of the ceiling beside another sender that lets out as many as it may.
--- a/crates/pointsman/src/platform/coldness/mod.rs
+++ b/crates/pointsman/src/platform/coldness/mod.rs
@@ -7,17 +7,19 @@
 mod limits;
 mod probe;
 mod sends;
+mod tally;
 #[cfg(test)]
 mod tests;
 
 pub use limits::ColdLimits;
 pub use probe::ask_health;
+pub use tally::ColdTally;
 
 use sends::Sends;
 use std::time::Duration;
 use trackbed::clock::Moment;
 
-/// How long sends are remembered where no limit is known yet.
+/// The span of the contract's bound, and how long sends are remembered where no limit is known yet.
 const REMEMBERED: Duration = Duration::from_secs(1);
 /// A heartbeat may be older than what was learned since. So long after, it counts.
 const HEARTBEAT_LAG: Duration = Duration::from_secs(1);
@@ -87,6 +89,7 @@
     /// Rises when what was known becomes void.
     generation: u64,
     is_asking: bool,
+    tally: ColdTally,
 }
 
 impl Default for ColdBound {
@@ -101,6 +104,7 @@
             is_in_touch: true,
             generation: 0,
             is_asking: false,
+            tally: ColdTally::default(),
         }
     }
 }
@@ -147,15 +151,16 @@
 
     /// The endpoint is to be asked now; nothing where that is not needed, or under way.
     pub fn ask(&mut self, now: Moment) -> Option<Asked> {
-        if self.is_asking || !self.wants_word(now) {
+        if !self.wants_word(now) {
             return None;
         }
         self.is_asking = true;
         Some(Asked { generation: self.generation, gone_out: self.gone_out() })
     }
 
-    fn wants_word(&self, now: Moment) -> bool {
-        let Some(limits) = self.limits else { return false };
+    /// Whether the endpoint is to be asked how it is.
+    pub fn wants_word(&self, now: Moment) -> bool {
+        let Some(limits) = self.limits.filter(|_| !self.is_asking) else { return false };
         match self.warmth(now) {
             Warmth::Unknown => true,
             Warmth::Cold => false,
@@ -181,6 +186,8 @@
             Knowledge::ColdUntil(until) => until,
             Knowledge::Unknown(_) => now,
         };
+        let longest = self.limits.and_then(|limits| limits.cold_start).unwrap_or(remaining);
+        let remaining = remaining.min(longest);
         self.knowledge = Knowledge::ColdUntil(known.max(now + remaining));
     }
 
@@ -203,12 +210,19 @@
     /// What is known now.
     pub fn warmth(&self, now: Moment) -> Warmth {
         match self.knowledge {
+            Knowledge::Unknown(since) if self.is_over(since, now) => Warmth::Warm,
             Knowledge::Unknown(_) => Warmth::Unknown,
             Knowledge::ColdUntil(until) if now < until => Warmth::Cold,
             Knowledge::ColdUntil(_) => Warmth::Warm,
         }
     }
 
+    /// Whether an endpoint that was cold by then is so no longer.
+    fn is_over(&self, since: Moment, now: Moment) -> bool {
+        let cold_start = self.limits.and_then(|limits| limits.cold_start);
+        cold_start.is_some_and(|cold_start| now >= since + cold_start)
+    }
+
     /// Requests that went out so far, or never will.
     fn gone_out(&self) -> u64 {
         self.let_in - self.sends.open() as u64
@@ -263,6 +277,20 @@
     pub fn goes_out(&mut self, now: Moment) {
         let window = self.limits.map_or(REMEMBERED, |limits| limits.window);
         self.sends.goes_out(window, now);
+        if let Some(limits) = self.limits {
+            let warmth = self.warmth(now);
+            self.tally.went_out(warmth, self.sends.gone_out_within(REMEMBERED, now), limits.ceiling);
+        }
+    }
+
+    /// A request was not let in at once for this bound alone.
+    pub fn held_back(&mut self) {
+        self.tally.held_back += 1;
+    }
+
+    /// What went out since this was last taken.
+    pub fn take_tally(&mut self) -> ColdTally {
+        std::mem::take(&mut self.tally)
     }
 
     /// A request that was let in will never go out.
--- a/crates/pointsman/src/platform/coldness/sends.rs
+++ b/crates/pointsman/src/platform/coldness/sends.rs
@@ -59,6 +59,11 @@
         self.open + self.gone_out.len() - first
     }
 
+    /// Requests that went out within the window that ends now.
+    pub fn gone_out_within(&self, window: Duration, now: Moment) -> usize {
+        self.gone_out.len() - self.first_within(window, now)
+    }
+
     fn first_within(&self, window: Duration, now: Moment) -> usize {
         self.gone_out.partition_point(|at| now.since(*at) > window)
     }
--- a/crates/pointsman/src/platform/coldness/tests.rs
+++ b/crates/pointsman/src/platform/coldness/tests.rs
@@ -202,6 +202,10 @@
     assert_eq!(bound.warmth(later), Warmth::Unknown, "that was an answer to an earlier question");
     bound.heard(Duration::ZERO, later + HEARTBEAT_LAG);
     assert_eq!(bound.warmth(later + HEARTBEAT_LAG), Warmth::Warm);
+    bound.forget(later);
+    bound.set_limits(Some(ColdLimits { cold_start: Some(Duration::from_secs(3)), ..limits() }));
+    assert_eq!(bound.warmth(later + Duration::from_millis(2999)), Warmth::Unknown);
+    assert_eq!(bound.warmth(later + Duration::from_secs(3)), Warmth::Warm, "none is cold for longer");
 }
 
 #[test]
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -4,7 +4,7 @@
 //! tell it. Two gateways whose rosters differ for a moment may both hold an endpoint's slots: that
 //! costs occupancy, never safety, as what may not run twice is sent once whoever holds the slots.
 
-use super::{FormerSender, Life, Lines, Platform, SendShare};
+use super::{ColdTally, FormerSender, Life, Lines, Platform, SendShare};
 use lineside::aggregation::Reservations;
 use lineside::gossip::{Role, Roster, Standing};
 use std::cell::{Cell, RefCell};
@@ -278,6 +278,11 @@
         known.filter(|(_, micros)| *micros > 0).collect()
     }
 
+    /// What went out to the endpoints here since this was last taken, by what was known of each.
+    pub fn take_cold_tallies(&self) -> Vec<ColdTally> {
+        self.platforms.borrow().values().map(|(platform, _)| platform.take_cold_tally()).collect()
+    }
+
     pub fn reserve(&self, reservations: &Reservations) {
         self.platforms.borrow().values().for_each(|(platform, _)| platform.reserve(reservations));
     }
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -18,7 +18,7 @@
 
 pub use admission::{Admission, Claim, Slot, TurnedAway};
 pub use beats::BeatsDoor;
-pub use coldness::{ColdLimits, FormerSender, SendShare, Warmth};
+pub use coldness::{ColdLimits, ColdTally, FormerSender, SendShare};
 pub use exchange::{Lines, RightToSend, at_endpoint};
 pub use health::{Health, Sign};
 pub use homes::{Gate, Homes, Seat};
@@ -230,6 +230,11 @@
         }
     }
 
+    /// What went out to the endpoint since this was last taken, by what was known of it.
+    pub fn take_cold_tally(&self) -> ColdTally {
+        self.admission.change_cold(|cold| cold.take_tally())
+    }
+
     fn service_and_zone(&self) -> Option<(ServiceName, ZoneName)> {
         let life = self.life.borrow();
         life.as_ref().map(|life| (life.instance.service.clone(), life.instance.zone.clone()))
@@ -237,6 +242,9 @@
 
     /// Asks the endpoint how it is, where a request is for it and that isn't known.
     fn learn_warmth(&self, now: Moment) {
+        if !self.admission.cold(|cold| cold.wants_word(now)) {
+            return;
+        }
         let Some(asked) = self.admission.change_cold(|cold| cold.ask(now)) else { return };
         let place = self.address.zip(self.health_path.borrow().clone());
         let instance = self.life.borrow().as_ref().map(|life| life.instance.id.clone());
--- a/crates/signalbox/src/node/fleet_view.rs
+++ b/crates/signalbox/src/node/fleet_view.rs
@@ -70,6 +70,7 @@
         text.push('}');
         text
     }));
+    let evacuated = list(fleet.evacuations().iter().map(|(zone, _)| format!("\"{}\"", escape(zone.as_str()))));
     let (datagrams, calls, replication) = (node.datagrams.tally(), node.caller.tally(), node.replication.tally());
     let counters = format!(
         "\"datagrams_sent\":{},\"datagram_bytes_sent\":{},\"calls_sent\":{},\"call_bytes_sent\":{},\"nodes_collected\":{}",
@@ -80,7 +81,7 @@
         node.aggregation.collector.borrow().nodes(),
     );
     format!(
-        "{{\"primary\":{primary},\"majority\":{},{counters},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints},\"proxies\":{}}}",
+        "{{\"primary\":{primary},\"majority\":{},{counters},\"zab_epoch\":{},\"fleet\":\"{}\",\"configuration\":\"{}\",\"members\":{members},\"nodes\":{nodes},\"endpoints\":{endpoints},\"evacuated\":{evacuated},\"proxies\":{}}}",
         zab.has_majority(trackbed::clock::now()),
         zab.epoch(),
         fleet.zxid(),
--- a/crates/timetable/src/configuration/mod.rs
+++ b/crates/timetable/src/configuration/mod.rs
@@ -10,6 +10,7 @@
 mod route;
 mod table;
 mod tenant;
+mod unread;
 
 pub use checks::Fault;
 pub use digest::{DigestPass, Entry, EntryDrift, LEAVES, PlannedBy, TableDigest, entry_drifts};
@@ -18,3 +19,4 @@
 pub use route::{GrantWay, Limits, Route, RouteKind, Service};
 pub use table::Routes;
 pub use tenant::{TENANT_HEADER, Tenant, TenantDoubt, Tenants};
+pub use unread::unread_keys;
--- a/crates/timetable/src/configuration/route.rs
+++ b/crates/timetable/src/configuration/route.rs
@@ -182,6 +182,9 @@
     }
 }
 
+/// Figures of a service stay below this.
+const MOST_IN_A_FIGURE: f64 = 1e9;
+
 /// One service, typed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -195,6 +198,8 @@
     pub grants: GrantWay,
     /// Requests that an endpoint bears in a second while it is cold; nothing where it bears them all.
     pub cold_rate: Option<f64>,
+    /// How long an endpoint stays cold after its start, where that is known.
+    pub cold_start: Option<Duration>,
 }
 
 impl Service {
@@ -216,13 +221,18 @@
             _ => GrantWay::Unnamed,
         };
         let max_connections = max_connections.clamp(1, 1_000_000) as u32;
-        let cold_rate = match value.pointer(["cold_rate_s"].iter()) {
-            None => None,
-            Some(rate) => Some(rate.as_f64().filter(|rate| rate.is_finite() && *rate >= 0.0).ok_or_else(|| {
-                Fault::Wrong { place: format!("/services/{name}/cold_rate_s"), wanted: "a number, zero or above" }
-            })?),
+        let number = |field: &str| match value.pointer([field].iter()) {
+            None => Ok(None),
+            Some(number) => match number.as_f64().filter(|number| (0.0..MOST_IN_A_FIGURE).contains(number)) {
+                Some(number) => Ok(Some(number)),
+                None => {
+                    Err(Fault::Wrong { place: format!("/services/{name}/{field}"), wanted: "a number, zero or above" })
+                }
+            },
         };
-        Ok(Self { health_path, max_connections, sharded, grants, cold_rate })
+        let cold_rate = number("cold_rate_s")?;
+        let cold_start = number("cold_start_s")?.map(Duration::from_secs_f64);
+        Ok(Self { health_path, max_connections, sharded, grants, cold_rate, cold_start })
     }
 }
 
--- a/crates/trackbed/src/config/bounds.rs
+++ b/crates/trackbed/src/config/bounds.rs
@@ -3,6 +3,22 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// The figures that this version reads.
+const READ: [&str; 12] = [
+    "drain_s",
+    "grace_period_s",
+    "history_s",
+    "config_apply_s",
+    "address_reuse_s",
+    "hold_max_s",
+    "retry_budget_ratio",
+    "retry_slack",
+    "budget_window_s",
+    "cold_overage",
+    "cold_slack",
+    "evacuation_s",
+];
+
 /// The figures by name.
 #[derive(Clone, Debug, Default)]
 pub struct Bounds(BTreeMap<String, String>);
@@ -20,7 +36,8 @@
     }
 
     /// A figure by its name; `otherwise` where it is missing, no number or negative.
-    pub fn number(&self, name: &str, otherwise: f64) -> f64 {
+    fn number(&self, name: &str, otherwise: f64) -> f64 {
+        debug_assert!(READ.contains(&name), "{name} is told as read by nothing");
         self.0
             .get(name)
             .and_then(|value| value.parse().ok())
@@ -28,6 +45,11 @@
             .unwrap_or(otherwise)
     }
 
+    /// Those given that nothing reads.
+    pub fn unread(&self) -> impl Iterator<Item = String> {
+        self.0.keys().filter(|name| !READ.contains(&name.as_str())).map(|name| format!("bounds.{name}"))
+    }
+
     fn seconds(&self, name: &str, otherwise: f64) -> Duration {
         Duration::from_secs_f64(self.number(name, otherwise).min(1e6))
     }
--- a/crates/trackbed/src/config/command.rs
+++ b/crates/trackbed/src/config/command.rs
@@ -51,6 +51,7 @@
             CommandOutcome::Run(command) => {
                 crate::logs::start(program, command.config.node_name.as_str(), command.level);
                 unsupported(&command.config).iter().for_each(|found| log::error!("{found}"));
+                command.config.unread.iter().for_each(|key| log::info!("nothing reads settings key {key}"));
                 match run(*command) {
                     Ok(()) => 0,
                     Err(error) => {
@@ -112,7 +113,9 @@
                 let lines: Vec<String> = unsupported.iter().map(|found| format!("{program}: {found}")).collect();
                 return CommandOutcome::Done { text: lines.join("\n"), status: 1 };
             }
-            let text = format!("{program}: settings of {} in {} are complete", config.node_name, path.display());
+            let complete = format!("{program}: settings of {} in {} are complete", config.node_name, path.display());
+            let unread = config.unread.iter().map(|key| format!("{program}: nothing reads settings key {key}"));
+            let text = std::iter::once(complete).chain(unread).collect::<Vec<_>>().join("\n");
             return CommandOutcome::Done { text, status: 0 };
         }
         CommandOutcome::Run(Box::new(Command { path, level, config }))
--- a/crates/trackbed/src/config/local.rs
+++ b/crates/trackbed/src/config/local.rs
@@ -1,6 +1,7 @@
 //! One machine's settings.
 
 use super::bounds::Bounds;
+use super::unread::ReadKeys;
 use crate::ids::{NodeName, RegionName, ServiceName, ZoneName};
 use crate::json;
 use derive_more::{Display, Error};
@@ -118,16 +119,22 @@
     pub discovery_source: Option<String>,
     /// How clients arrive.
     pub entry_type: Option<String>,
+    /// Keys of the file that nothing reads, with dots between their parts.
+    pub unread: Vec<String>,
 }
 
-struct Fields<'a>(&'a Value);
+struct Fields<'a> {
+    value: &'a Value,
+    read: ReadKeys,
+}
 
 impl Fields<'_> {
     fn name(path: &[&str]) -> String {
         path.join(".")
     }
     fn find(&self, path: &[&str]) -> Option<&Value> {
-        self.0.pointer(path.iter()).filter(|value| !value.is_null())
+        self.read.note(path);
+        self.value.pointer(path.iter()).filter(|value| !value.is_null())
     }
     fn wanted(&self, path: &[&str], wanted: &'static str) -> Result<&Value, ConfigError> {
         self.find(path).ok_or(ConfigError::Missing { field: Self::name(path), wanted })
@@ -173,7 +180,7 @@
     pub fn parse(text: &[u8], shown: &str) -> Result<Self, ConfigError> {
         let value = json::parse(text)
             .map_err(|error| ConfigError::NotJson { path: shown.to_owned(), reason: error.to_string() })?;
-        let fields = Fields(&value);
+        let fields = Fields { value: &value, read: ReadKeys::default() };
         let zone = ZoneName::new(fields.text(&["zone"], "the machine's zone")?);
         let region = RegionName::new(fields.text(&["region"], "the machine's region")?);
         let mut zones = BTreeMap::new();
@@ -228,7 +235,7 @@
         let contracts = contracts.into_iter().flat_map(|list| list.iter());
         let contracts = contracts.filter_map(|name| name.as_str().map(str::to_owned)).collect();
         let wanted = "the machine's IP address";
-        Ok(Self {
+        let mut config = Self {
             node_name: NodeName::new(fields.text(&["node_name"], "the machine's name")?),
             zone,
             region,
@@ -265,7 +272,11 @@
             grants: named("grants"),
             discovery_source: named("discovery_source"),
             entry_type: named("entry_type"),
-        })
+            unread: Vec::new(),
+        };
+        config.unread = fields.read.unread(&value);
+        config.unread.extend(config.bounds.unread());
+        Ok(config)
     }
 
     /// A field that this program can't do without.
@@ -306,6 +317,15 @@
         assert_eq!(config.seeds.len(), 1);
     }
 
+    #[test]
+    fn keys_that_nothing_reads_are_told() {
+        let text = WHOLE.replace("\"retry_slack=56\"", "\"retry_slack=56\",\"contact_s=3\"");
+        let text = text.replace("\"unknown\"", "\"limits\":{\"memory_mb\":9,\"cpu_share\":0.1},\"unknown\"");
+        let config = LocalConfig::parse(text.as_bytes(), "file").unwrap();
+        assert_eq!(config.unread, ["limits.cpu_share", "unknown.a", "bounds.contact_s"]);
+        assert_eq!(config.limits.memory_mb, 9);
+    }
+
     #[test]
     fn errors_name_field_and_remedy() {
         let error = LocalConfig::parse(WHOLE.replace("node_name", "other").as_bytes(), "file").unwrap_err();
--- a/crates/trackbed/src/config/mod.rs
+++ b/crates/trackbed/src/config/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod local;
 mod support;
+mod unread;
 
 pub use bounds::Bounds;
 pub use command::{Command, CommandOutcome};
