Cold endpoints: nothing goes out before the fleet is known; health answers in milliseconds

A node that started anew took its endpoint's first heartbeat in before it knew a configuration, and passed on what peers sent without any limit, or into an evacuated zone. It takes nothing for the endpoint until it knows one. A first heartbeat that says warm, heard by a node that has just started, may be older than an evacuation: it doesn't count, the endpoint is asked.

The stand-in of the soak said seconds and does so no longer.

--- a/crates/pointsman/src/node/start.rs
+++ b/crates/pointsman/src/node/start.rs
@@ -87,6 +87,7 @@
         metrics: NodeMetrics::default(),
         fetching: Cell::new(false),
     });
+    node.platform.await_fleet();
     node.platform.link.set(config.limits.link_bytes);
     node.pacer.set_link(config.limits.link_bytes);
     node.bound_answers();
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -136,7 +136,10 @@
             platform.follow(&self.0.fleet.borrow(), &self.0.live.get().bounds, now);
             platform.admission.change_cold(|cold| {
                 cold.begin_life(former, now);
-                cold.introduced(beat.cold, now);
+                match former {
+                    FormerSender::Nobody => cold.introduced(beat.cold, now),
+                    _ => cold.heard(beat.cold, now),
+                }
             });
         }
         platform.health.spoke();
--- a/crates/pointsman/src/platform/coldness/probe.rs
+++ b/crates/pointsman/src/platform/coldness/probe.rs
@@ -8,9 +8,11 @@
 
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
 const INSTANCE: &str = "ferryhinge-instance-id";
+/// In milliseconds.
 const COLD_REMAINING: &str = "ferryhinge-cold-remaining";
-/// What an endpoint is never cold for, in seconds.
-const LONGEST_COLD_SECONDS: f64 = 1e6;
+const MILLIS_IN_SECOND: f64 = 1000.0;
+/// What an endpoint is never cold for, in milliseconds.
+const LONGEST_COLD_MILLIS: f64 = 1e9;
 
 /// What an endpoint says of itself.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,8 +30,8 @@
     let answer = Client::new(address).call(&request, ANSWER_LIMIT).await.ok()?;
     let instance = InstanceId::new(single(&answer.headers, INSTANCE)?);
     let cold_remaining = match single(&answer.headers, COLD_REMAINING) {
-        Some(text) => text.trim().parse().ok().filter(|seconds| (0.0..LONGEST_COLD_SECONDS).contains(seconds))?,
+        Some(text) => text.trim().parse().ok().filter(|millis| (0.0..LONGEST_COLD_MILLIS).contains(millis))?,
         None => 0.0,
     };
-    Some(HealthWord { instance, cold_remaining: Duration::from_secs_f64(cold_remaining) })
+    Some(HealthWord { instance, cold_remaining: Duration::from_secs_f64(cold_remaining / MILLIS_IN_SECOND) })
 }
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -211,6 +211,7 @@
             self.hold(instance, fleet, bounds, now);
         }
         self.platforms.borrow_mut().retain(|id, (platform, _)| {
+            platform.await_fleet();
             platform.follow(fleet, bounds, now);
             let share = self.share(id);
             platform.admission.change_cold(|cold| cold.set_share(share));
@@ -303,7 +304,8 @@
 mod tests {
     use super::*;
     use lineside::gossip::{Peer, RosterTiming};
-    use timetable::fleet::FleetChange;
+    use timetable::configuration::Configuration;
+    use timetable::fleet::{ConfigChange, FleetChange};
     use trackbed::ids::{Incarnation, RegionName};
     use trackbed::random::Random;
 
@@ -356,6 +358,9 @@
         let instance = instances(1).remove(0);
         let register = || FleetChange::Register((*instance).clone());
         let mut fleet = FleetState::default();
+        let whole = Configuration::parse(br#"{"version":"r1","routes":{},"services":{}}"#).unwrap();
+        let configure = FleetChange::Configure { change: ConfigChange::Whole(whole), digest: 1 };
+        fleet.apply(Zxid::new(0, 1), configure);
         fleet.apply(Zxid::new(1, 1), register());
         let me = Peer {
             name: NodeName::new("gate-0"),
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -97,6 +97,8 @@
     pub closed: Cell<bool>,
     /// The endpoint's zone is evacuated: nothing new goes to it.
     is_evacuated: Cell<bool>,
+    /// No configuration is known yet, by which to tell what may go to the endpoint.
+    awaits_fleet: Cell<bool>,
     /// Where the endpoint answers how it is, by the configuration.
     health_path: RefCell<Option<String>>,
     /// By what requests name their route by: how many ended well here, and how long the endpoint was at them.
@@ -132,6 +134,7 @@
             next_binding: Cell::new(0),
             closed: Cell::new(false),
             is_evacuated: Cell::new(false),
+            awaits_fleet: Cell::new(false),
             health_path: RefCell::default(),
             work: RefCell::default(),
         }
@@ -197,12 +200,19 @@
 
     /// Whether anything new goes to a life.
     fn is_open(&self, life: &Life) -> bool {
-        !life.leaving && !self.closed.get() && !self.is_evacuated.get()
+        !life.leaving && !self.closed.get() && !self.is_evacuated.get() && !self.awaits_fleet.get()
+    }
+
+    /// Nothing goes to the endpoint until it is known what the configuration and the operator want.
+    pub fn await_fleet(&self) {
+        self.awaits_fleet.set(true);
     }
 
     /// Takes in what the fleet's state says of the endpoint's zone and service.
     pub fn follow(&self, fleet: &FleetState, bounds: &Bounds, now: Moment) {
-        let (Some(routes), Some((service, zone))) = (fleet.routes(), self.service_and_zone()) else { return };
+        let Some(routes) = fleet.routes() else { return };
+        self.awaits_fleet.set(false);
+        let Some((service, zone)) = self.service_and_zone() else { return };
         let limits = ColdLimits::of(&service, routes, bounds);
         let path = routes.service(&service).and_then(|service| service.health_path.clone());
         *self.health_path.borrow_mut() = path;
--- a/crates/soak/src/endpoint/server.rs
+++ b/crates/soak/src/endpoint/server.rs
@@ -91,9 +91,9 @@
 }
 
 fn healthy(endpoint: &Endpoint) -> Return {
-    let cold = endpoint.coldness.remaining_seconds(shared_micros());
+    let cold_millis = (endpoint.coldness.remaining_seconds(shared_micros()) * 1000.0).ceil();
     let answer = Return::text(200, "well").with_header(INSTANCE, &endpoint.life);
-    answer.with_header(COLD_REMAINING, &format!("{cold:.3}"))
+    answer.with_header(COLD_REMAINING, &cold_millis.to_string())
 }
 
 /// Whether a request is meant for another life.
--- a/crates/trackbed/src/config/support.rs
+++ b/crates/trackbed/src/config/support.rs
@@ -5,7 +5,8 @@
 use derive_more::Display;
 
 /// Contracts of the users' pages that are built.
-const CONTRACTS: [&str; 10] = ["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "coord", "own"];
+const CONTRACTS: [&str; 11] =
+    ["base", "drain", "config", "cost", "retry", "recover", "health", "pool", "places", "coord", "own"];
 /// Ways in which endpoints are told which keys they hold.
 const GRANTS: [&str; 2] = ["heartbeat", "invocation"];
 /// Where it is known from which endpoints there are.
