Soak: cold endpoints under troubles, and evacuations over lost disks and power

Every run's configuration has the keys of cold endpoints now.

cold_endpoints: an evacuation that was acknowledged stands after one of three disks was lost and every process, endpoints and nodes too, was killed at the same moment; its zone gets nothing until it is taken back, and no cold endpoint is flooded then.

--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -2,6 +2,7 @@
 
 use crate::client::{Outcome, Record};
 use crate::endpoint::events::Event;
+use crate::layout::COLD_BOUND;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// What one process of an endpoint printed over all its lives, and when its lives were ended by the run.
@@ -30,9 +31,19 @@
 pub fn violations(witnesses: &[Witness]) -> Vec<String> {
     let mut found = two_holders(witnesses);
     found.extend(run_twice(witnesses));
+    found.extend(flooded(witnesses));
     found
 }
 
+/// FAILBACK: a cold endpoint got more requests within a second than the contract allows.
+fn flooded(witnesses: &[Witness]) -> Vec<String> {
+    let seconds = cold_seconds(witnesses);
+    let above = seconds.iter().filter(|second| second.arrivals > COLD_BOUND);
+    above
+        .map(|ColdSecond { life, from, arrivals }| format!("FAILBACK: {life} got {arrivals} in the second from {from}"))
+        .collect()
+}
+
 fn life_end(witness: &Witness, started: u64) -> u64 {
     witness.ended.iter().copied().filter(|at| *at > started).min().unwrap_or(u64::MAX)
 }
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -22,6 +22,12 @@
 pub const SLOTS: u32 = 6;
 /// The longest hold that the settings allow, in seconds.
 pub const HOLD_MAX_SECONDS: f64 = 4.0;
+/// For how long an endpoint is cold after its start, in seconds.
+pub const COLD_SECONDS: u64 = 3;
+/// Requests that a cold endpoint bears in a second, by the configuration.
+pub const COLD_RATE: usize = 10;
+/// Requests that a cold endpoint may get within any second: the rate, half of it more, and 8.
+pub const COLD_BOUND: usize = COLD_RATE * 3 / 2 + 8;
 /// How often endpoints send heartbeats.
 pub const HEARTBEAT_SECONDS: f64 = 0.5;
 /// Memory of a machine, in MB.
@@ -52,6 +58,18 @@
     Gateway,
 }
 
+/// What a run's endpoints bear.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Endpoints {
+    /// All that their slots carry.
+    #[default]
+    Plain,
+    /// Half of them accept fewer connections than they have slots, and reset the rest.
+    Full,
+    /// All are cold after each start, and end where they get more than they bear meanwhile.
+    Cold,
+}
+
 /// One form of the contract on keys that endpoints hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Form {
@@ -250,6 +268,23 @@
         settings.replacen('{', &format!(r#"{{"max_connections":{},"when_full":"{when_full}","#, SLOTS - 2), 1)
     }
 
+    /// The same for an endpoint that is cold, from its start or after `SIGHUP` only.
+    pub fn cold_endpoint_settings(self, index: usize, starts_cold: bool) -> String {
+        let cold = format!(
+            r#"{{"cold":{{"cold_start_s":{COLD_SECONDS},"starts_cold":{starts_cold},"falls_over_above":{COLD_BOUND}}},"#
+        );
+        self.endpoint_settings(index).replacen('{', &cold, 1)
+    }
+
+    /// The settings of an endpoint of a run.
+    pub fn settings_of(self, endpoints: Endpoints, index: usize) -> String {
+        match endpoints {
+            Endpoints::Plain => self.endpoint_settings(index),
+            Endpoints::Full => self.full_endpoint_settings(index),
+            Endpoints::Cold => self.cold_endpoint_settings(index, true),
+        }
+    }
+
     /// A configuration of the divided service with its routes.
     pub fn configuration(self, version: u64) -> String {
         let route = |name: &str, prefix: &str, kind: &str| {
@@ -262,7 +297,7 @@
             Grants::Call => "invocation",
         };
         format!(
-            r#"{{"version":"r{version}","routes":{{{},{}}},"services":{{"{SERVICE}":{{"health_check_path":"/health","max_connections":100,"sharded":true,"warmup_s":1,"grants":"{grants}"}}}}}}"#,
+            r#"{{"version":"r{version}","routes":{{{},{}}},"services":{{"{SERVICE}":{{"health_check_path":"/health","max_connections":100,"sharded":true,"warmup_s":1,"grants":"{grants}","cold_start_s":{COLD_SECONDS},"cold_rate_s":{COLD_RATE}}}}}}}"#,
             route("safe", SAFE_PREFIX, "idempotent"),
             route("unsafe", UNSAFE_PREFIX, "non_idempotent"),
         )
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,7 +5,7 @@
 use soak::coordination::trouble::Mix;
 use soak::endpoint;
 use soak::error::SoakError;
-use soak::layout::{ENDPOINTS, Form};
+use soak::layout::{ENDPOINTS, Endpoints, Form};
 use soak::process::{Program, end_with_parent};
 use soak::report::RunReport;
 use soak::run::{Play, run};
@@ -35,7 +35,7 @@
     first: u64,
     seeds: u64,
     seconds: u64,
-    has_full_endpoints: bool,
+    endpoints: Endpoints,
     json: bool,
     folder: PathBuf,
 }
@@ -68,6 +68,11 @@
     options.optopt("n", "seeds", "how many seeds of each form or mix (default: 1)", "N");
     options.optopt("s", "seconds", "seconds of troubles (default: 20)", "N");
     options.optflag("", "full", "with run: half of the endpoints accept few connections and reset the rest");
+    options.optflag(
+        "",
+        "cold",
+        "with run: endpoints are cold after each start, and end where they get more than they bear",
+    );
     options.optopt("o", "out", "folder for settings, state and logs (default: a new one)", "FOLDER");
     options.optflag("j", "json", "print a JSON line for each run");
     options
@@ -129,6 +134,12 @@
             Some(folder) => PathBuf::from(folder),
             None => std::env::temp_dir().join(format!("ferryhinge-soak-{}", std::process::id())),
         };
+        let endpoints = match (matches.opt_present("full"), matches.opt_present("cold")) {
+            (true, true) => return Err(SoakError::Option { option: "cold", wanted: "a run without full" }),
+            (true, false) => Endpoints::Full,
+            (false, true) => Endpoints::Cold,
+            (false, false) => Endpoints::Plain,
+        };
         Ok(Self {
             forms,
             mixes,
@@ -137,7 +148,7 @@
             first: number(matches, "first", 1, u64::MAX / 2)?,
             seeds: number(matches, "seeds", 1, 100_000)?,
             seconds: number(matches, "seconds", 20, 3600)?,
-            has_full_endpoints: matches.opt_present("full"),
+            endpoints,
             json: matches.opt_present("json"),
             folder,
         })
@@ -170,7 +181,7 @@
                 seed,
                 seconds: plan.seconds,
                 lost: seed.is_multiple_of(LOST_EVERY).then_some((seed / LOST_EVERY) as usize % ENDPOINTS),
-                has_full_endpoints: plan.has_full_endpoints,
+                endpoints: plan.endpoints,
                 executable: executable.to_owned(),
                 folder: plan.folder.join(format!("{}-{seed}", form.name())),
             };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
 use crate::endpoint::events::{Event, shared_micros};
 use crate::error::SoakError;
 use crate::invariants::{self, Witness};
-use crate::layout::{Block, CORES, ENDPOINTS, Form, Layout, NODES, empty_folder};
+use crate::layout::{Block, CORES, ENDPOINTS, Endpoints, Form, Layout, NODES, empty_folder};
 use crate::operator::Operator;
 use crate::process::Process;
 use crate::report::{LEAST_SERVED, Report, RunReport};
@@ -28,7 +28,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 const METRICS_LIMIT: Duration = Duration::from_secs(1);
 /// What the names of counters of violated invariants end with.
-const VIOLATIONS: &str = "overdue_total";
+const VIOLATIONS: [&str; 2] = ["overdue_total", "above_ceiling_total"];
 
 /// What to play.
 #[derive(Clone, Debug)]
@@ -41,8 +41,8 @@
     pub seconds: u64,
     /// An endpoint that is killed before the first trouble and never comes back.
     pub lost: Option<usize>,
-    /// Half of the endpoints accept fewer connections than they have slots, and reset the rest.
-    pub has_full_endpoints: bool,
+    /// What the endpoints bear.
+    pub endpoints: Endpoints,
     /// An executable of this crate: every process of the run is one of it.
     pub executable: PathBuf,
     /// Where settings, state and logs go.
@@ -64,7 +64,9 @@
         Ok(Self {
             cores: starter.cores()?,
             nodes: starter.nodes(NODES)?,
-            endpoints: (0..ENDPOINTS).map(|index| start_endpoint(play, starter, index)).collect::<Result<_, _>>()?,
+            endpoints: (0..ENDPOINTS)
+                .map(|index| starter.endpoint(index, &layout.settings_of(play.endpoints, index)))
+                .collect::<Result<_, _>>()?,
             ended: vec![Vec::new(); ENDPOINTS],
             lost: None,
         })
@@ -139,14 +141,6 @@
     }
 }
 
-fn start_endpoint(play: &Play, starter: Starter<'_>, index: usize) -> Result<Process, SoakError> {
-    let settings = match play.has_full_endpoints {
-        true => starter.layout.full_endpoint_settings(index),
-        false => starter.layout.endpoint_settings(index),
-    };
-    starter.endpoint(index, &settings)
-}
-
 /// The events of a file. A line that a kill cut off is passed over.
 fn read_events(path: &Path) -> Result<Vec<Event>, SoakError> {
     let text = std::fs::read_to_string(path).map_err(|error| SoakError::io(path.display(), &error))?;
@@ -217,7 +211,7 @@
         quiet_asked,
         quiet_served,
         // Endpoints that accept few connections serve what they can.
-        least_served: if play.has_full_endpoints { 0.0 } else { LEAST_SERVED },
+        least_served: if play.endpoints == Endpoints::Full { 0.0 } else { LEAST_SERVED },
         let_go: invariants::let_go(&witnesses),
         quiet_misdirected: invariants::misdirected(&witnesses, quiet_from),
         violations,
@@ -236,7 +230,8 @@
         let request = Request::own(Method::GET, trackbed::metrics::PATH.into(), &[], Default::default());
         let Ok(answer) = Client::new(address).call(&request, METRICS_LIMIT).await else { continue };
         let text = String::from_utf8_lossy(&answer.body);
-        let counted = text.lines().filter(|line| line.contains(VIOLATIONS) && !line.starts_with('#'));
+        let counted =
+            text.lines().filter(|line| !line.starts_with('#') && VIOLATIONS.iter().any(|name| line.contains(name)));
         let violated = counted.filter(|line| !line.ends_with(" 0"));
         found.extend(violated.map(|line| format!("INVARIANT: {address} counted {line}")));
     }
--- a/crates/soak/tests/cold_endpoints.rs
+++ b/crates/soak/tests/cold_endpoints.rs
@@ -5,28 +5,24 @@
 
 use http::Method;
 use nix::sys::signal::Signal;
+use soak::endpoint::events::Event;
 use soak::invariants::{ColdSecond, Witness, cold_seconds, fell_over};
-use soak::layout::{Block, CORES, Form, Grants, HOST, Layout, SAFE_PREFIX, Tier};
+use soak::layout::{Block, COLD_BOUND, CORES, Form, Grants, HOST, Layout, SAFE_PREFIX, Tier, empty_folder};
 use soak::process::Process;
 use std::cell::Cell;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
-use support::{configure, events, settings_with, starter, wait};
+use support::{configure, events, starter, wait};
 use trackbed::http::{Client, Request};
 
 const ENDPOINTS: usize = 2;
 const NODES: usize = 2;
 /// The endpoint that is troubled, and the node beside it where there is one.
 const TROUBLED: usize = 1;
-/// What a cold endpoint bears in a second, by the configuration.
-const COLD_RATE: usize = 10;
-/// By the bounds of the layout's settings: the rate, half of it more, and 8.
-const MOST_IN_A_SECOND: usize = COLD_RATE * 3 / 2 + 8;
 /// Of the bound, and rounded down.
-const AIM: usize = MOST_IN_A_SECOND * 9 / 10;
-const COLD: &str = r#""is_divided":false,"cold":{"cold_start_s":3,"falls_over_above":23},"#;
-const WARM: &str = r#""is_divided":false,"cold":{"cold_start_s":3,"starts_cold":false,"falls_over_above":23},"#;
+const AIM: usize = COLD_BOUND * 9 / 10;
+const UNDIVIDED: &str = "\"is_divided\":false,";
 const BETWEEN: Duration = Duration::from_millis(7);
 const DEADLINE: Duration = Duration::from_millis(1000);
 const ROUNDS: usize = 3;
@@ -37,6 +33,8 @@
 /// An order is in force everywhere by then.
 const EVACUATED_WITHIN: Duration = Duration::from_secs(5);
 const COLD_BEFORE_THE_END: Duration = Duration::from_millis(1500);
+/// The core node whose disk is lost.
+const LOST_DISK: usize = 0;
 const LEAST_SERVED: usize = 300;
 /// Fewer would show that a cold endpoint is left alone, and not that it gets what it bears.
 const LEAST_IN_A_SECOND: usize = 3;
@@ -80,10 +78,14 @@
     }
 }
 
+fn settings(layout: Layout, index: usize, starts_cold: bool) -> String {
+    layout.cold_endpoint_settings(index, starts_cold).replacen('{', &format!("{{{UNDIVIDED}"), 1)
+}
+
 struct Fleet {
     layout: Layout,
     _block: Block,
-    _cores: Vec<Process>,
+    cores: Vec<Process>,
     nodes: Vec<Process>,
     endpoints: Vec<Process>,
     traffic: Traffic,
@@ -97,20 +99,39 @@
         let starter = starter(layout, folder);
         let cores = starter.cores().unwrap();
         let nodes = starter.nodes(NODES).unwrap();
-        let cold = format!("\"sharded\":false,\"cold_start_s\":3,\"cold_rate_s\":{COLD_RATE}");
-        configure(layout, layout.configuration(5).replace("\"sharded\":true", &cold)).await;
-        let start = |index| starter.endpoint(index, &settings_with(layout, index, WARM)).unwrap();
+        configure(layout, layout.configuration(5).replace("\"sharded\":true", "\"sharded\":false")).await;
+        let start = |index| starter.endpoint(index, &settings(layout, index, false)).unwrap();
         let endpoints: Vec<Process> = (0..ENDPOINTS).map(start).collect();
         let traffic = Traffic::start(layout);
         let served = traffic.served.clone();
         wait("requests that are served", || served.get() > LEAST_SERVED).await;
-        Self { layout, _block: block, _cores: cores, nodes, endpoints, traffic }
+        Self { layout, _block: block, cores, nodes, endpoints, traffic }
     }
 
     fn witnesses(&self) -> Vec<Witness> {
         self.endpoints.iter().map(|endpoint| Witness { events: events(endpoint), ended: Vec::new() }).collect()
     }
 
+    fn processes(&mut self) -> impl Iterator<Item = &mut Process> {
+        self.cores.iter_mut().chain(&mut self.nodes).chain(&mut self.endpoints)
+    }
+
+    /// All processes end at once, and start again with as many disks empty as the settings allow to be lost.
+    fn lose_power_and_a_disk(&mut self, folder: &Path) {
+        self.processes().for_each(|process| process.signal(Signal::SIGKILL));
+        self.processes().for_each(Process::kill);
+        let data = starter(self.layout, folder).data_folder(LOST_DISK);
+        empty_folder(&data).unwrap();
+        for (index, core) in self.cores.iter().enumerate() {
+            let data = starter(self.layout, folder).data_folder(index);
+            core.write_settings(&self.layout.later_core_settings(index, &data)).unwrap();
+        }
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            endpoint.write_settings(&settings(self.layout, index, true)).unwrap();
+        }
+        self.processes().for_each(|process| process.restart().unwrap());
+    }
+
     /// Sends an order about the troubled endpoint's zone until it is acknowledged.
     async fn order(&self, method: Method) {
         let zone = format!("zone-{TROUBLED}");
@@ -129,18 +150,18 @@
 
 fn check(witnesses: &[Witness], served: usize, least_colds: usize) {
     let seconds: Vec<ColdSecond> = cold_seconds(witnesses);
-    println!("busiest cold seconds, bound {MOST_IN_A_SECOND}: {seconds:?}; {served} served");
+    println!("busiest cold seconds, bound {COLD_BOUND}: {seconds:?}; {served} served");
     assert!(seconds.len() >= least_colds, "only {} lives were cold", seconds.len());
     assert!(served >= LEAST_SERVED, "only {served} requests were served");
     assert_eq!(fell_over(witnesses), 0, "{seconds:?}");
-    assert!(seconds.iter().all(|second| second.arrivals <= AIM), "the bound is {MOST_IN_A_SECOND}: {seconds:?}");
+    assert!(seconds.iter().all(|second| second.arrivals <= AIM), "the bound is {COLD_BOUND}: {seconds:?}");
     assert!(seconds.iter().any(|second| second.arrivals >= LEAST_IN_A_SECOND), "{seconds:?}");
 }
 
 async fn play_restarts(tier: Tier, folder: &Path) -> (Vec<Witness>, usize) {
     let mut fleet = Fleet::start(tier, folder).await;
     let (layout, before) = (fleet.layout, fleet.traffic.served.get());
-    fleet.endpoints[TROUBLED].write_settings(&settings_with(layout, TROUBLED, COLD)).unwrap();
+    fleet.endpoints[TROUBLED].write_settings(&settings(layout, TROUBLED, true)).unwrap();
     for _ in 0..ROUNDS {
         fleet.endpoints[TROUBLED].kill();
         fleet.endpoints[TROUBLED].restart().unwrap();
@@ -207,3 +228,45 @@
 fn an_evacuated_zone_behind_gateways_gets_nothing_and_comes_back_slowly() {
     an_evacuated_zone_comes_back_cold(Tier::Gateway);
 }
+
+/// Requests that a life of the endpoint was sent, over all its lives.
+fn requests_at(endpoint: &Process) -> usize {
+    let is_request =
+        |event: &Event| matches!(event, Event::Ran { .. } | Event::Refused { .. } | Event::FellOver { .. });
+    events(endpoint).iter().filter(|event| is_request(event)).count()
+}
+
+async fn play_loss_of_power(tier: Tier, folder: &Path) -> (Vec<Witness>, usize) {
+    let mut fleet = Fleet::start(tier, folder).await;
+    fleet.order(Method::POST).await;
+    fleet.lose_power_and_a_disk(folder);
+    let (served, before) = (fleet.traffic.served.clone(), requests_at(&fleet.endpoints[TROUBLED]));
+    let by_then = served.get();
+    wait("requests that are served again", || served.get() > by_then + LEAST_SERVED).await;
+    let reached = requests_at(&fleet.endpoints[TROUBLED]) - before;
+    assert_eq!(reached, 0, "its zone is evacuated, as was acknowledged before the loss");
+    fleet.order(Method::DELETE).await;
+    let troubled = &fleet.endpoints[TROUBLED];
+    wait("requests to the zone that is taken back", || requests_at(troubled) > before + LEAST_IN_A_SECOND).await;
+    (fleet.witnesses(), served.get() - by_then)
+}
+
+fn an_evacuation_outlives_a_loss_of_power(tier: Tier) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut played = None;
+    trackbed::kernel::run(async { played = Some(play_loss_of_power(tier, folder.path()).await) }).unwrap();
+    let (witnesses, served) = played.unwrap();
+    check(&witnesses, served, ENDPOINTS);
+}
+
+/// Guards against an acknowledged evacuation that ends with a disk, or with the nodes that knew of it.
+#[test]
+fn an_evacuation_outlives_a_lost_disk_and_a_loss_of_power_beside_nodes() {
+    an_evacuation_outlives_a_loss_of_power(Tier::Beside);
+}
+
+/// The same behind gateways.
+#[test]
+fn an_evacuation_outlives_a_lost_disk_and_a_loss_of_power_behind_gateways() {
+    an_evacuation_outlives_a_loss_of_power(Tier::Gateway);
+}
--- a/crates/soak/tests/forms.rs
+++ b/crates/soak/tests/forms.rs
@@ -1,6 +1,6 @@
 //! Every form of the contract on keys is served: real processes, no troubles.
 
-use soak::layout::{Form, Grants, Tier};
+use soak::layout::{Endpoints, Form, Grants, Tier};
 use soak::report::RunReport;
 use soak::run::{Play, run};
 use std::path::PathBuf;
@@ -13,7 +13,7 @@
         seed: 1,
         seconds: 0,
         lost,
-        has_full_endpoints: false,
+        endpoints: Endpoints::Plain,
         executable,
         folder: folder.path().to_owned(),
     };
