Cold endpoints: each answer of a warm one is good for so many requests

Between two heartbeats its node took it for warm: an endpoint of the soak that turns cold while it serves got 22 requests within a second beside a node and 24 behind gateways, where it fell over (bound 23).

A health answer is good for as many requests as all senders together keep to within a second, 0.9 of the bound, with those that were let in and had not gone out when it was asked; then the endpoint counts as cold until it answers again. It is asked when three quarters are used, over a kept connection, which is four questions a second at full load. A heartbeat may be late, and renews nothing. Without a health_check_path the heartbeats are all there is.

Tests failed before (2 of 2): an_endpoint_that_turns_cold_while_it_serves, beside a node and behind gateways; the one on virtual time covers nodes in touch and out of touch.

--- a/crates/pointsman/src/platform/admission/cold_tests.rs
+++ b/crates/pointsman/src/platform/admission/cold_tests.rs
@@ -78,7 +78,7 @@
     let begun = Moment::from_micros(5_000_000);
     let mut queue = AdmissionQueue::default();
     queue.set_slots(SLOTS);
-    queue.cold_mut().set_limits(Some(limits()));
+    queue.cold_mut().set_limits(Some(limits()), false);
     queue.cold_mut().begin_life(FormerSender::Nobody, begun);
     queue.cold_mut().introduced(COLD_FOR, begun);
     let random = Random::seeded(seed);
--- a/crates/pointsman/src/platform/coldness/mod.rs
+++ b/crates/pointsman/src/platform/coldness/mod.rs
@@ -12,7 +12,7 @@
 mod tests;
 
 pub use limits::ColdLimits;
-pub use probe::ask_health;
+pub use probe::HealthQuestions;
 pub use tally::ColdTally;
 
 use sends::Sends;
@@ -24,6 +24,9 @@
 /// A heartbeat may be older than what was learned since. So long after, it counts.
 const HEARTBEAT_LAG: Duration = Duration::from_secs(1);
 
+/// Share of the ceiling that goes to a warm endpoint before it is asked again.
+const ASKED_AFTER: f64 = 0.75;
+
 /// What is known of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Knowledge {
@@ -86,6 +89,8 @@
     gone_out_by_word: u64,
     /// An order that concerns the endpoint would be heard here, and its heartbeats are.
     is_in_touch: bool,
+    /// The endpoint answers how it is when it is asked.
+    can_ask: bool,
     /// Rises when what was known becomes void.
     generation: u64,
     is_asking: bool,
@@ -102,6 +107,7 @@
             let_in: 0,
             gone_out_by_word: 0,
             is_in_touch: true,
+            can_ask: false,
             generation: 0,
             is_asking: false,
             tally: ColdTally::default(),
@@ -110,9 +116,10 @@
 }
 
 impl ColdBound {
-    /// What the configuration says from now on.
-    pub fn set_limits(&mut self, limits: Option<ColdLimits>) {
+    /// What the configuration says from now on, and whether it names a place to ask the endpoint at.
+    pub fn set_limits(&mut self, limits: Option<ColdLimits>, can_ask: bool) {
         self.limits = limits;
+        self.can_ask = can_ask;
     }
 
     /// Which part of it this sender may use from now on.
@@ -160,11 +167,11 @@
 
     /// Whether the endpoint is to be asked how it is.
     pub fn wants_word(&self, now: Moment) -> bool {
-        let Some(limits) = self.limits.filter(|_| !self.is_asking) else { return false };
+        let Some(limits) = self.limits.filter(|_| self.can_ask && !self.is_asking) else { return false };
         match self.warmth(now) {
             Warmth::Unknown => true,
             Warmth::Cold => false,
-            Warmth::Warm => !self.is_in_touch && self.since_word() * 2 >= limits.ceiling,
+            Warmth::Warm => self.since_word() as f64 >= limits.ceiling as f64 * ASKED_AFTER,
         }
     }
 
@@ -197,7 +204,9 @@
             Knowledge::Unknown(since) if remaining.is_zero() && now.since(since) < HEARTBEAT_LAG => {}
             _ => {
                 self.is_cold_for(remaining, now);
-                self.gone_out_by_word = self.gone_out();
+                if !self.can_ask {
+                    self.gone_out_by_word = self.gone_out();
+                }
             }
         }
     }
@@ -236,7 +245,8 @@
     /// How many requests count within a window, and how many may; nothing where there is no limit now.
     fn limit_now(&self, now: Moment) -> Option<(usize, Duration)> {
         let limits = self.limits?;
-        let has_credit = self.is_in_touch || self.since_word() < limits.ceiling;
+        let is_told = self.is_in_touch && !self.can_ask;
+        let has_credit = is_told || self.since_word() < limits.ceiling;
         if self.warmth(now) == Warmth::Warm && has_credit {
             return None;
         }
--- a/crates/pointsman/src/platform/coldness/tests.rs
+++ b/crates/pointsman/src/platform/coldness/tests.rs
@@ -30,7 +30,7 @@
 impl Sender {
     fn new(former: FormerSender, share: SendShare, now: Moment) -> Self {
         let mut bound = ColdBound::default();
-        bound.set_limits(Some(limits()));
+        bound.set_limits(Some(limits()), true);
         bound.set_share(share);
         bound.begin_life(former, now);
         Self { bound, on_their_way: Vec::new() }
@@ -142,14 +142,14 @@
     }
 }
 
-/// Guards against a node that hears of no evacuation, and of no coldness before it asks.
+/// Guards against an endpoint that turns cold while it serves, before its node is told.
 #[test]
-fn an_endpoint_that_turns_cold_gets_no_more_than_the_ceiling_from_a_node_out_of_touch() {
+fn an_endpoint_that_turns_cold_while_it_serves_gets_no_more_than_the_ceiling() {
     for seed in 0..SEEDS {
         let (mut random, mut now) = (Random::seeded(seed), start());
         let mut sender = Sender::new(FormerSender::Nobody, SendShare::Whole, now);
         sender.bound.introduced(Duration::ZERO, now);
-        sender.bound.set_in_touch(false);
+        sender.bound.set_in_touch(seed % 2 == 0);
         let turns_cold = now + Duration::from_millis(2000 + random.below(1000));
         let warm_again = turns_cold + Duration::from_secs(3);
         let mut arrivals = Arrivals::default();
@@ -183,7 +183,7 @@
 fn what_is_not_known_is_cold_and_no_word_shortens_a_cold_time() {
     let now = start();
     let mut bound = ColdBound::default();
-    bound.set_limits(Some(limits()));
+    bound.set_limits(Some(limits()), true);
     bound.begin_life(FormerSender::Nobody, now);
     assert_eq!(bound.warmth(now), Warmth::Unknown);
     assert!(bound.is_limited(now));
@@ -203,7 +203,7 @@
     bound.heard(Duration::ZERO, later + HEARTBEAT_LAG);
     assert_eq!(bound.warmth(later + HEARTBEAT_LAG), Warmth::Warm);
     bound.forget(later);
-    bound.set_limits(Some(ColdLimits { cold_start: Some(Duration::from_secs(3)), ..limits() }));
+    bound.set_limits(Some(ColdLimits { cold_start: Some(Duration::from_secs(3)), ..limits() }), true);
     assert_eq!(bound.warmth(later + Duration::from_millis(2999)), Warmth::Unknown);
     assert_eq!(bound.warmth(later + Duration::from_secs(3)), Warmth::Warm, "none is cold for longer");
 }
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -28,6 +28,7 @@
 pub use way_out::WayOut;
 
 use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed};
+use coldness::HealthQuestions;
 use lineside::aggregation::Reservations;
 use lineside::gossip::Occupancy;
 use std::cell::{Cell, RefCell};
@@ -99,6 +100,8 @@
     is_evacuated: Cell<bool>,
     /// No configuration is known yet, by which to tell what may go to the endpoint.
     awaits_fleet: Cell<bool>,
+    /// Asks the endpoint how it is.
+    questions: Rc<HealthQuestions>,
     /// Where the endpoint answers how it is, by the configuration.
     health_path: RefCell<Option<String>>,
     /// By what requests name their route by: how many ended well here, and how long the endpoint was at them.
@@ -135,6 +138,7 @@
             closed: Cell::new(false),
             is_evacuated: Cell::new(false),
             awaits_fleet: Cell::new(false),
+            questions: Rc::new(HealthQuestions::new(address)),
             health_path: RefCell::default(),
             work: RefCell::default(),
         }
@@ -215,11 +219,12 @@
         let Some((service, zone)) = self.service_and_zone() else { return };
         let limits = ColdLimits::of(&service, routes, bounds);
         let path = routes.service(&service).and_then(|service| service.health_path.clone());
+        let can_ask = path.is_some() && self.address.is_some();
         *self.health_path.borrow_mut() = path;
         let is_evacuated = fleet.is_evacuated(&zone);
         let was_evacuated = self.is_evacuated.replace(is_evacuated);
         self.admission.change_cold(|cold| {
-            cold.set_limits(limits);
+            cold.set_limits(limits, can_ask);
             if was_evacuated != is_evacuated {
                 cold.forget(now);
             }
@@ -256,12 +261,13 @@
             return;
         }
         let Some(asked) = self.admission.change_cold(|cold| cold.ask(now)) else { return };
-        let place = self.address.zip(self.health_path.borrow().clone());
+        let path = self.health_path.borrow().clone();
+        let questions = self.questions.clone();
         let instance = self.life.borrow().as_ref().map(|life| life.instance.id.clone());
         let admission = self.admission.clone();
         monoio::spawn(async move {
-            let word = match place {
-                Some((address, path)) => coldness::ask_health(address, path).await,
+            let word = match path {
+                Some(path) => questions.ask(path).await,
                 None => None,
             };
             let remaining =
--- a/crates/soak/tests/cold_endpoints.rs
+++ b/crates/soak/tests/cold_endpoints.rs
@@ -30,6 +30,8 @@
 const NODE_KILLED_AFTER: Duration = Duration::from_millis(1100);
 const NODE_DOWN: Duration = Duration::from_millis(200);
 const ROUND_ENDS_AFTER: Duration = Duration::from_millis(2900);
+/// Longer than a cold time, so that it is warm again before the next.
+const TURNS_COLD_EVERY: Duration = Duration::from_millis(4300);
 /// An order is in force everywhere by then.
 const EVACUATED_WITHIN: Duration = Duration::from_secs(5);
 const COLD_BEFORE_THE_END: Duration = Duration::from_millis(1500);
@@ -229,6 +231,36 @@
     an_evacuated_zone_comes_back_cold(Tier::Gateway);
 }
 
+async fn play_turning_cold(tier: Tier, folder: &Path) -> (Vec<Witness>, usize) {
+    let fleet = Fleet::start(tier, folder).await;
+    let before = fleet.traffic.served.get();
+    for _ in 0..ROUNDS {
+        fleet.endpoints[TROUBLED].signal(Signal::SIGHUP);
+        monoio::time::sleep(TURNS_COLD_EVERY).await;
+    }
+    (fleet.witnesses(), fleet.traffic.served.get() - before)
+}
+
+fn an_endpoint_turns_cold_while_it_serves(tier: Tier) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut played = None;
+    trackbed::kernel::run(async { played = Some(play_turning_cold(tier, folder.path()).await) }).unwrap();
+    let (witnesses, served) = played.unwrap();
+    check(&witnesses, served, 1);
+}
+
+/// Guards against a warm endpoint that turns cold between two heartbeats (issue 50).
+#[test]
+fn an_endpoint_that_turns_cold_while_it_serves_beside_a_node_is_not_flooded() {
+    an_endpoint_turns_cold_while_it_serves(Tier::Beside);
+}
+
+/// The same behind gateways.
+#[test]
+fn an_endpoint_that_turns_cold_while_it_serves_behind_gateways_is_not_flooded() {
+    an_endpoint_turns_cold_while_it_serves(Tier::Gateway);
+}
+
 /// Requests that a life of the endpoint was sent, over all its lives.
 fn requests_at(endpoint: &Process) -> usize {
     let is_request =
