Cold endpoints: questions go over the connections of requests

One that has all the connections it accepts resets that, so that no answer came, its credit ran out, and it got what a cold one bears: ten requests a second.

A question takes a connection that requests use, and is repeated while requests wait. A process that starts begins as if it had sent the whole of its window just now, as a gateway does: that closes the gap between its last process's second and its own.

--- a/crates/pointsman/src/node/learn.rs
+++ b/crates/pointsman/src/node/learn.rs
@@ -148,7 +148,7 @@
         });
         drop(life);
         node.platform.follow(&fleet, &node.live.get().bounds, now);
-        node.platform.admission.change_cold(|cold| cold.begin_life(FormerSender::EarlierProcess, now));
+        node.platform.admission.change_cold(|cold| cold.begin_life(FormerSender::Another, now));
     }
 }
 
--- a/crates/pointsman/src/platform/beats.rs
+++ b/crates/pointsman/src/platform/beats.rs
@@ -121,7 +121,7 @@
                     platform.ended.borrow_mut().push(last.instance.id.clone());
                 }
                 platform.lines.clear(beat.instance.address);
-                begun = Some(if life.is_some() { FormerSender::Nobody } else { FormerSender::EarlierProcess });
+                begun = Some(if life.is_some() { FormerSender::Nobody } else { FormerSender::Another });
                 *life = Some(Life {
                     instance: beat.instance.clone(),
                     sequence: beat.sequence,
--- a/crates/pointsman/src/platform/coldness/mod.rs
+++ b/crates/pointsman/src/platform/coldness/mod.rs
@@ -12,7 +12,7 @@
 mod tests;
 
 pub use limits::ColdLimits;
-pub use probe::HealthQuestions;
+pub use probe::ask_health;
 pub use tally::ColdTally;
 
 use sends::Sends;
@@ -64,10 +64,8 @@
 pub enum FormerSender {
     /// Nobody: the life has just begun.
     Nobody,
-    /// An earlier process of this node.
-    EarlierProcess,
-    /// Any node.
-    Others,
+    /// An earlier process of this node, or another node.
+    Another,
 }
 
 /// Names what was known when an endpoint was asked, so that its answer counts for that alone.
@@ -141,8 +139,7 @@
     pub fn begin_life(&mut self, former: FormerSender, now: Moment) {
         let count = self.limits.map_or(0, |limits| match former {
             FormerSender::Nobody => 0,
-            FormerSender::EarlierProcess => (2 * limits.requests).saturating_sub(limits.ceiling).min(limits.requests),
-            FormerSender::Others => limits.requests,
+            FormerSender::Another => limits.requests,
         });
         self.sends.begin_anew(count, now);
         self.forget(now);
@@ -165,6 +162,11 @@
         Some(Asked { generation: self.generation, gone_out: self.gone_out() })
     }
 
+    /// Whether an answer to a question still counts.
+    pub fn is_open(&self, asked: Asked) -> bool {
+        asked.generation == self.generation
+    }
+
     /// Whether the endpoint is to be asked how it is.
     pub fn wants_word(&self, now: Moment) -> bool {
         let Some(limits) = self.limits.filter(|_| self.can_ask && !self.is_asking) else { return false };
@@ -177,7 +179,7 @@
 
     /// The endpoint was asked, and has answered or not.
     pub fn answered(&mut self, asked: Asked, remaining: Option<Duration>, now: Moment) {
-        if asked.generation != self.generation {
+        if !self.is_open(asked) {
             return;
         }
         self.is_asking = false;
--- a/crates/pointsman/src/platform/coldness/probe.rs
+++ b/crates/pointsman/src/platform/coldness/probe.rs
@@ -1,10 +1,11 @@
 //! Asking an endpoint for its health, and for how much longer it is cold.
 
+use crate::platform::Lines;
 use http::Method;
-use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
-use trackbed::http::{Client, Request, Return, single};
+use trackbed::http::{OpenConnections, Request, Return, single};
 use trackbed::ids::InstanceId;
 
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
@@ -37,28 +38,15 @@
     }
 }
 
-/// The questions to one endpoint, over a connection that is kept.
-pub struct HealthQuestions {
-    address: Option<SocketAddr>,
-    /// The connection of the last question, while no other is under way.
-    kept: Cell<Option<Client>>,
-}
-
-impl HealthQuestions {
-    /// Questions to the endpoint at an address.
-    pub fn new(address: Option<SocketAddr>) -> Self {
-        Self { address, kept: Cell::default() }
-    }
-
-    /// Asks the endpoint. Nothing where no answer comes in time, or none that tells how it is.
-    pub async fn ask(&self, path: String) -> Option<HealthWord> {
-        let mut client = match self.kept.take() {
-            Some(client) => client,
-            None => Client::new(self.address?),
-        };
-        let request = Request::own(Method::GET, path, &[], Default::default());
-        let answer = client.call(&request, ANSWER_LIMIT).await.ok()?;
-        self.kept.set(Some(client));
-        HealthWord::read(&answer)
-    }
+/// Asks the endpoint at an address, over a connection that requests use too: one that has all the connections that it
+/// accepts has none for a question alone. Nothing where no answer comes in time, or none that tells how it is.
+pub async fn ask_health(
+    lines: &Lines,
+    address: SocketAddr,
+    path: String,
+    connections: &Rc<OpenConnections>,
+) -> Option<HealthWord> {
+    let request = Request::own(Method::GET, path, &[], Default::default());
+    let asking = lines.ask(address, &request, connections, HealthWord::read);
+    monoio::time::timeout(ANSWER_LIMIT, asking).await.ok().flatten()
 }
--- a/crates/pointsman/src/platform/coldness/tests.rs
+++ b/crates/pointsman/src/platform/coldness/tests.rs
@@ -102,7 +102,7 @@
         for _ in 0..3000 {
             now = now + STEP;
             if now >= next_restart {
-                sender = Sender::new(FormerSender::EarlierProcess, SendShare::Whole, now);
+                sender = Sender::new(FormerSender::Another, SendShare::Whole, now);
                 next_restart = now + Duration::from_millis(1000 + random.below(2500));
                 if random.chance(0.5) {
                     sender.bound.heard(Duration::from_secs(30), now);
@@ -120,8 +120,8 @@
 fn homes_that_change_and_their_deputies_stay_below_the_ceiling_together() {
     for seed in 0..SEEDS {
         let (mut random, mut now) = (Random::seeded(seed), start());
-        let mut home = Sender::new(FormerSender::Others, SendShare::Whole, now);
-        let mut deputy = Sender::new(FormerSender::Others, SendShare::Rest, now);
+        let mut home = Sender::new(FormerSender::Another, SendShare::Whole, now);
+        let mut deputy = Sender::new(FormerSender::Another, SendShare::Rest, now);
         let mut arrivals = Arrivals::default();
         let mut next_change = now;
         for _ in 0..3000 {
@@ -129,8 +129,8 @@
             if now >= next_change {
                 next_change = now + Duration::from_millis(300 + random.below(2000));
                 match random.chance(0.5) {
-                    true => home = Sender::new(FormerSender::Others, SendShare::Whole, now),
-                    false => deputy = Sender::new(FormerSender::Others, SendShare::Rest, now),
+                    true => home = Sender::new(FormerSender::Another, SendShare::Whole, now),
+                    false => deputy = Sender::new(FormerSender::Another, SendShare::Rest, now),
                 }
             }
             arrivals.add(home.step(3, &mut random, now), now);
--- a/crates/pointsman/src/platform/exchange.rs
+++ b/crates/pointsman/src/platform/exchange.rs
@@ -7,13 +7,16 @@
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use trackbed::clock::{self, Moment};
-use trackbed::http::{Line, Return, ReturnError, single, write_request};
+use trackbed::http::{Line, OpenConnections, Request, Return, ReturnError, single, write_request};
 use trackbed::net::{SocketExt, connect};
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 const BODY_LIMIT: u64 = 64 << 20;
+/// The longest answer to a question of this node's own, in bytes.
+const LONGEST_OWN_ANSWER: u64 = 64 << 10;
 /// An idle connection is not trusted for longer, whatever the endpoint says.
 const LONGEST_IDLE: Duration = Duration::from_secs(5);
 /// In use so short a time ago that the endpoint can't have forgotten it.
@@ -80,6 +83,32 @@
         self.pool.drop_closed(to);
     }
 
+    /// Sends a question of this node's own to an endpoint, and reads its answer. Nothing where none comes, or what comes is
+    /// no answer to it: an earlier request's may stand in its place.
+    pub async fn ask<T>(
+        &self,
+        address: SocketAddr,
+        question: &Request,
+        connections: &Rc<OpenConnections>,
+        read: impl FnOnce(&Return) -> Option<T>,
+    ) -> Option<T> {
+        let now = clock::now();
+        let mut line = match self.pool.take(address, now, self.trusted_idle.get()) {
+            Some((line, _)) => line,
+            None => Line::counted(connect(address, CONNECT_LIMIT).await.ok()?, connections),
+        };
+        let host = address.to_string();
+        let bytes = write_request(question, &[("host", host.as_str())], &[]);
+        line.write(bytes).await.ok()?;
+        let answer = line.read_return(false, LONGEST_OWN_ANSWER).await.ok()?;
+        let told = read(&answer).filter(|_| !answer.headers.contains_key(ATTEMPT));
+        match told.is_some() && !answer.closes && !line.has_surplus() {
+            true => self.pool.keep(address, line, clock::now(), USUAL_KEEP.min(self.keeps)),
+            false => line.break_off(),
+        }
+        told
+    }
+
     /// What the endpoints' answers that are held may take from now on, in bytes.
     pub fn set_answer_room(&self, bytes: u64) {
         self.pool.set_answer_room(bytes);
--- a/crates/pointsman/src/platform/homes.rs
+++ b/crates/pointsman/src/platform/homes.rs
@@ -241,7 +241,7 @@
             let share = self.share(&instance.id);
             platform.admission.change_cold(|cold| {
                 cold.set_share(share);
-                cold.begin_life(FormerSender::Others, now);
+                cold.begin_life(FormerSender::Another, now);
             });
             (Rc::new(platform), now)
         });
--- a/crates/pointsman/src/platform/mod.rs
+++ b/crates/pointsman/src/platform/mod.rs
@@ -3,6 +3,8 @@
 
 mod admission;
 mod beats;
+#[cfg(test)]
+mod cold_tests;
 mod coldness;
 mod exchange;
 #[cfg(test)]
@@ -28,7 +30,6 @@
 pub use way_out::WayOut;
 
 use crate::dispatch::{Binding, Errand, GoResult, Outcome, Passed};
-use coldness::HealthQuestions;
 use lineside::aggregation::Reservations;
 use lineside::gossip::Occupancy;
 use std::cell::{Cell, RefCell};
@@ -100,8 +101,6 @@
     is_evacuated: Cell<bool>,
     /// No configuration is known yet, by which to tell what may go to the endpoint.
     awaits_fleet: Cell<bool>,
-    /// Asks the endpoint how it is.
-    questions: Rc<HealthQuestions>,
     /// Where the endpoint answers how it is, by the configuration.
     health_path: RefCell<Option<String>>,
     /// By what requests name their route by: how many ended well here, and how long the endpoint was at them.
@@ -114,7 +113,7 @@
 /// How many times as long a cold endpoint is taken to need.
 const SLOWER_WHILE_COLD: u32 = 2;
 /// An endpoint that did not answer how it is, or answered for another life, is asked again so much later.
-const ASKED_AGAIN_AFTER: Duration = Duration::from_millis(100);
+const ASKED_AGAIN_AFTER: Duration = Duration::from_millis(50);
 
 /// Routes whose work is told apart between two takings.
 const MOST_SORTS: usize = 512;
@@ -138,7 +137,6 @@
             closed: Cell::new(false),
             is_evacuated: Cell::new(false),
             awaits_fleet: Cell::new(false),
-            questions: Rc::new(HealthQuestions::new(address)),
             health_path: RefCell::default(),
             work: RefCell::default(),
         }
@@ -261,21 +259,27 @@
             return;
         }
         let Some(asked) = self.admission.change_cold(|cold| cold.ask(now)) else { return };
-        let path = self.health_path.borrow().clone();
-        let questions = self.questions.clone();
+        let place = self.address.zip(self.health_path.borrow().clone());
+        let (lines, connections) = (self.lines.clone(), self.process_end.connections().clone());
         let instance = self.life.borrow().as_ref().map(|life| life.instance.id.clone());
         let admission = self.admission.clone();
         monoio::spawn(async move {
-            let word = match path {
-                Some(path) => questions.ask(path).await,
-                None => None,
+            let remaining = loop {
+                let word = match place.clone() {
+                    Some((address, path)) => coldness::ask_health(&lines, address, path, &connections).await,
+                    None => None,
+                };
+                let own_word = word.filter(|word| Some(&word.instance) == instance.as_ref());
+                if let Some(word) = own_word {
+                    break Some(word.cold_remaining);
+                }
+                monoio::time::sleep(ASKED_AGAIN_AFTER).await;
+                // Nobody else asks for those who wait for the answer alone.
+                if admission.counts().1 == 0 || !admission.cold(|cold| cold.is_open(asked)) {
+                    break None;
+                }
             };
-            let remaining =
-                word.filter(|word| Some(&word.instance) == instance.as_ref()).map(|word| word.cold_remaining);
             log::debug!("asked for its health, {instance:?} is cold for {remaining:?}");
-            if remaining.is_none() {
-                monoio::time::sleep(ASKED_AGAIN_AFTER).await;
-            }
             admission.change_cold(|cold| cold.answered(asked, remaining, clock::now()));
         });
     }
